Build one path from caller to worker through separate processes

Cause: nothing existed. The folders, core types and messages are set down with one whole path: caller front, owner of the instance, worker stand-in, store stand-in, with claims fenced by epoch and recorded plans and watches.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format
+
+demo: $(STAMP)
+	PYTHON=$(PYTHON) sh examples/demo.sh
+
+test: $(STAMP)
+	$(PYTHON) -m pytest
+
+lint: $(STAMP)
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m ruff format --check .
+
+format: $(STAMP)
+	$(PYTHON) -m ruff check --fix .
+	$(PYTHON) -m ruff format .
+
+$(STAMP): pyproject.toml
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $(STAMP)
--- /dev/null
+++ b/src/fighead/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line with ``python -m fighead``."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/src/fighead/cli.py
@@ -0,0 +1,291 @@
+"""The command line; docs/cli.md lists commands, flags and exit codes."""
+
+import datetime as dt
+import json
+import os
+import pathlib
+import sys
+import typing as t
+
+import fire
+
+from . import console, daemon
+from .clock import Clock
+from .declaration import load_folder, read_register
+from .exceptions import FigheadError, SettingsError
+from .settings import load_settings, read_address
+from .standins.machine import Interference
+
+EXIT_OK = 0
+EXIT_BROKEN = 1
+EXIT_REFUSED = 2
+EXIT_NOT_IN_FORCE = 3
+DEFAULT_OPERATOR = "http://127.0.0.1:7200"
+TOKEN_VARIABLE = "FIGHEAD_TOKEN"  # noqa: S105
+
+
+class StandIn:
+    """Stand-ins for the platform, for the demo and for tests."""
+
+    def store(self, listen: str, seed: int = 0) -> None:
+        """Serve the key-value service.
+
+        Args:
+            listen: IP:port.
+            seed: Seed of the choice of lost answers.
+        """
+        daemon.serve_store(read_address(listen), seed)
+
+    def worker(
+        self,
+        listen: str,
+        name: str,
+        slots: int = 8,
+        memory_gib: int = 250,
+        interference: str = "",
+        guard: bool = True,
+    ) -> None:
+        """Serve one instance.
+
+        Args:
+            listen: IP:port.
+            name: Name of the instance.
+            slots: Tasks that it runs at once.
+            memory_gib: Memory for tasks, in GiB.
+            interference: Items NOISY:KIND:ADDED, separated by spaces.
+            guard: Whether stale epochs and tasks that do not fit are refused.
+        """
+        rules = tuple(_read_interference(part) for part in interference.split())
+        address = read_address(listen)
+        memory = memory_gib << 30
+        daemon.serve_worker(address, name, slots, memory, rules, guard)
+
+
+class Cli:
+    """fighead schedules latency-critical and batch work on shared instances.
+
+    Operator commands and queries call the entry at --operator and take the
+    token from the environment variable FIGHEAD_TOKEN.
+    """
+
+    def __init__(self) -> None:
+        self.standin = StandIn()
+
+    def serve(self, settings: str) -> None:
+        """Run one entry.
+
+        Args:
+            settings: Path of its INI file.
+        """
+        daemon.serve_entry(load_settings(settings))
+
+    def check(self, settings: str = "", declarations: str = "") -> None:
+        """Check settings or declarations without sending them anywhere."""
+        if settings:
+            cfg = load_settings(settings)
+            print(f"The settings of entry {cfg.name} have no fault.")
+        if declarations:
+            inventory = load_folder(declarations)
+            print(f"{len(inventory.instances)} instances, no fault.")
+
+    def register(self, csv: str) -> None:
+        """Print declarations of instances from an asset register in CSV."""
+        print(read_register(pathlib.Path(csv).read_text(encoding="utf-8")), end="")
+
+    def plan(
+        self, declarations: str, operator: str = DEFAULT_OPERATOR, json: bool = False
+    ) -> None:
+        """Show what a folder of declarations would change.
+
+        Args:
+            declarations: Folder of INI files.
+            operator: Address of an entry's operator front.
+            json: Whether to print JSON.
+        """
+
+        async def main(_reactor: t.Any, _clock: Clock) -> int:
+            client = _client(operator)
+            number, lines = await console.plan_change(client, declarations)
+            if json:
+                _print_json({"base": number, "changes": lines})
+            else:
+                print(f"Based on revision {number}:")
+                print("\n".join(lines) or "nothing changes")
+            return EXIT_OK
+
+        console.run(main)
+
+    def apply(
+        self,
+        declarations: str,
+        base: int,
+        author: str,
+        operator: str = DEFAULT_OPERATOR,
+        change_id: str = "",
+        timeout_s: float = 15.0,
+    ) -> None:
+        """Change inventory and rules, and wait until the change is in force.
+
+        Args:
+            declarations: Folder of INI files.
+            base: Number of the revision that 'plan' showed.
+            author: Who makes the change.
+            operator: Address of an entry's operator front.
+            change_id: Identity of the change; repeat it if an answer was lost.
+            timeout_s: How long to wait for all live entries.
+        """
+
+        async def main(_reactor: t.Any, clock: Clock) -> int:
+            client = _client(operator)
+            revision = await console.apply_folder(
+                client, declarations, base, author, change_id
+            )
+            print(f"Accepted as revision {revision.number}.")
+            timeout = dt.timedelta(seconds=timeout_s)
+            status = await console.wait_in_force(
+                client, clock, revision.number, timeout
+            )
+            if status.in_force and status.revision >= revision.number:
+                print(f"In force at {len(status.members)} entries.")
+                return EXIT_OK
+            print(f"Not yet in force at: {', '.join(status.lagging) or 'all'}.")
+            return EXIT_NOT_IN_FORCE
+
+        console.run(main)
+
+    def history(self, operator: str = DEFAULT_OPERATOR, json: bool = False) -> None:
+        """Show all accepted revisions."""
+        _show(operator, "/v1/history", json, _render_history)
+
+    def status(self, operator: str = DEFAULT_OPERATOR, json: bool = False) -> None:
+        """Show what an entry knows: members, claims, instances and lines."""
+        _show(operator, "/v1/status", json, _render_status)
+
+    def callers(self, operator: str = DEFAULT_OPERATOR, json: bool = False) -> None:
+        """Show unknown spellings of callers with the nearest declared names."""
+        _show(operator, "/v1/callers", json, _render_callers)
+
+    def drain(self, operator: str = DEFAULT_OPERATOR) -> None:
+        """Begin the planned stop of the entry at --operator."""
+
+        async def main(_reactor: t.Any, _clock: Clock) -> int:
+            await _client(operator).post("/v1/drain")
+            print("The entry drains; its process ends by itself.")
+            return EXIT_OK
+
+        console.run(main)
+
+    def load(
+        self,
+        plan: str,
+        entries: str,
+        workers: str = "",
+        seed: int = 0,
+        out: str = "",
+    ) -> None:
+        """Drive a load plan at entries and check the promises.
+
+        Args:
+            plan: INI file of the plan.
+            entries: Base URLs of caller fronts, separated by spaces.
+            workers: Base URLs of stand-ins, separated by spaces.
+            seed: Seed in place of the plan's own.
+            out: File for the results as JSON.
+        """
+
+        async def main(reactor: t.Any, clock: Clock) -> int:
+            result = await console.run_load(
+                reactor,
+                clock,
+                plan,
+                tuple(entries.split()),
+                tuple(workers.split()),
+                seed,
+            )
+            print(console.show_result(result))
+            if out:
+                console.write_result(result, out)
+            return EXIT_BROKEN if result.verdict.breaches else EXIT_OK
+
+        console.run(main)
+
+
+def _client(operator: str) -> console.OperatorClient:
+    token = os.environ.get(TOKEN_VARIABLE, "")
+    if not token:
+        raise SettingsError(
+            f"{TOKEN_VARIABLE} is not set.",
+            "Set it to the value of [operator_front] token.",
+        )
+    return console.OperatorClient(operator.rstrip("/"), token)
+
+
+def _show(
+    operator: str, path: str, as_json: bool, render: t.Callable[[t.Any], str]
+) -> None:
+    async def main(_reactor: t.Any, _clock: Clock) -> int:
+        answer = await _client(operator).get(path)
+        if as_json:
+            _print_json(answer)
+        else:
+            print(render(answer))
+        return EXIT_OK
+
+    console.run(main)
+
+
+def _print_json(value: t.Any) -> None:
+    print(json.dumps(value, indent=2, ensure_ascii=False))
+
+
+def _render_history(rows: t.Any) -> str:
+    lines = []
+    for row in rows:
+        lines.append(f"{row['number']:5} {row['accepted_at']} {row['author']}")
+        lines.extend(f"      {line}" for line in row.get("summary", []))
+    return "\n".join(lines) or "no revision yet"
+
+
+def _render_status(status: t.Any) -> str:
+    lines = [f"{status['entry']}: revision {status['revision']}"]
+    if status.get("lagging"):
+        lines.append(f"not yet in force at {', '.join(status['lagging'])}")
+    for member in status["members"]:
+        state = "ready" if member["ready"] else "draining"
+        lines.append(
+            f"  entry {member['name']} ({member['availability_zone']}, {state}): "
+            f"revision {member['applied_revision']}, {member['claims']} claims"
+        )
+    if status["unclaimed"]:
+        lines.append(f"  unclaimed: {', '.join(status['unclaimed'])}")
+    for item in status["instances"]:
+        lines.append(
+            f"  instance {item['name']}: {item['stage']}, {item['checks']} checks, "
+            f"{item['batch_tasks']} tasks, {item['queued_checks']} queued, "
+            f"{item['level']}"
+        )
+    for line in status["lines"]:
+        lines.append(f"  line {line['upstream']}: waiting {line['waiting']}")
+    return "\n".join(lines)
+
+
+def _render_callers(rows: t.Any) -> str:
+    lines = [
+        f"{row['seen']:6} {row['spelling']!r}: {', '.join(row['nearest']) or '?'}"
+        for row in rows
+    ]
+    return "\n".join(lines) or "no unknown spelling was seen"
+
+
+def _read_interference(part: str) -> Interference:
+    noisy, kind, added = part.split(":")
+    return Interference(noisy, kind, float(added))
+
+
+def main() -> None:
+    """Run the command line."""
+    try:
+        fire.Fire(Cli, name="fighead")
+    except FigheadError as exc:
+        print(f"fighead: {exc}", file=sys.stderr)
+        sys.exit(EXIT_REFUSED)
--- /dev/null
+++ b/src/fighead/codec.py
@@ -0,0 +1,76 @@
+"""Encoding of typed messages: JSON for HTTP and the store, msgpack for peers."""
+
+import datetime as dt
+import enum
+import json
+import typing as t
+
+import cattrs
+import msgpack
+from cattrs.preconf.json import make_converter as make_json_converter
+
+from .exceptions import RequestError
+
+T = t.TypeVar("T")
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = make_json_converter(omit_if_default=True)
+    converter.register_unstructure_hook(dt.timedelta, lambda d: d.total_seconds())
+    converter.register_structure_hook(
+        dt.timedelta, lambda seconds, _: dt.timedelta(seconds=seconds)
+    )
+    converter.register_unstructure_hook(dt.datetime, lambda d: d.timestamp())
+    converter.register_structure_hook(
+        dt.datetime, lambda stamp, _: dt.datetime.fromtimestamp(stamp, dt.UTC)
+    )
+    converter.register_unstructure_hook(enum.Enum, lambda member: member.value)
+    return converter
+
+
+_CONVERTER = _make_converter()
+
+
+def to_json(value: t.Any) -> str:
+    """Encode an attrs object as JSON; defaults are left out."""
+    return json.dumps(_CONVERTER.unstructure(value), separators=(",", ":"))
+
+
+def from_json(text: str | bytes, cls: type[T]) -> T:
+    """Decode JSON into ``cls``.
+
+    :raises RequestError: If the text is no JSON or does not fit ``cls``.
+    """
+    try:
+        return _CONVERTER.loads(text, cls)
+    except Exception as exc:
+        raise RequestError(
+            f"The text is no valid {cls.__name__}: {_explain(exc)}.",
+            "Compare the fields with the reference in docs/.",
+        ) from exc
+
+
+def to_wire(value: t.Any) -> bytes:
+    """Encode a message with the name of its class for a peer."""
+    body = _CONVERTER.unstructure(value)
+    return msgpack.packb((type(value).__name__, body))
+
+
+def from_wire(frame: bytes, registry: t.Mapping[str, type]) -> t.Any:
+    """Decode a peer's message by the classes of ``registry``.
+
+    :raises RequestError: If the class is unknown or the fields do not fit.
+    """
+    try:
+        name, body = msgpack.unpackb(frame)
+        return _CONVERTER.structure(body, registry[name])
+    except Exception as exc:
+        raise RequestError(
+            f"A peer's message can't be decoded: {_explain(exc)}.",
+            "Run the same version of fighead on all entries.",
+        ) from exc
+
+
+def _explain(exc: BaseException) -> str:
+    messages = cattrs.transform_error(exc) if isinstance(exc, Exception) else []
+    return "; ".join(messages) or str(exc)
--- /dev/null
+++ b/src/fighead/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands: what changes something, for callers and for operators."""
--- /dev/null
+++ b/src/fighead/decisions/member.py
@@ -0,0 +1,525 @@
+"""Decisions on membership, claims and the revision in force of one entry."""
+
+import datetime as dt
+import typing as t
+
+from attrs import evolve, frozen
+from pyrsistent import PMap, pmap
+
+from .. import message as m
+from ..model import Claim, Inventory, Member, Revision
+from . import Step, life, ownership
+from .life import ClaimStage, Life
+
+#: Claims that are handed over for balance at once.
+HANDOVERS_AT_ONCE = 2
+#: Time without the store and without a peer after which an entry leaves the
+#: balancer.
+ISOLATION_LIMIT = dt.timedelta(seconds=10)
+
+
+@frozen
+class OwnClaim:
+    """A claim that this entry makes, holds or gives up."""
+
+    resource: str
+    stage: ClaimStage = ClaimStage.CLAIMING
+    epoch: int = 0
+
+
+@frozen
+class MemberState:
+    """What an entry knows of itself and of the others.
+
+    :param lease: The entry's lease; 0 while it has none.
+    :param free_since: When each resource without a claim was first seen so.
+    :param misplaced_since: When another entry was first preferred for a
+        resource that this one holds.
+    :param seen_revision: Revision of the store up to which events are known.
+    """
+
+    me: Member
+    life: Life = Life.STARTING
+    lease: int = 0
+    is_loaded: bool = False
+    members: PMap = pmap()
+    claims: PMap = pmap()
+    own: PMap = pmap()
+    revision: Revision | None = None
+    free_since: PMap = pmap()
+    misplaced_since: PMap = pmap()
+    platform_gone: frozenset[str] = frozenset()
+    platform_leaving: frozenset[str] = frozenset()
+    seen_revision: int = 0
+    store_seen_at: dt.datetime | None = None
+    peer_seen_at: dt.datetime | None = None
+    store_reachable: bool = False
+    front_is_idle: bool = False
+
+
+@frozen
+class LeaseGranted:
+    """Message: the store granted a lease."""
+
+    lease: int
+
+
+@frozen
+class LeaseLapsed:
+    """Message: the store no longer knows the lease."""
+
+
+@frozen
+class ControlLoaded:
+    """Message: everything under the control prefix, read as a whole."""
+
+    revision: int
+    members: PMap
+    claims: PMap
+    current: Revision | None
+
+
+@frozen
+class ControlChanged:
+    """Message: changes under the control prefix, ``None`` for a removal."""
+
+    revision: int
+    members: PMap
+    claims: PMap
+    current: Revision | None
+
+
+@frozen
+class ClaimWon:
+    """Message: the store took a claim."""
+
+    resource: str
+    epoch: int
+
+
+@frozen
+class ClaimFailed:
+    """Message: the store did not take a claim."""
+
+    resource: str
+
+
+@frozen
+class ClaimDropped:
+    """Message: a claim that was given up is gone."""
+
+    resource: str
+
+
+@frozen
+class Superseded:
+    """Message: an instance has seen a higher epoch than this entry's."""
+
+    resource: str
+    epoch: int
+
+
+@frozen
+class ResourceClosed:
+    """Message: the task of a resource has nothing in flight any more."""
+
+    resource: str
+
+
+@frozen
+class RevisionHeard:
+    """Message: a peer told of a revision."""
+
+    revision: Revision
+
+
+@frozen
+class PeerSeen:
+    """Message: a peer answered."""
+
+
+@frozen
+class StoreSeen:
+    """Message: whether the store answered the last call."""
+
+    reachable: bool
+
+
+@frozen
+class PlatformSeen:
+    """Message: the platform's list of instances that are not just live."""
+
+    leaving: frozenset[str]
+    gone: frozenset[str]
+
+
+@frozen
+class FrontIdle:
+    """Message: no request of a caller is in flight."""
+
+
+@frozen
+class WriteClaim:
+    """Effect: claim a resource under the lease."""
+
+    resource: str
+    lease: int
+
+
+@frozen
+class DropClaim:
+    """Effect: remove an own claim."""
+
+    resource: str
+    epoch: int
+
+
+@frozen
+class WriteMember:
+    """Effect: write this entry's own description."""
+
+    member: Member
+    lease: int
+
+
+@frozen
+class OpenResource:
+    """Effect: start the task of a resource that was won."""
+
+    resource: str
+    epoch: int
+
+
+@frozen
+class CloseResource:
+    """Effect: end the task of a resource gracefully and say when it is done."""
+
+    resource: str
+
+
+@frozen
+class RetireResource:
+    """Effect: take no more work on a resource that was lost."""
+
+    resource: str
+
+
+@frozen
+class Publish:
+    """Effect: tell all tasks what is known now."""
+
+    view: m.View
+
+
+@frozen
+class RevisionApplied:
+    """Effect: log that a revision is in force."""
+
+    number: int
+
+
+@frozen
+class RevisionIgnored:
+    """Effect: log that an older revision was offered."""
+
+    number: int
+
+
+@frozen
+class EndEntry:
+    """Effect: give up the lease and end the process."""
+
+    lease: int
+
+
+MemberStep = Step[MemberState]
+
+
+def decide(state: MemberState, msg: t.Any, now: dt.datetime) -> MemberStep:
+    """Return the new state and the effects of one message."""
+    before = view_of(state)
+    step = _handle(state, msg, now).then(lambda s: _balance(s, now))
+    after = view_of(step.state)
+    if after == before:
+        return step
+    return Step(step.state, (*step.effects, Publish(after)))
+
+
+def view_of(state: MemberState) -> m.View:
+    """Return what the other tasks of the entry are told."""
+    return m.View(
+        me=state.me.name,
+        members=state.members,
+        claims=state.claims,
+        revision=state.revision,
+        platform_gone=state.platform_gone,
+        platform_leaving=state.platform_leaving,
+        store_reachable=state.store_reachable,
+    )
+
+
+def is_ready(state: MemberState, now: dt.datetime) -> bool:
+    """Whether the balancer should send requests to this entry."""
+    if state.life is not Life.SERVING or state.revision is None:
+        return False
+    seen = [at for at in (state.store_seen_at, state.peer_seen_at) if at is not None]
+    return bool(seen) and now - max(seen) < ISOLATION_LIMIT
+
+
+def _handle(state: MemberState, msg: t.Any, now: dt.datetime) -> MemberStep:
+    match msg:
+        case LeaseGranted(lease):
+            return _announce(evolve(state, lease=lease))
+        case LeaseLapsed():
+            return _lose_lease(state)
+        case ControlLoaded() | ControlChanged():
+            return _take_control(state, msg)
+        case ClaimWon():
+            return _win(state, msg)
+        case ClaimFailed(resource):
+            return Step(_forget_own(state, resource))
+        case ClaimDropped(resource):
+            claims = state.claims.discard(resource)
+            return Step(_forget_own(evolve(state, claims=claims), resource))
+        case Superseded():
+            return _give_way(state, msg)
+        case ResourceClosed(resource):
+            return _drop(state, resource)
+        case RevisionHeard(revision):
+            return _apply_revision(state, revision)
+        case PeerSeen():
+            return Step(evolve(state, peer_seen_at=now))
+        case StoreSeen(reachable):
+            return Step(_note_store(state, reachable, now))
+        case PlatformSeen(leaving, gone):
+            return Step(evolve(state, platform_leaving=leaving, platform_gone=gone))
+        case m.Stop():
+            return _drain(state)
+        case FrontIdle():
+            return Step(evolve(state, front_is_idle=True))
+        case m.Tick():
+            return Step(state)
+    raise TypeError(f"Unexpected message {type(msg).__name__}.")
+
+
+def _announce(state: MemberState) -> MemberStep:
+    if not state.lease:
+        return Step(state)
+    return Step(state, (WriteMember(state.me, state.lease),))
+
+
+def _note_store(state: MemberState, reachable: bool, now: dt.datetime) -> MemberState:
+    seen_at = now if reachable else state.store_seen_at
+    return evolve(state, store_reachable=reachable, store_seen_at=seen_at)
+
+
+def _lose_lease(state: MemberState) -> MemberStep:
+    # Every claim was attached to the lease. Work goes on until each claim is
+    # made anew or seen to be another's.
+    effects = tuple(
+        RetireResource(resource)
+        for resource, own in state.own.items()
+        if own.stage is not ClaimStage.CLAIMING
+    )
+    claims = state.claims
+    for resource, claim in state.claims.items():
+        if claim.owner == state.me.name:
+            claims = claims.remove(resource)
+    return Step(evolve(state, lease=0, own=pmap(), claims=claims), effects)
+
+
+def _take_control(
+    state: MemberState, msg: ControlLoaded | ControlChanged
+) -> MemberStep:
+    if msg.revision < state.seen_revision:
+        # The store answered from the past.
+        return Step(state)
+    if isinstance(msg, ControlLoaded):
+        members, claims = msg.members, msg.claims
+    else:
+        members = _merge(state.members, msg.members)
+        claims = _merge(state.claims, msg.claims)
+    state = evolve(
+        state,
+        members=members,
+        claims=claims,
+        seen_revision=msg.revision,
+        is_loaded=True,
+        life=life.change_life(state.life, lambda entry: entry.join()),
+    )
+    step = _drop_lost(state)
+    if msg.current is not None:
+        step = step.then(lambda s: _apply_revision(s, msg.current))
+    return step
+
+
+def _merge(known: PMap, changes: PMap) -> PMap:
+    for key, value in changes.items():
+        known = known.discard(key) if value is None else known.set(key, value)
+    return known
+
+
+def _drop_lost(state: MemberState) -> MemberStep:
+    """Give up what the store says is another's or nobody's."""
+    effects = []
+    own = state.own
+    for resource, mine in state.own.items():
+        if mine.stage is ClaimStage.CLAIMING:
+            continue
+        claim = state.claims.get(resource)
+        if claim is not None and claim.epoch == mine.epoch:
+            continue
+        if claim is not None and claim.epoch < mine.epoch:
+            continue
+        if claim is None and state.seen_revision < mine.epoch:
+            continue
+        own = own.remove(resource)
+        effects.append(RetireResource(resource))
+    return Step(evolve(state, own=own), tuple(effects))
+
+
+def _apply_revision(state: MemberState, revision: Revision) -> MemberStep:
+    applied = state.revision
+    if applied is not None and revision.number <= applied.number:
+        if revision.number < applied.number:
+            return Step(state, (RevisionIgnored(revision.number),))
+        return Step(state)
+    me = evolve(state.me, applied_revision=revision.number)
+    state = evolve(state, revision=revision, me=me)
+    step = _announce(state)
+    return Step(state, (RevisionApplied(revision.number), *step.effects))
+
+
+def _win(state: MemberState, msg: ClaimWon) -> MemberStep:
+    own = state.own.get(msg.resource)
+    if own is None or own.stage is not ClaimStage.CLAIMING:
+        return Step(state, (DropClaim(msg.resource, msg.epoch),))
+    stage = life.change_claim(own.stage, lambda claim: claim.win())
+    held = OwnClaim(msg.resource, stage, msg.epoch)
+    claim = Claim(msg.resource, state.me.name, msg.epoch)
+    state = evolve(
+        state,
+        own=state.own.set(msg.resource, held),
+        claims=state.claims.set(msg.resource, claim),
+    )
+    return Step(state, (OpenResource(msg.resource, msg.epoch),))
+
+
+def _forget_own(state: MemberState, resource: str) -> MemberState:
+    return evolve(state, own=state.own.discard(resource))
+
+
+def _give_way(state: MemberState, msg: Superseded) -> MemberStep:
+    own = state.own.get(msg.resource)
+    if own is None or own.epoch != msg.epoch:
+        return Step(state)
+    state = _forget_own(state, msg.resource)
+    return Step(state, (RetireResource(msg.resource),))
+
+
+def _drop(state: MemberState, resource: str) -> MemberStep:
+    own = state.own.get(resource)
+    if own is None or own.stage is not ClaimStage.CLOSING:
+        return Step(state)
+    stage = life.change_claim(own.stage, lambda claim: claim.closed())
+    state = evolve(state, own=state.own.set(resource, evolve(own, stage=stage)))
+    return Step(state, (DropClaim(resource, own.epoch),))
+
+
+def _drain(state: MemberState) -> MemberStep:
+    if state.life in (Life.DRAINING, Life.STOPPED):
+        return Step(state)
+    draining = life.change_life(state.life, lambda entry: entry.drain())
+    state = evolve(state, life=draining, me=evolve(state.me, ready=False))
+    return _announce(state)
+
+
+def _balance(state: MemberState, now: dt.datetime) -> MemberStep:
+    """Claim what is free, hand over what suits others better."""
+    if state.life is Life.DRAINING:
+        return _close_all(state)
+    if state.life is not Life.SERVING or state.revision is None or not state.lease:
+        return Step(state)
+    if state.me.name not in state.members:
+        return Step(state)
+    inventory = state.revision.inventory
+    zones = ownership.resources_of(inventory)
+    members = tuple(state.members.values())
+    owners = ownership.assign_owners(zones, members)
+    step = _claim_free(state, zones, owners, now)
+    step = step.then(lambda s: _hand_over(s, owners, now))
+    return step.then(lambda s: _close_undeclared(s, inventory))
+
+
+def _claim_free(
+    state: MemberState,
+    zones: t.Mapping[str, str],
+    owners: t.Mapping[str, str],
+    now: dt.datetime,
+) -> MemberStep:
+    effects: list[t.Any] = []
+    free_since, own = state.free_since, state.own
+    for resource, zone in zones.items():
+        if resource in state.claims:
+            free_since = free_since.discard(resource)
+            continue
+        if resource in own:
+            continue
+        since = free_since.get(resource, now)
+        free_since = free_since.set(resource, since)
+        preferred = owners.get(resource, "")
+        if preferred == state.me.name or now - since >= ownership.claim_delay(
+            resource, zone, state.me.name, preferred, state.members.values()
+        ):
+            own = own.set(resource, OwnClaim(resource))
+            effects.append(WriteClaim(resource, state.lease))
+    return Step(evolve(state, free_since=free_since, own=own), tuple(effects))
+
+
+def _hand_over(
+    state: MemberState, owners: t.Mapping[str, str], now: dt.datetime
+) -> MemberStep:
+    misplaced = state.misplaced_since
+    ready: list[str] = []
+    for resource, own in state.own.items():
+        preferred = owners.get(resource)
+        if own.stage is not ClaimStage.HELD or preferred in (None, state.me.name):
+            misplaced = misplaced.discard(resource)
+            continue
+        since = misplaced.get(resource, now)
+        misplaced = misplaced.set(resource, since)
+        if now - since >= ownership.HANDOVER_DELAY:
+            ready.append(resource)
+    step = Step(evolve(state, misplaced_since=misplaced))
+    closing = sum(own.stage is ClaimStage.CLOSING for own in state.own.values())
+    for resource in sorted(ready)[: max(0, HANDOVERS_AT_ONCE - closing)]:
+        step = step.then(lambda s, resource=resource: _close(s, resource))
+    return step
+
+
+def _close(state: MemberState, resource: str) -> MemberStep:
+    own = state.own[resource]
+    stage = life.change_claim(own.stage, lambda claim: claim.close())
+    closing = state.own.set(resource, evolve(own, stage=stage))
+    return Step(evolve(state, own=closing), (CloseResource(resource),))
+
+
+def _close_undeclared(state: MemberState, inventory: Inventory) -> MemberStep:
+    declared = ownership.resources_of(inventory)
+    step = Step(state)
+    for resource, own in state.own.items():
+        if own.stage is ClaimStage.HELD and resource not in declared:
+            step = step.then(lambda s, resource=resource: _close(s, resource))
+    return step
+
+
+def _close_all(state: MemberState) -> MemberStep:
+    step = Step(state)
+    for resource, own in state.own.items():
+        if own.stage is ClaimStage.HELD:
+            step = step.then(lambda s, resource=resource: _close(s, resource))
+    if step.state.own or not step.state.front_is_idle:
+        return step
+    stopped = life.change_life(step.state.life, lambda entry: entry.finish())
+    ended = evolve(step.state, life=stopped)
+    return Step(ended, (*step.effects, EndEntry(ended.lease)))
--- /dev/null
+++ b/src/fighead/decisions/share.py
@@ -0,0 +1,134 @@
+"""The order in which waiting plans and watches get free slots.
+
+Kinds share by weight with a floor for watches, callers of one kind share by
+weight, and the work of one caller keeps its place in line.
+"""
+
+import bisect
+import typing as t
+
+from attrs import evolve, frozen
+from pyrsistent import PMap, pmap
+
+from ..model import Category, Kind
+
+
+@frozen(order=True)
+class Place:
+    """A place in line: the create revision of a record, and its work id."""
+
+    revision: int
+    work_id: str
+
+
+@frozen
+class Group:
+    """Work of one caller and kind."""
+
+    kind: str
+    caller: str
+
+
+@frozen
+class Shares:
+    """Waiting work by group, and how many tasks each kind and caller runs."""
+
+    waiting: PMap = pmap()
+    running_by_kind: PMap = pmap()
+    running_by_group: PMap = pmap()
+
+    def count_waiting(self, group: Group) -> int:
+        """Return how much work of ``group`` waits."""
+        return len(self.waiting.get(group, ()))
+
+
+def add_waiting(shares: Shares, group: Group, place: Place) -> Shares:
+    """Add work at its place in line."""
+    places = shares.waiting.get(group, ())
+    index = bisect.bisect_left(places, place)
+    placed = (*places[:index], place, *places[index:])
+    return evolve(shares, waiting=shares.waiting.set(group, placed))
+
+
+def remove_waiting(shares: Shares, group: Group, place: Place) -> Shares:
+    """Remove work from the line, if it is there."""
+    places = shares.waiting.get(group, ())
+    index = bisect.bisect_left(places, place)
+    if index == len(places) or places[index] != place:
+        return shares
+    rest = (*places[:index], *places[index + 1 :])
+    if not rest:
+        return evolve(shares, waiting=shares.waiting.remove(group))
+    return evolve(shares, waiting=shares.waiting.set(group, rest))
+
+
+def remove_many(shares: Shares, gone: t.Mapping[Group, t.Collection[Place]]) -> Shares:
+    """Remove many places in one pass over each group."""
+    waiting = shares.waiting
+    for group, places in gone.items():
+        left = set(places)
+        rest = tuple(p for p in waiting.get(group, ()) if p not in left)
+        waiting = waiting.set(group, rest) if rest else waiting.discard(group)
+    return evolve(shares, waiting=waiting)
+
+
+def count_running(shares: Shares, group: Group, change: int) -> Shares:
+    """Note that a task of ``group`` starts (+1) or ends (-1)."""
+    by_kind = shares.running_by_kind
+    by_group = shares.running_by_group
+    return evolve(
+        shares,
+        running_by_kind=by_kind.set(
+            group.kind, max(0, by_kind.get(group.kind, 0) + change)
+        ),
+        running_by_group=by_group.set(group, max(0, by_group.get(group, 0) + change)),
+    )
+
+
+def order(
+    shares: Shares,
+    kinds: t.Mapping[str, Kind],
+    weights: t.Mapping[str, float],
+    watch_floor: float,
+) -> list[Group]:
+    """Return the groups that wait, the one to serve next first.
+
+    :param weights: Weight by caller; 1.0 if not named.
+    :param watch_floor: Share of all running tasks kept for watches.
+    """
+    keyed = [
+        (_rank(shares, kinds, weights, watch_floor, group, places[0]), group)
+        for group, places in shares.waiting.items()
+        if group.kind in kinds
+    ]
+    keyed.sort(key=lambda entry: entry[0])
+    return [group for _, group in keyed]
+
+
+def _rank(
+    shares: Shares,
+    kinds: t.Mapping[str, Kind],
+    weights: t.Mapping[str, float],
+    watch_floor: float,
+    group: Group,
+    first: Place,
+) -> tuple[int, float, float, Place]:
+    kind = kinds[group.kind]
+    running = shares.running_by_kind.get(group.kind, 0)
+    below_floor = kind.category is Category.WATCH and _below_floor(
+        shares, kinds, watch_floor
+    )
+    by_kind = running / kind.weight
+    by_caller = shares.running_by_group.get(group, 0) / weights.get(group.caller, 1.0)
+    return (0 if below_floor else 1, by_kind, by_caller, first)
+
+
+def _below_floor(
+    shares: Shares, kinds: t.Mapping[str, Kind], watch_floor: float
+) -> bool:
+    total = watches = 0
+    for name, running in shares.running_by_kind.items():
+        total += running
+        if name in kinds and kinds[name].category is Category.WATCH:
+            watches += running
+    return watches < watch_floor * (total + 1)
--- /dev/null
+++ b/src/fighead/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Fronts: HTTP encodings over the same commands and queries."""
--- /dev/null
+++ b/src/fighead/load/file.py
@@ -0,0 +1,74 @@
+"""Load plans as INI files."""
+
+import configparser
+import datetime as dt
+
+from ..exceptions import SettingsError
+from ..ini import (
+    Section,
+    read_between,
+    read_flag,
+    read_list,
+    read_milliseconds,
+    read_name,
+    read_positive,
+    read_seconds,
+    read_share,
+)
+from ..model import Category
+from .plan import LoadPlan, Stream
+
+#: Longest run of the load tool.
+LONGEST_RUN_S = 3600.0
+MAX_RATE = 5000.0
+
+
+def load_plan(path: str) -> LoadPlan:
+    """Read and check a load plan.
+
+    :raises SettingsError: Naming every fault at once.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with open(path, encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, configparser.Error, UnicodeDecodeError) as exc:
+        raise SettingsError(
+            f"{path} can't be read: {exc}.", "Give the path of a valid INI file."
+        ) from exc
+    head = Section("[plan]", parser["plan"] if "plan" in parser else {})
+    seed, name = head.take("seed", int, 1), head.take("name", read_name, "load")
+    head.finish()
+    faults, streams = list(head.faults), []
+    for title in parser.sections():
+        if title == "plan":
+            continue
+        section = Section(f"[{title}]", parser[title])
+        stream = _read_stream(section)
+        section.finish()
+        faults.extend(section.faults)
+        if not section.faults:
+            streams.append(stream)
+    if faults:
+        raise SettingsError("; ".join(faults) + ".", "Correct the plan.")
+    return LoadPlan(tuple(streams), seed, name)
+
+
+def _read_stream(section: Section) -> Stream:
+    read_time = read_between(float, 0, LONGEST_RUN_S)
+    return Stream(
+        upstream=section.take("upstream", read_name),
+        kind=section.take("kind", read_name),
+        category=section.take("category", Category),
+        rate=section.take("rate_per_s", read_between(float, 0, MAX_RATE)),
+        run_time_s=section.take("run_time_s", read_positive(float)),
+        start=dt.timedelta(seconds=section.take("start_s", read_time, 0.0)),
+        end=dt.timedelta(seconds=section.take("end_s", read_time, 10.0)),
+        deadline=section.take(
+            "deadline_ms", read_milliseconds, dt.timedelta(seconds=1)
+        ),
+        callers=section.take("callers", read_list, ("load",)),
+        non_idempotent=section.take("non_idempotent", read_flag, False),
+        fails_share=section.take("fails_share", read_share, 0.0),
+        wait=section.take("wait_s", read_seconds, dt.timedelta()),
+    )
--- /dev/null
+++ b/src/fighead/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Queries: what only reads, for callers and for operators."""
--- /dev/null
+++ b/src/fighead/queries/work.py
@@ -0,0 +1,74 @@
+"""The query for the outcome of a plan or watch."""
+
+import datetime as dt
+
+from .. import message as m
+from ..clock import sleep
+from ..commands.work import RETRY_PAUSE, check_request_id
+from ..decisions.ownership import line_resource
+from ..desk import Desk
+from ..exceptions import MailboxFullError, PeerUnreachableError, StoreError
+from ..model import work_id
+from ..store import Range
+from ..tasks.line import read_record, record_key
+from ..tasks.store import ask_store
+
+#: Longest wait that is passed to the holder of a line at once.
+LONGEST_WAIT = dt.timedelta(seconds=5)
+#: Added to the wait before the holder counts as not reached.
+ANSWER_TIMEOUT = dt.timedelta(seconds=2)
+
+
+async def find_work(
+    desk: Desk, upstream: str, spelling: str, request_id: str, wait: dt.timedelta
+) -> m.WorkOutcome:
+    """Return the record of a request, waiting for its end up to ``wait``.
+
+    Open work is known to the holder of the line; what has ended is read from
+    the store, so the answer does not depend on any one entry.
+
+    :return: :class:`.Accepted` with the record, :class:`.Refused` if there is
+        none, :class:`.Unknown` if that can't be told now.
+    """
+    check_request_id(request_id)
+    caller = desk.canonical_name(spelling)
+    deadline = desk.clock.now() + wait
+    while True:
+        left = max(dt.timedelta(), deadline - desk.clock.now())
+        query = m.QueryWork(upstream, caller, request_id, min(left, LONGEST_WAIT))
+        outcome = await _ask_holder(desk, query)
+        if not isinstance(outcome, m.Accepted):
+            outcome = await _read_store(desk, upstream, caller, request_id)
+        is_final = isinstance(outcome, m.Accepted) and outcome.record.phase.is_final
+        if is_final or desk.clock.now() >= deadline:
+            return outcome
+        if isinstance(outcome, m.Refused):
+            return outcome
+        await sleep(desk.clock, RETRY_PAUSE)
+
+
+async def _ask_holder(desk: Desk, query: m.QueryWork) -> m.WorkOutcome:
+    resource = line_resource(query.upstream)
+    try:
+        return await desk.ask(resource, query, query.wait + ANSWER_TIMEOUT)
+    except (PeerUnreachableError, MailboxFullError) as exc:
+        return m.Unknown(exc.message)
+
+
+async def _read_store(
+    desk: Desk, upstream: str, caller: str, request_id: str
+) -> m.WorkOutcome:
+    key = record_key(upstream, work_id(caller, request_id))
+    try:
+        result = await ask_store(desk.store, Range(key))
+    except (StoreError, MailboxFullError) as exc:
+        return m.Unknown(f"{exc.message} Ask again by id.")
+    stored = read_record(result.kvs[0]) if result.kvs else None
+    if stored is not None:
+        return m.Accepted(stored.record)
+    return m.Refused(
+        "unknown_work",
+        f"No work has the request id {request_id!r}.",
+        "Check the upstream, the caller's name and the id.",
+        404,
+    )
--- /dev/null
+++ b/src/fighead/standins/keyspace.py
@@ -0,0 +1,116 @@
+"""The keys, leases and revisions of the stand-in for the key-value service."""
+
+import bisect
+import datetime as dt
+import typing as t
+
+from attrs import define, evolve, field
+
+from ..store import KeyValue, WatchEvent
+
+
+@define
+class _Lease:
+    ttl: dt.timedelta
+    expires_at: dt.datetime
+    keys: set[str] = field(factory=set)
+
+
+@define
+class Keyspace:
+    """All keys in memory, with one revision for every change.
+
+    :param on_change: Called with the revision and events of each change.
+    """
+
+    on_change: t.Callable[[int, list[WatchEvent]], None] = lambda _rev, _events: None
+    revision: int = 1
+    _kvs: dict[str, KeyValue] = field(factory=dict)
+    _keys: list[str] = field(factory=list)
+    _leases: dict[int, _Lease] = field(factory=dict)
+    _lease_of: dict[str, int] = field(factory=dict)
+    _next_lease: int = 1000
+    history: list[tuple[int, WatchEvent]] = field(factory=list)
+
+    def get(self, key: str) -> KeyValue:
+        """Return a key; an absent one has revision 0."""
+        return self._kvs.get(key, KeyValue(key))
+
+    def scan(self, start: str, end: str, limit: int) -> tuple[list[KeyValue], bool]:
+        """Return keys from ``start`` up to ``end`` and whether more follow."""
+        first = bisect.bisect_left(self._keys, start)
+        last = bisect.bisect_left(self._keys, end)
+        stop = min(last, first + limit) if limit else last
+        return [self._kvs[key] for key in self._keys[first:stop]], stop < last
+
+    def apply(self, puts: list[tuple[str, str, int]], deletes: list[str]) -> None:
+        """Carry out one change at the next revision."""
+        events = []
+        revision = self.revision + 1
+        for key, value, lease in puts:
+            events.append(self._put(key, value, lease, revision))
+        for key in deletes:
+            if key in self._kvs:
+                events.append(self._delete(key, revision))
+        if not events:
+            return
+        self.revision = revision
+        self.history.extend((revision, event) for event in events)
+        self.on_change(revision, events)
+
+    def _put(self, key: str, value: str, lease: int, revision: int) -> WatchEvent:
+        old = self._kvs.get(key)
+        if old is None:
+            bisect.insort(self._keys, key)
+            kv = KeyValue(key, value, revision, revision)
+        else:
+            kv = evolve(old, value=value, mod_revision=revision)
+        self._kvs[key] = kv
+        self._detach(key)
+        if lease:
+            self._leases[lease].keys.add(key)
+            self._lease_of[key] = lease
+        return WatchEvent(kv)
+
+    def _delete(self, key: str, revision: int) -> WatchEvent:
+        del self._kvs[key]
+        del self._keys[bisect.bisect_left(self._keys, key)]
+        self._detach(key)
+        return WatchEvent(KeyValue(key, mod_revision=revision), deleted=True)
+
+    def _detach(self, key: str) -> None:
+        lease = self._lease_of.pop(key, 0)
+        if lease in self._leases:
+            self._leases[lease].keys.discard(key)
+
+    def has_lease(self, lease: int) -> bool:
+        """Whether the lease is alive."""
+        return lease in self._leases
+
+    def grant(self, ttl: dt.timedelta, now: dt.datetime) -> int:
+        """Create a lease and return its id."""
+        self._next_lease += 1
+        self._leases[self._next_lease] = _Lease(ttl, now + ttl)
+        return self._next_lease
+
+    def keep_alive(self, lease: int, now: dt.datetime) -> dt.timedelta:
+        """Renew a lease; zero means that it is gone."""
+        found = self._leases.get(lease)
+        if found is None:
+            return dt.timedelta()
+        found.expires_at = now + found.ttl
+        return found.ttl
+
+    def revoke(self, lease: int) -> None:
+        """End a lease and remove its keys."""
+        found = self._leases.pop(lease, None)
+        if found is not None:
+            self.apply([], sorted(found.keys))
+
+    def expire(self, now: dt.datetime) -> None:
+        """End all leases that were not renewed in time."""
+        expired = [
+            lease for lease, held in self._leases.items() if held.expires_at <= now
+        ]
+        for lease in expired:
+            self.revoke(lease)
--- /dev/null
+++ b/src/fighead/standins/worker.py
@@ -0,0 +1,245 @@
+"""Stand-in for the platform's side of one upstream instance, over HTTP."""
+
+import datetime as dt
+import random
+import typing as t
+
+from attrs import evolve
+from klein import Klein
+from twisted.internet.defer import Deferred
+from twisted.web.iweb import IRequest
+
+from ..clock import Clock, sleep
+from ..codec import from_json, to_json
+from ..model import Ending, InstanceReport, TaskStatus
+from ..worker import (
+    REASON_DUPLICATE,
+    REASON_FAILED,
+    REASON_FULL,
+    REASON_LATE,
+    REASON_OTHER_BOOT,
+    REASON_STALE_EPOCH,
+    CheckAnswer,
+    ControlOrder,
+    FenceOrder,
+    Journal,
+    PollOrder,
+    Refusal,
+    TaskOrder,
+    WorkerFaults,
+)
+from .machine import Machine, RunningTask
+from .store import _cut
+
+CONFLICT = 409
+FAILED = 500
+#: How old a usage figure is when it is reported.
+USAGE_LAG = dt.timedelta(seconds=2)
+
+
+class WorkerStandIn:
+    """One instance: a :class:`Machine` behind the orders of its owner.
+
+    :param guard: Whether stale epochs and tasks that do not fit are refused.
+    """
+
+    app = Klein()
+
+    def __init__(
+        self, clock: Clock, name: str, machine: Machine, guard: bool = True
+    ) -> None:
+        self._clock = clock
+        self._name = name
+        self._machine = machine
+        self._guard = guard
+        self._ended: dict[str, TaskStatus] = {}
+        self._news: list[Deferred[None]] = []
+        self._faults = WorkerFaults()
+        self._random = random.Random(name)
+        self._refused = dict.fromkeys(
+            (
+                REASON_STALE_EPOCH,
+                REASON_OTHER_BOOT,
+                REASON_LATE,
+                REASON_FULL,
+                REASON_DUPLICATE,
+            ),
+            0,
+        )
+        self._usage: list[tuple[dt.datetime, tuple[TaskStatus, ...]]] = []
+
+    @app.route("/v1/fence", methods=["POST"])
+    def fence(self, request: IRequest) -> str:
+        """Raise the epoch and list all tasks."""
+        order = self._read(request, FenceOrder)
+        refusal = self._check_epoch(order.epoch)
+        if refusal is not None:
+            return self._refuse(request, refusal)
+        self._machine.record("fence", "", order.epoch)
+        return to_json(self._report())
+
+    @app.route("/v1/tasks", methods=["POST"])
+    def start(self, request: IRequest) -> str:
+        """Start a batch task."""
+        order = self._read(request, TaskOrder)
+        refusal = self._admit(order)
+        if refusal is not None:
+            return self._refuse(request, refusal)
+        self._machine.start(order, True, self._keep_end)
+        self._maybe_lose(request)
+        return "{}"
+
+    @app.route("/v1/checks", methods=["POST"])
+    async def check(self, request: IRequest) -> str:
+        """Run a check and answer with its result."""
+        order = self._read(request, TaskOrder)
+        refusal = self._admit(order)
+        if refusal is not None:
+            return self._refuse(request, refusal)
+        fut: Deferred[Ending] = Deferred()
+        self._machine.start(order, False, lambda _task, ending: fut.callback(ending))
+        ending = await fut
+        self._maybe_lose(request)
+        if ending is not Ending.DONE:
+            request.setResponseCode(FAILED)
+            return to_json(Refusal(REASON_FAILED, ending.value))
+        return to_json(CheckAnswer(f"{self._name} answers {order.body}"))
+
+    @app.route("/v1/poll", methods=["POST"])
+    async def poll(self, request: IRequest) -> str:
+        """Renew leases and report tasks once there is news."""
+        order = self._read(request, PollOrder)
+        refusal = self._check_epoch(order.epoch)
+        if refusal is not None:
+            return self._refuse(request, refusal)
+        self._machine.renew(order.lease_until)
+        for task_id in order.recorded:
+            self._ended.pop(task_id, None)
+        if not self._ended.keys() - set(order.known_ended) and order.wait:
+            await self._wait_for_news(order.wait)
+        refusal = self._check_epoch(order.epoch)
+        if refusal is not None:
+            return self._refuse(request, refusal)
+        return to_json(self._report())
+
+    @app.route("/v1/control", methods=["POST"])
+    def control(self, request: IRequest) -> str:
+        """Throttle, evict or stop a task."""
+        order = self._read(request, ControlOrder)
+        refusal = self._check_epoch(order.epoch)
+        if refusal is not None:
+            return self._refuse(request, refusal)
+        self._machine.control(order.task_id, order.speed, order.evict)
+        return "{}"
+
+    @app.route("/journal", methods=["GET"])
+    def journal(self, request: IRequest) -> str:
+        """Return every event and violation since the start."""
+        return to_json(
+            Journal(
+                self._name,
+                tuple(self._machine.journal),
+                self._machine.violations,
+                self._refused[REASON_STALE_EPOCH],
+                self._refused[REASON_FULL],
+                self._refused[REASON_DUPLICATE],
+            )
+        )
+
+    @app.route("/faults", methods=["PUT"])
+    def change_faults(self, request: IRequest) -> str:
+        """Replace the trouble that the stand-in makes."""
+        self._faults = from_json(request.content.read(), WorkerFaults)
+        self._machine.fail_all = self._faults.fail_all
+        return "{}"
+
+    def _read(self, request: IRequest, cls: type) -> t.Any:
+        if self._faults.unreachable:
+            _cut(request)
+        request.setHeader("Content-Type", "application/json")
+        return from_json(request.content.read(), cls)
+
+    def _check_epoch(self, epoch: int) -> Refusal | None:
+        highest = self._machine.highest_epoch
+        if epoch >= highest:
+            self._machine.highest_epoch = epoch
+            return None
+        if self._guard:
+            return Refusal(REASON_STALE_EPOCH, f"{epoch} is below {highest}")
+        return None
+
+    def _admit(self, order: TaskOrder) -> Refusal | None:
+        machine = self._machine
+        refusal = self._check_epoch(order.epoch)
+        if refusal is not None:
+            return refusal
+        if order.boot != machine.boot:
+            return Refusal(REASON_OTHER_BOOT, machine.boot)
+        if machine.uptime() > order.lease_until:
+            return Refusal(REASON_LATE, "The lease of the order has run out.")
+        if order.epoch < machine.highest_epoch:
+            self._violate("stale_start")
+        if order.task_id in machine.started_ids:
+            if self._guard:
+                return Refusal(REASON_DUPLICATE, order.task_id)
+            self._violate("same_task_twice")
+        if not machine.fits(order):
+            if self._guard:
+                return Refusal(REASON_FULL, f"{len(machine.tasks)} tasks run")
+            self._violate("over_capacity")
+        return None
+
+    def _violate(self, name: str) -> None:
+        violations = self._machine.violations
+        count = getattr(violations, name) + 1
+        self._machine.violations = evolve(violations, **{name: count})
+
+    def _refuse(self, request: IRequest, refusal: Refusal) -> str:
+        self._refused[refusal.reason] += 1
+        request.setResponseCode(CONFLICT)
+        return to_json(refusal)
+
+    def _keep_end(self, task: RunningTask, ending: Ending) -> None:
+        order = task.order
+        answer = ""
+        if ending is Ending.DONE:
+            answer = f"{self._name} completed {order.body}"
+        self._ended[order.task_id] = TaskStatus(
+            order.task_id,
+            order.kind,
+            ending,
+            answer,
+            task.checkpoint,
+            elapsed=self._clock.now() - task.started_at,
+        )
+        news, self._news = self._news, []
+        for fut in news:
+            if not fut.called:
+                fut.callback(None)
+
+    async def _wait_for_news(self, wait: dt.timedelta) -> None:
+        fut: Deferred[None] = Deferred(lambda _: None)
+        self._news.append(fut)
+        timer = sleep(self._clock, wait)
+        timer.addCallbacks(lambda _: self._end_wait(fut), lambda _: None)
+        await fut
+        timer.cancel()
+
+    def _end_wait(self, fut: Deferred[None]) -> None:
+        if fut in self._news:
+            self._news.remove(fut)
+            fut.callback(None)
+
+    def _report(self) -> InstanceReport:
+        machine = self._machine
+        running = tuple(machine.status(task) for task in list(machine.tasks.values()))
+        return InstanceReport(
+            machine.boot,
+            machine.uptime(),
+            machine.highest_epoch,
+            running + tuple(self._ended.values()),
+        )
+
+    def _maybe_lose(self, request: IRequest) -> None:
+        if self._random.random() < self._faults.lose_answers:
+            _cut(request)
--- /dev/null
+++ b/tests/test_caller.py
@@ -0,0 +1,33 @@
+"""Tests of canonical names."""
+
+import pytest
+
+from fighead import caller
+from fighead.exceptions import RequestError
+from fighead.model import Caller, Inventory
+
+
+@pytest.fixture
+def index():
+    declared = Caller("Smolyan Workshop", ("Smoljan Workshop",))
+    return caller.build_index(Inventory(callers={declared.name: declared}))
+
+
+@pytest.mark.parametrize(
+    "spelling",
+    ["Smolyan Workshop", "SMOLYAN  workshop", "Smólyan-Workshop", "smoljan workshop"],
+)
+def test_spellings_share_one_canonical_name(index, spelling):
+    assert caller.canonical_name(index, spelling) == "Smolyan Workshop"
+
+
+def test_near_miss_is_suggested_and_not_merged(index):
+    declared = Caller("Smolyan Workshop")
+    assert caller.canonical_name(index, "Smolan Workshop") == "smolan-workshop"
+    (suggestion,) = caller.suggest({"Smolan Workshop": 3}, [declared])
+    assert suggestion.nearest == ("Smolyan Workshop",)
+
+
+def test_missing_name_is_refused(index):
+    with pytest.raises(RequestError, match="Caller header"):
+        caller.canonical_name(index, " - ")
