--- a/src/fighead/daemon.py
+++ b/src/fighead/daemon.py
@@ -51,8 +51,8 @@
     configure(name)
     clock = make_clock()
     boot = f"{name}-{int(clock.now().timestamp() * 1000):x}"
-    machine = Machine(clock, boot, slots, memory_bytes, interference)
-    worker = WorkerStandIn(clock, name, machine, guard)
+    machine = Machine(clock, boot, slots, memory_bytes, interference, guard=guard)
+    worker = WorkerStandIn(clock, name, machine)
     _serve(address, worker.app.resource())
 
 
--- a/src/fighead/decisions/slowdown.py
+++ b/src/fighead/decisions/slowdown.py
@@ -25,9 +25,9 @@
 #: Observed ratios are cut off here, so that one stall does not decide.
 LARGEST_RATIO = 10.0
 #: Weight of a faster check in the estimate of the undisturbed latency.
-FASTER_WEIGHT = 0.3
+FASTER_WEIGHT = 0.05
 #: Weight of a slower check in the estimate of the undisturbed latency.
-SLOWER_WEIGHT = 0.002
+SLOWER_WEIGHT = 0.02
 
 
 @frozen
@@ -86,7 +86,7 @@
     learned = evolve(
         learned,
         undisturbed=learned.undisturbed.set(
-            check, _follow(base_s, took_s, predict(learned, batch))
+            check, _follow(base_s, took_s, bool(batch))
         ),
     )
     if not batch:
@@ -94,10 +94,13 @@
     return evolve(learned, effects=_update(learned, ratio, batch))
 
 
-def _follow(base_s: float, took_s: float, predicted: float) -> float:
-    implied_s = took_s / predicted
-    weight = FASTER_WEIGHT if implied_s < base_s else SLOWER_WEIGHT
-    return base_s + weight * (implied_s - base_s)
+def _follow(base_s: float, took_s: float, is_disturbed: bool) -> float:
+    # Beside batch work only a faster check says something about the base.
+    # Dividing by the prediction instead lets base and effects drift together.
+    if is_disturbed and took_s >= base_s:
+        return base_s
+    weight = FASTER_WEIGHT if took_s < base_s else SLOWER_WEIGHT
+    return base_s + weight * (took_s - base_s)
 
 
 def _update(learned: Slowdown, ratio: float, batch: t.Mapping[str, float]) -> PMap:
--- a/src/fighead/standins/machine.py
+++ b/src/fighead/standins/machine.py
@@ -4,12 +4,22 @@
 import json
 import typing as t
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from twisted.internet.interfaces import IDelayedCall
 
 from ..clock import Clock
 from ..model import Ending, TaskStatus
-from ..worker import JournalEntry, TaskOrder, Violations
+from ..worker import (
+    REASON_DUPLICATE,
+    REASON_FULL,
+    REASON_LATE,
+    REASON_OTHER_BOOT,
+    REASON_STALE_EPOCH,
+    JournalEntry,
+    Refusal,
+    TaskOrder,
+    Violations,
+)
 
 #: Run time after which a task of a failing instance ends.
 FAILURE_DELAY = dt.timedelta(milliseconds=20)
@@ -65,8 +75,8 @@
 class Machine:
     """The tasks that run on one instance, without any transport.
 
-    The guard refuses what does not fit; with the guard off a task that does
-    not fit is started and counted as a violation.
+    :param guard: Whether orders with a stale epoch and tasks that do not fit
+        are refused. Without it they are carried out and counted as violations.
     """
 
     clock: Clock
@@ -75,6 +85,7 @@
     memory_bytes: int
     interference: tuple[Interference, ...] = ()
     fail_all: bool = False
+    guard: bool = True
     tasks: dict[str, RunningTask] = field(factory=dict)
     started_ids: set[str] = field(factory=set)
     journal: list[JournalEntry] = field(factory=list)
@@ -91,6 +102,41 @@
         """Return the instance's own clock."""
         return self.clock.now() - self._origin
 
+    def check_epoch(self, epoch: int) -> Refusal | None:
+        """Refuse an order of an owner that was replaced, and note a new one."""
+        highest = self.highest_epoch
+        if epoch >= highest:
+            self.highest_epoch = epoch
+            return None
+        if self.guard:
+            return Refusal(REASON_STALE_EPOCH, f"{epoch} is below {highest}")
+        return None
+
+    def admit(self, order: TaskOrder) -> Refusal | None:
+        """Refuse a task that must not start here now."""
+        refusal = self.check_epoch(order.epoch)
+        if refusal is not None:
+            return refusal
+        if order.boot != self.boot:
+            return Refusal(REASON_OTHER_BOOT, self.boot)
+        if self.uptime() > order.lease_until:
+            return Refusal(REASON_LATE, "The lease of the order has run out.")
+        if order.epoch < self.highest_epoch:
+            self._violate("stale_start")
+        if order.task_id in self.started_ids:
+            if self.guard:
+                return Refusal(REASON_DUPLICATE, order.task_id)
+            self._violate("same_task_twice")
+        if not self.fits(order):
+            if self.guard:
+                return Refusal(REASON_FULL, f"{len(self.tasks)} tasks run")
+            self._violate("over_capacity")
+        return None
+
+    def _violate(self, name: str) -> None:
+        count = getattr(self.violations, name) + 1
+        self.violations = evolve(self.violations, **{name: count})
+
     def fits(self, order: TaskOrder) -> bool:
         """Whether the task can be held beside those that run."""
         used = sum(task.order.memory_bytes for task in self.tasks.values())
--- a/src/fighead/standins/worker.py
+++ b/src/fighead/standins/worker.py
@@ -4,7 +4,6 @@
 import random
 import typing as t
 
-from attrs import evolve
 from klein import Klein
 from twisted.internet.defer import Deferred
 from twisted.web.iweb import IRequest
@@ -38,20 +37,14 @@
 
 
 class WorkerStandIn:
-    """One instance: a :class:`Machine` behind the orders of its owner.
-
-    :param guard: Whether stale epochs and tasks that do not fit are refused.
-    """
+    """One instance: a :class:`Machine` behind the orders of its owner."""
 
     app = Klein()
 
-    def __init__(
-        self, clock: Clock, name: str, machine: Machine, guard: bool = True
-    ) -> None:
+    def __init__(self, clock: Clock, name: str, machine: Machine) -> None:
         self._clock = clock
         self._name = name
         self._machine = machine
-        self._guard = guard
         self._ended: dict[str, TaskStatus] = {}
         self._news: list[Deferred[None]] = []
         self._faults = WorkerFaults()
@@ -72,7 +65,7 @@
     def fence(self, request: IRequest) -> str:
         """Raise the epoch and list all tasks."""
         order = self._read(request, FenceOrder)
-        refusal = self._check_epoch(order.epoch)
+        refusal = self._machine.check_epoch(order.epoch)
         if refusal is not None:
             return self._refuse(request, refusal)
         self._machine.record("fence", "", order.epoch)
@@ -82,7 +75,7 @@
     def start(self, request: IRequest) -> str:
         """Start a batch task."""
         order = self._read(request, TaskOrder)
-        refusal = self._admit(order)
+        refusal = self._machine.admit(order)
         if refusal is not None:
             return self._refuse(request, refusal)
         self._machine.start(order, True, self._keep_end)
@@ -93,7 +86,7 @@
     async def check(self, request: IRequest) -> str:
         """Run a check and answer with its result."""
         order = self._read(request, TaskOrder)
-        refusal = self._admit(order)
+        refusal = self._machine.admit(order)
         if refusal is not None:
             return self._refuse(request, refusal)
         fut: Deferred[Ending] = Deferred()
@@ -109,7 +102,7 @@
     async def poll(self, request: IRequest) -> str:
         """Renew leases and report tasks once there is news."""
         order = self._read(request, PollOrder)
-        refusal = self._check_epoch(order.epoch)
+        refusal = self._machine.check_epoch(order.epoch)
         if refusal is not None:
             return self._refuse(request, refusal)
         self._machine.renew(order.lease_until)
@@ -117,7 +110,7 @@
             self._ended.pop(task_id, None)
         if not self._ended.keys() - set(order.known_ended) and order.wait:
             await self._wait_for_news(order.wait)
-        refusal = self._check_epoch(order.epoch)
+        refusal = self._machine.check_epoch(order.epoch)
         if refusal is not None:
             return self._refuse(request, refusal)
         return to_json(self._report())
@@ -126,7 +119,7 @@
     def control(self, request: IRequest) -> str:
         """Throttle, evict or stop a task."""
         order = self._read(request, ControlOrder)
-        refusal = self._check_epoch(order.epoch)
+        refusal = self._machine.check_epoch(order.epoch)
         if refusal is not None:
             return self._refuse(request, refusal)
         self._machine.control(order.task_id, order.speed, order.evict)
@@ -159,41 +152,6 @@
         request.setHeader("Content-Type", "application/json")
         return from_json(request.content.read(), cls)
 
-    def _check_epoch(self, epoch: int) -> Refusal | None:
-        highest = self._machine.highest_epoch
-        if epoch >= highest:
-            self._machine.highest_epoch = epoch
-            return None
-        if self._guard:
-            return Refusal(REASON_STALE_EPOCH, f"{epoch} is below {highest}")
-        return None
-
-    def _admit(self, order: TaskOrder) -> Refusal | None:
-        machine = self._machine
-        refusal = self._check_epoch(order.epoch)
-        if refusal is not None:
-            return refusal
-        if order.boot != machine.boot:
-            return Refusal(REASON_OTHER_BOOT, machine.boot)
-        if machine.uptime() > order.lease_until:
-            return Refusal(REASON_LATE, "The lease of the order has run out.")
-        if order.epoch < machine.highest_epoch:
-            self._violate("stale_start")
-        if order.task_id in machine.started_ids:
-            if self._guard:
-                return Refusal(REASON_DUPLICATE, order.task_id)
-            self._violate("same_task_twice")
-        if not machine.fits(order):
-            if self._guard:
-                return Refusal(REASON_FULL, f"{len(machine.tasks)} tasks run")
-            self._violate("over_capacity")
-        return None
-
-    def _violate(self, name: str) -> None:
-        violations = self._machine.violations
-        count = getattr(violations, name) + 1
-        self._machine.violations = evolve(violations, **{name: count})
-
     def _refuse(self, request: IRequest, refusal: Refusal) -> str:
         self._refused[refusal.reason] += 1
         request.setResponseCode(CONFLICT)
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,46 @@
+"""Tests of the controller of batch work beside checks."""
+
+import datetime as dt
+
+from fighead.decisions import control
+from fighead.decisions.control import Control, Level
+
+NOW = dt.datetime(2026, 1, 1, tzinfo=dt.UTC)
+
+
+def run(state, ratio, seconds, start):
+    levels = []
+    for step in range(int(seconds * 10)):
+        now = start + dt.timedelta(seconds=step / 10)
+        state = control.advance(control.observe(state, ratio, now), now)
+        levels.append(state.level)
+        if state.level is Level.EVICTING:
+            state = control.note_eviction(state, now)
+    return state, levels
+
+
+def test_steps_are_taken_in_order_and_with_pauses():
+    _, levels = run(Control(), 2.0, 8, NOW)
+    assert levels[-1] is Level.THROTTLED
+    assert levels.index(Level.THROTTLED) - levels.index(Level.CLOSED) >= 9
+
+
+def test_a_short_wave_causes_no_eviction():
+    state, levels = run(Control(), 2.0, 6, NOW)
+    assert Level.EVICTING not in levels
+    later = NOW + dt.timedelta(seconds=6)
+    state, _ = run(state, 1.0, 30, later)
+    assert state.level is Level.OPEN
+
+
+def test_evictions_keep_their_distance():
+    _, levels = run(Control(), 2.0, 60, NOW)
+    assert 1 <= levels.count(Level.EVICTING) <= 5
+
+
+def test_old_ratio_is_forgotten():
+    state, _ = run(Control(), 2.0, 6, NOW)
+    for step in range(40):
+        now = NOW + dt.timedelta(seconds=20 + step)
+        state = control.advance(state, now)
+    assert state.level is Level.OPEN
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,76 @@
+"""Tests of the choice of instances and of the budget of repeats."""
+
+import datetime as dt
+
+from fighead.decisions import dispatch
+from fighead.decisions.dispatch import DispatchState
+from fighead.message import InstanceLoad, View
+from fighead.model import Claim, Instance, Inventory, Member, Revision, Upstream
+
+NOW = dt.datetime(2026, 1, 1, tzinfo=dt.UTC)
+
+
+def make_state(owners, leaving=()):
+    instances = {
+        name: Instance(name, "u", "r", "z", f"http://h:{i}", 8, 64, 64, 1 << 38)
+        for i, name in enumerate(owners)
+    }
+    inventory = Inventory(("z",), {}, instances, {"u": Upstream("u")})
+    routes = {
+        f"instance/{name}": Claim(f"instance/{name}", owner, 1)
+        for name, owner in owners.items()
+    }
+    members = {name: Member(name, "z", "tcp://h:1") for name in set(owners.values())}
+    view = View(
+        "me",
+        members,
+        routes,
+        routes,
+        Revision(1, inventory),
+        platform_leaving=frozenset(leaving),
+    )
+    return DispatchState(view)
+
+
+def load(name, **values):
+    fields = {"batch_room": 0, "free_slots": 8, "queued_checks": 0} | values
+    return InstanceLoad(name, "u", 1, "boot", **fields)
+
+
+def test_own_instance_is_preferred_to_an_equal_peer():
+    state = make_state({"a": "peer", "b": "me"})
+    state = dispatch.take_loads(state, [load("a"), load("b")])
+    assert dispatch.choose(state, "u", NOW) == "b"
+
+
+def test_shorter_queue_beats_ownership():
+    state = make_state({"a": "peer", "b": "me"})
+    state = dispatch.take_loads(
+        state, [load("a"), load("b", free_slots=0, queued_checks=9)]
+    )
+    assert dispatch.choose(state, "u", NOW) == "a"
+
+
+def test_leaving_and_silent_owners_are_avoided():
+    state = make_state({"a": "me", "b": "peer", "c": "other"}, leaving=["a"])
+    state = dispatch.hear(state, "peer", NOW - dt.timedelta(seconds=5))
+    state = dispatch.hear(state, "other", NOW)
+    assert dispatch.choose(state, "u", NOW) == "c"
+
+
+def test_quarantined_instances_are_avoided_but_never_all():
+    state = make_state({"a": "me", "b": "me", "c": "me"})
+    failing = [load("a", quarantined=True), load("b"), load("c")]
+    assert dispatch.choose(dispatch.take_loads(state, failing), "u", NOW) != "a"
+    failing = [load(name, quarantined=True) for name in "abc"]
+    assert dispatch.choose(dispatch.take_loads(state, failing), "u", NOW)
+
+
+def test_repeats_stay_within_their_budget():
+    state, repeats = make_state({"a": "me"}), 0
+    for _ in range(1000):
+        state = dispatch.earn(state, "u")
+        spent = dispatch.spend(state, "u")
+        if spent is not None:
+            state, repeats = spent, repeats + 1
+    assert repeats <= 1000 * dispatch.RETRY_RATIO + dispatch.MAX_SAVED_RETRIES
