Limit checks in flight at an entry that can't keep up

Cause: in an urgent flood beyond what an entry's process can serve, requests wait unseen in its sockets, so checks that are still run are answered too late. Change: the lateness of a timer limits the checks in flight, shared fairly by the callers that are active; recorded work is not counted. Excluded: the instances, which had free slots at 700 checks a second.

--- a/src/fighead/commands/check.py
+++ b/src/fighead/commands/check.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred
 
 from .. import message as m
-from ..decisions import dispatch
+from ..decisions import dispatch, overload
 from ..decisions.ownership import instance_resource
 from ..desk import Desk
 from ..exceptions import MailboxFullError, PeerUnreachableError, RequestError
@@ -48,10 +48,16 @@
             "The deadline has passed.", "Send a Deadline-Ms header above 0."
         )
     started_at = desk.clock.now()
+    caller = desk.canonical_name(spelling)
+    admitted = overload.enter(desk.gate, caller)
+    if admitted is None:
+        reason = "The entry has more checks than it can answer in time."
+        return m.NotRun(reason, overload.RETRY_AFTER)
+    desk.gate = admitted
     request = m.CheckRequest(
         upstream,
         kind_name,
-        desk.canonical_name(spelling),
+        caller,
         request_id,
         body,
         started_at + limit,
@@ -59,7 +65,10 @@
         kind.memory_bytes,
     )
     desk.dispatch = dispatch.earn(desk.dispatch, upstream)
-    outcome = await _offer_until_answered(desk, request)
+    try:
+        outcome = await _offer_until_answered(desk, request)
+    finally:
+        desk.gate = overload.leave(desk.gate, caller)
     took = desk.clock.now() - started_at
     desk.metrics.time_check(upstream, kind_name, took)
     return outcome
--- a/src/fighead/desk.py
+++ b/src/fighead/desk.py
@@ -11,6 +11,7 @@
 from .clock import Clock
 from .decisions import dispatch
 from .decisions.dispatch import DispatchState
+from .decisions.overload import Gate
 from .exceptions import UnknownNameError
 from .mailbox import Mailbox
 from .message import View
@@ -39,6 +40,7 @@
     ask: Ask
     dispatch: DispatchState
     sightings: collections.Counter[str] = field(factory=collections.Counter)
+    gate: Gate = Gate()
     in_flight: int = 0
     is_draining: bool = False
     _index: dict[str, str] = field(factory=dict)
--- a/src/fighead/entry.py
+++ b/src/fighead/entry.py
@@ -11,7 +11,7 @@
 
 from . import message as m
 from .clock import Clock, sleep, with_timeout
-from .decisions import dispatch
+from .decisions import dispatch, overload
 from .decisions import member as member_deciding
 from .decisions.dispatch import DispatchState
 from .decisions.ownership import instance_resource, line_resource
@@ -35,6 +35,8 @@
 
 #: How often peers are probed.
 PROBE_INTERVAL = dt.timedelta(seconds=1)
+#: How often the lateness of a timer is observed.
+LAG_INTERVAL = dt.timedelta(milliseconds=100)
 #: How often closed buckets of the burn ledger are written.
 LEDGER_INTERVAL = dt.timedelta(seconds=20)
 #: Time for which a bucket of the burn ledger is kept.
@@ -133,6 +135,7 @@
             spawn(task.run())
         spawn(self._probe())
         spawn(self._keep_ledger())
+        spawn(self._watch_lag())
         caller = CallerFront(
             self.desk, self.ledger, self.cfg.max_body_bytes, self.member.is_ready
         )
@@ -304,6 +307,13 @@
         if answer.newer is not None:
             await self.member.mailbox.put(member_deciding.RevisionHeard(answer.newer))
 
+    async def _watch_lag(self) -> None:
+        while True:
+            due_at = self.clock.now() + LAG_INTERVAL
+            await sleep(self.clock, LAG_INTERVAL)
+            lag = self.clock.now() - due_at
+            self.desk.gate = overload.observe_lag(self.desk.gate, lag)
+
     async def _keep_ledger(self) -> None:
         while True:
             await sleep(self.clock, LEDGER_INTERVAL)
