--- a/src/fighead/commands/apply.py
+++ b/src/fighead/commands/apply.py
@@ -9,13 +9,24 @@
 from ..declaration import MAX_VALUE_BYTES, check_inventory, difference
 from ..exceptions import ConflictError, DeclarationError
 from ..mailbox import Mailbox
-from ..model import Inventory, Revision
-from ..store import CURRENT_REVISION, HISTORY, Compare, KeyValue, Put, Range, Txn
+from ..model import HistoryRow, Inventory, Revision
+from ..store import (
+    CURRENT_REVISION,
+    HISTORY,
+    Compare,
+    KeyValue,
+    LeaseGrant,
+    Put,
+    Range,
+    Txn,
+)
 from ..tasks.settle import settle
 from ..tasks.store import StoreCall, ask_store
 
 #: Lines of a difference that are kept with a revision.
 MAX_SUMMARY_LINES = 200
+#: Time for which the history keeps a revision.
+HISTORY_TTL_S = 90 * 24 * 3600
 
 
 @frozen
@@ -60,7 +71,9 @@
             f"The declarations take {len(text)} bytes, more than a value holds.",
             "Leave out instances that are gone.",
         )
-    outcome = await settle(box, clock, rng, _write(revision, text, kv.mod_revision))
+    lease = await ask_store(box, LeaseGrant(HISTORY_TTL_S))
+    txn = _write(revision, text, kv.mod_revision, lease.lease)
+    outcome = await settle(box, clock, rng, txn)
     if outcome.written:
         return revision
     found = from_json(outcome.kv.value, Revision)
@@ -77,6 +90,11 @@
     return result.kvs[0], from_json(result.kvs[0].value, Revision)
 
 
+def clock_text(revision: Revision) -> str:
+    """Return when a revision was accepted, in ISO format."""
+    return revision.accepted_at.isoformat() if revision.accepted_at else ""
+
+
 def history_key(number: int) -> str:
     """Return the key under which a revision is kept."""
     return f"{HISTORY}{number:09d}"
@@ -94,12 +112,15 @@
     )
 
 
-def _write(revision: Revision, text: str, mod_revision: int) -> Txn:
+def _write(revision: Revision, text: str, mod_revision: int, lease: int) -> Txn:
+    row = HistoryRow(
+        revision.number, revision.author, clock_text(revision), revision.summary
+    )
     return Txn(
         compares=(Compare(CURRENT_REVISION, mod_revision),),
         success=(
             Put(CURRENT_REVISION, text),
-            Put(history_key(revision.number), text),
+            Put(history_key(revision.number), to_json(row), lease),
         ),
         failure=(Range(CURRENT_REVISION),),
     )
--- a/src/fighead/entry.py
+++ b/src/fighead/entry.py
@@ -7,7 +7,6 @@
 from attrs import define, field
 from twisted.internet.defer import Deferred
 from twisted.internet.ssl import DefaultOpenSSLContextFactory
-from twisted.web.server import Site
 
 from . import message as m
 from .clock import Clock, sleep, with_timeout
@@ -18,7 +17,8 @@
 from .desk import Desk
 from .exceptions import MailboxFullError, PeerUnreachableError, StoreError
 from .fronts.caller import CallerFront
-from .fronts.operator import OperatorFront
+from .fronts.operator import MAX_BODY_BYTES, OperatorFront
+from .fronts.site import make_site
 from .log import Event, log_event
 from .mailbox import spawn
 from .metric import Metrics
@@ -147,12 +147,15 @@
             self.roster.own_states,
             self.stop,
         )
-        self._listen(self.cfg.caller_address, caller.app.resource())
-        self._listen(self.cfg.operator_address, operator.app.resource())
+        cfg = self.cfg
+        self._listen(cfg.caller_address, caller.app.resource(), cfg.max_body_bytes)
+        self._listen(cfg.operator_address, operator.app.resource(), MAX_BODY_BYTES)
         log_event(Event.ENTRY_STARTED, availability_zone=self.cfg.availability_zone)
 
-    def _listen(self, address: ListenAddress, resource: t.Any) -> None:
-        site = Site(resource)
+    def _listen(
+        self, address: ListenAddress, resource: t.Any, max_body_bytes: int
+    ) -> None:
+        site = make_site(resource, max_body_bytes)
         if self.cfg.plain:
             port = self.reactor.listenTCP(address.port, site, interface=address.host)
         else:
--- a/src/fighead/model.py
+++ b/src/fighead/model.py
@@ -167,6 +167,16 @@
     summary: tuple[str, ...] = ()
 
 
+@frozen
+class HistoryRow:
+    """One accepted revision without its inventory."""
+
+    number: int
+    author: str
+    accepted_at: str
+    summary: tuple[str, ...]
+
+
 @frozen
 class Member:
     """An entry instance as it describes itself to the others.
--- a/src/fighead/queries/status.py
+++ b/src/fighead/queries/status.py
@@ -11,7 +11,7 @@
 from ..decisions.ownership import resources_of
 from ..desk import Desk
 from ..mailbox import Mailbox
-from ..model import Revision
+from ..model import HistoryRow
 from ..store import HISTORY
 from ..tasks.store import StoreCall, read_prefix
 
@@ -68,16 +68,6 @@
     lines: tuple[LineStatus, ...]
 
 
-@frozen
-class HistoryRow:
-    """One accepted revision without its inventory."""
-
-    number: int
-    author: str
-    accepted_at: str
-    summary: tuple[str, ...]
-
-
 def read_status(desk: Desk, own_states: t.Iterable[t.Any]) -> Status:
     """Return what this entry knows now."""
     view = desk.view
@@ -111,16 +101,7 @@
 async def read_history(box: Mailbox[StoreCall]) -> tuple[HistoryRow, ...]:
     """Return all accepted revisions, the latest last."""
     kvs, _ = await read_prefix(box, HISTORY)
-    revisions = (from_json(kv.value, Revision) for kv in kvs)
-    return tuple(
-        HistoryRow(
-            revision.number,
-            revision.author,
-            revision.accepted_at.isoformat() if revision.accepted_at else "",
-            revision.summary,
-        )
-        for revision in revisions
-    )
+    return tuple(from_json(kv.value, HistoryRow) for kv in kvs)
 
 
 def _unclaimed(desk: Desk) -> tuple[str, ...]:
--- a/src/fighead/tasks/line.py
+++ b/src/fighead/tasks/line.py
@@ -16,15 +16,19 @@
 from ..log import Event, log_event
 from ..mailbox import Mailbox, receive, spawn
 from ..model import StoredRecord, WorkRecord, work_id
-from ..store import CLAIMS, WORK, Compare, KeyValue, Put, Range, Txn
+from ..store import CLAIMS, WORK, Compare, KeyValue, LeaseGrant, Put, Range, Txn
 from .call import Call
 from .settle import settle
-from .store import StoreCall, read_prefix
+from .store import StoreCall, ask_store, read_prefix
 
 TICK_INTERVAL = dt.timedelta(seconds=1)
 #: Time within which new work must be recorded.
 CREATE_TIMEOUT = dt.timedelta(seconds=5)
 RETRY_PAUSE = dt.timedelta(milliseconds=500)
+#: Time for which the store keeps the record of work that has ended.
+RETENTION = dt.timedelta(days=3)
+#: Age from which on a retention lease is not used for further records.
+RETENTION_LEASE_AGE = dt.timedelta(days=1)
 
 
 @define(eq=False)
@@ -47,6 +51,8 @@
     _submits: dict[str, list[Deferred[t.Any]]] = field(factory=dict)
     _queries: dict[str, list[Deferred[t.Any]]] = field(factory=dict)
     _writes: int = 0
+    _retention_lease: int = 0
+    _retention_since: dt.datetime | None = None
     _idle: Deferred[None] | None = None
     _children: list[Deferred] = field(factory=list)
 
@@ -149,9 +155,10 @@
         stamped = evolve(record, write_id=f"{self.random.getrandbits(64):016x}")
         key = record_key(record.upstream, record.work_id)
         claim_key = CLAIMS + self.resource
+        lease = await self._take_lease() if record.phase.is_final else 0
         txn = Txn(
             compares=(Compare(key, mod_revision), Compare(claim_key, self.epoch)),
-            success=(Put(key, to_json(stamped)),),
+            success=(Put(key, to_json(stamped), lease),),
             failure=(Range(key), Range(claim_key)),
         )
         msg = await self._settle(record, txn, is_new=mod_revision == 0)
@@ -159,6 +166,24 @@
         self._writes -= 1
         self._check_idle()
 
+    async def _take_lease(self) -> int:
+        """Return the lease under which the store forgets ended work."""
+        now = self.clock.now()
+        is_fresh = (
+            self._retention_since is not None
+            and now - self._retention_since < RETENTION_LEASE_AGE
+        )
+        while not is_fresh:
+            ttl_s = int((RETENTION + RETENTION_LEASE_AGE).total_seconds())
+            try:
+                granted = await ask_store(self.store, LeaseGrant(ttl_s))
+            except StoreError:
+                await sleep(self.clock, RETRY_PAUSE * (0.5 + self.random.random()))
+                continue
+            self._retention_lease, self._retention_since = granted.lease, now
+            is_fresh = True
+        return self._retention_lease
+
     async def _settle(self, record: WorkRecord, txn: Txn, is_new: bool) -> t.Any:
         give_up_at = self.clock.now() + CREATE_TIMEOUT if is_new else None
         try:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -1,6 +1,6 @@
 """Processes on loopback for the tests of failures: a store, instances, entries."""
 
-import datetime as dt
+import contextlib
 import itertools
 import json
 import os
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -52,6 +53,52 @@
     raise AssertionError(f"Not within {timeout_s} s: {condition}")
 
 
+@define(eq=False)
+class Relay:
+    """Passes TCP traffic on to a port until it is cut."""
+
+    target: int
+    port: int
+    is_cut: bool = False
+    _pairs: list = field(factory=list)
+
+    def start(self):
+        listener = socket.create_server(("127.0.0.1", self.port))
+        threading.Thread(target=self._accept, args=(listener,), daemon=True).start()
+        return self
+
+    def _accept(self, listener):
+        while True:
+            near, _ = listener.accept()
+            if self.is_cut:
+                near.close()
+                continue
+            far = socket.create_connection(("127.0.0.1", self.target))
+            self._pairs += [near, far]
+            for pair in ((near, far), (far, near)):
+                threading.Thread(target=self._pump, args=pair, daemon=True).start()
+
+    def _pump(self, source, sink):
+        try:
+            while data := source.recv(65536):
+                sink.sendall(data)
+        except OSError:
+            pass
+        for end in (source, sink):
+            end.close()
+
+    def cut(self):
+        self.is_cut = True
+        for end in self._pairs:
+            # Closing alone would not wake the thread that reads from it.
+            with contextlib.suppress(OSError):
+                end.shutdown(socket.SHUT_RDWR)
+        self._pairs.clear()
+
+    def mend(self):
+        self.is_cut = False
+
+
 @define(eq=False)
 class Process:
     name: str
@@ -91,10 +138,11 @@
     operators: dict = field(factory=dict)
     worker_urls: dict = field(factory=dict)
     store_url: str = ""
+    relays: dict = field(factory=dict)
     _ports: object = None
 
     def start(self):
-        count = 1 + self.workers + 3 * (self.entries + 3)
+        count = 1 + self.workers + 4 * (self.entries + 3)
         self._ports = iter(free_ports(count))
         self._start_store()
         declarations = self.folder / "declarations"
@@ -142,7 +190,9 @@
         )
 
     def start_entry(self, name, zone):
-        caller, operator, peer = itertools.islice(self._ports, 3)
+        caller, operator, peer, relay = itertools.islice(self._ports, 4)
+        store_port = int(self.store_url.rpartition(":")[2])
+        self.relays[name] = Relay(store_port, relay).start()
         settings = self.folder / f"{name}.ini"
         settings.write_text(
             f"[entry]\nname = {name}\navailability_zone = {zone}\n"
@@ -150,7 +200,7 @@
             f"[caller_front]\nlisten = 127.0.0.1:{caller}\n"
             f"[operator_front]\nlisten = 127.0.0.1:{operator}\ntoken = {TOKEN}\n"
             f"[peer_link]\nlisten = tcp://127.0.0.1:{peer}\n"
-            f"[store]\nurl = {self.store_url}\n[security]\nplain = yes\n"
+            f"[store]\nurl = http://127.0.0.1:{relay}\n[security]\nplain = yes\n"
         )
         self._run(name, "serve", str(settings))
         self.urls[name] = f"http://127.0.0.1:{caller}"
@@ -210,6 +260,3 @@
     def stop(self):
         for process in self.processes.values():
             process.kill()
-
-    def now(self):
-        return dt.datetime.now(dt.UTC)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,6 +4,7 @@
 checks the journals of the instances against what the callers were told.
 """
 
+import json
 import pathlib
 import random
 import signal
@@ -11,6 +12,8 @@
 import sys
 import threading
 import time
+import urllib.error
+import urllib.request
 
 import pytest
 
@@ -243,3 +246,113 @@
     last = max(run.started_s for run in read_runs(journal))
     assert last - left_at[0] < 5
     assert told(history, Category.CHECK, "done")
+
+
+def test_entry_cut_off_from_the_store_only(make_cluster):
+    cluster = make_cluster()
+
+    def faults(cluster, rng):
+        time.sleep(2)
+        victim = line_holder(cluster)
+        cluster.relays[victim].cut()
+        time.sleep(1)
+        other = next(name for name in cluster.alive() if name != victim)
+        cluster.apply(1, entry=other)
+        # The entry that is cut off hears of the revision from its peers.
+        wait_until(lambda: cluster.status(victim)["revision"] == 2, 15)
+        time.sleep(4)
+        cluster.relays[victim].mend()
+
+    history = drive(cluster, faults, seconds=12)
+    assert_kept(history)
+    wait_until(cluster.is_settled)
+    wait_until(lambda: watches_alive(cluster, history))
+
+
+def test_operators_race_and_repeat(make_cluster):
+    cluster = make_cluster(workers=2)
+    entries = list(cluster.operators)
+    cluster.set_store(lose_answers=0.4)
+    outcomes = []
+
+    def apply(number):
+        try:
+            answer = cluster.apply(1, f"race-{number}", entry=entries[number % 3])
+            outcomes.append((number, answer["number"]))
+        except urllib.error.HTTPError as exc:
+            outcomes.append((number, exc.code))
+
+    threads = [threading.Thread(target=apply, args=(n,)) for n in range(6)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    cluster.set_store()
+    winners = [number for number, result in outcomes if result == 2]
+    assert len(winners) == 1, outcomes
+    assert sorted(result for _, result in outcomes) == [2] + [409] * 5
+    # A repeat of the change that won is recognised and makes no new revision.
+    assert cluster.apply(1, f"race-{winners[0]}")["number"] == 2
+    wait_until(cluster.is_settled, 15)
+
+
+def test_revision_never_goes_back(make_cluster):
+    cluster = make_cluster(workers=2)
+    for base in (1, 2, 3):
+        cluster.apply(base)
+    wait_until(lambda: all(cluster.status(n)["revision"] == 4 for n in cluster.alive()))
+    cluster.set_store(stale_reads=True)
+    for relay in cluster.relays.values():
+        relay.cut()
+        relay.mend()
+    seen = []
+    deadline = time.monotonic() + 4
+    while time.monotonic() < deadline:
+        seen += [cluster.status(name)["revision"] for name in cluster.alive()]
+        time.sleep(0.1)
+    assert min(seen) == 4
+    # A new entry that the store answers from the past learns from its peers.
+    cluster.start_entry("entry-new", "devin")
+    wait_until(lambda: cluster.status("entry-new")["revision"] == 4, 15)
+
+
+def test_bad_requests_are_refused_with_a_remedy(make_cluster):
+    cluster = make_cluster(workers=2)
+    base = f"{cluster.urls['entry-0']}/v1"
+    long_body = "x" * (300 * 1024)
+    put, check = f"{base}/carving/work", f"{base}/carving/checks/blade-check"
+    cases = [
+        ("POST", f"{base}/nowhere/checks/blade-check", "x", 404, "unknown_name"),
+        ("POST", f"{base}/carving/checks/sawing", "x", 404, "unknown_name"),
+        ("POST", f"{base}/carving/checks/carving-plan", "x", 400, "bad_request"),
+        (
+            "POST",
+            f"{base}/carving/checks/blade-check",
+            long_body,
+            413,
+            "body_too_large",
+        ),
+        ("PUT", f"{put}/a%20b?kind=carving-plan", "x", 400, "bad_request"),
+        ("PUT", f"{put}/a?kind=carving-plan&wait_ms=soon", "x", 400, "bad_request"),
+        ("PUT", f"{put}/a?kind=carving-plan", "one", 202, "accepted"),
+        ("PUT", f"{put}/a?kind=carving-plan", "one", 202, "accepted"),
+        ("PUT", f"{put}/a?kind=carving-plan", "two", 409, "duplicate_request"),
+        ("GET", f"{put}/b", None, 404, "unknown_work"),
+    ]
+    for method, url, body, status, outcome in cases:
+        answer, code = request(method, url, body)
+        assert (code, answer["outcome"]) == (status, outcome), (url, answer)
+        assert status == 202 or answer["remedy"]
+    answer, code = request("POST", check, "x", "-5")
+    assert code == 400
+
+
+def request(method, url, body, deadline_ms="900"):
+    headers = {"Caller": "Devin Workshop", "Deadline-Ms": deadline_ms}
+    data = body.encode() if body is not None else None
+    sent = urllib.request.Request(url, data, headers, method=method)
+    try:
+        with urllib.request.urlopen(sent, timeout=30) as answer:
+            return json.loads(answer.read()), answer.status
+    except urllib.error.HTTPError as exc:
+        return json.loads(exc.read()), exc.code
