Bring the cost of a line and of membership down at the target's size

Cause: benchmarks/capacity.py at 870 instances, 19,000 running and 2,000 waiting tasks: a tick of the line walked all work, a placement looked at all instances and sorted all groups by attrs comparison, a member's tick walked all resources on every message. Change: a line attends only to work that its owner does not list, looks only at instances with room and takes the first group from a heap; ended work leaves the memory of the line; preferred owners are kept until members or rules change.

--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,258 @@
+"""Measures the slopes that docs/CAPACITY.md is worked out from.
+
+    python benchmarks/capacity.py --part decisions
+    python benchmarks/capacity.py --part processes
+
+The first part times decisions in one process at growing sizes. The second runs
+entries with real stand-ins and reads processor time, memory and calls of idle and
+of loaded entries.
+"""
+
+import argparse
+import datetime as dt
+import json
+import os
+import pathlib
+import sys
+import tempfile
+import time
+import tracemalloc
+
+from attrs import evolve
+from pyrsistent import pmap
+
+ROOT = pathlib.Path(__file__).parents[1]
+sys.path.insert(0, str(ROOT / "tests"))
+
+from cluster import RULES, Cluster  # noqa: E402
+from fighead import message as m  # noqa: E402
+from fighead.codec import to_json, to_wire  # noqa: E402
+from fighead.decisions import line, member, ownership  # noqa: E402
+from fighead.model import (  # noqa: E402
+    Assignment,
+    Caller,
+    Category,
+    Claim,
+    Instance,
+    Inventory,
+    Kind,
+    Member,
+    Phase,
+    Revision,
+    StoredRecord,
+    Upstream,
+    WorkRecord,
+)
+
+NOW = dt.datetime(2026, 1, 1, tzinfo=dt.UTC)
+KIND = Kind("plan", "u", Category.PLAN, dt.timedelta(seconds=30), weight=1.0)
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+def make_record(number, callers, instance=None):
+    """Return a record that waits, or that runs at ``instance``."""
+    record = WorkRecord(
+        "u",
+        f"team-{number % callers}",
+        f"r{number}",
+        "plan",
+        Category.PLAN,
+        False,
+        '{"id": 1}',
+        "0" * 32,
+        NOW,
+    )
+    if instance is None:
+        return record
+    place = Assignment(instance, 1, "boot")
+    return evolve(record, phase=Phase.ASSIGNED, assignment=place)
+
+
+def make_line(instances, running, waiting, callers):
+    """Return a line with so many instances, running tasks and waiting work."""
+    names = [f"i{n}" for n in range(instances)]
+    records, held = [], {name: [] for name in names}
+    for number in range(running + waiting):
+        is_running = number < running
+        name = names[number % instances] if is_running else None
+        record = make_record(number, callers, name)
+        if is_running:
+            held[name].append(record.task_id)
+        records.append(StoredRecord(record, number + 1, number + 1))
+    state = line.LineState(Upstream("u"), pmap({"plan": KIND}), pmap())
+    state = line.decide(state, line.RecordsLoaded(tuple(records)), NOW).state
+    loads = tuple(
+        m.InstanceLoad(name, "u", 1, "boot", 0, 4, 0, {}, tuple(held[name]))
+        for name in names
+    )
+    state = line.decide(state, m.LoadReport("e", loads), NOW).state
+    return state, loads
+
+
+def time_call(call, repeats):
+    """Return the mean processor time of a call in milliseconds."""
+    started = time.process_time()
+    for _ in range(repeats):
+        call()
+    return (time.process_time() - started) / repeats * 1000
+
+
+def measure_line(instances, running, waiting, callers):
+    """Return the cost of a tick, of a placement and the memory of a line."""
+    tracemalloc.start()
+    state, loads = make_line(instances, running, waiting, callers)
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    tick = time_call(lambda: line.decide(state, m.Tick(), NOW), 5)
+    free = evolve(loads[0], batch_room=1)
+    place = time_call(lambda: line.decide(state, m.LoadReport("e", (free,)), NOW), 20)
+    record = make_record(10_000_000, callers)
+    submit = time_call(lambda: line.decide(state, m.SubmitWork(record), NOW), 20)
+    return {
+        "instances": instances,
+        "running": running,
+        "waiting": waiting,
+        "callers": callers,
+        "tick_ms": round(tick, 3),
+        "place_ms": round(place, 3),
+        "submit_ms": round(submit, 3),
+        "memory_mb": round(memory / 1e6, 2),
+        "record_bytes": len(to_json(make_record(1, callers, "i0"))),
+    }
+
+
+def make_inventory(instances, callers):
+    """Return an inventory over seven availability zones."""
+    zones = [f"z{n}" for n in range(7)]
+    return Inventory(
+        tuple(zones),
+        {},
+        {
+            f"i{n}": Instance(
+                f"i{n}",
+                "u",
+                f"rack{n // 8}",
+                zones[n % 7],
+                f"http://10.0.{n // 250}.{n % 250}:8080",
+                8,
+                64,
+                64.0,
+                250 << 30,
+            )
+            for n in range(instances)
+        },
+        {"u": Upstream("u")},
+        {"u/plan": KIND},
+        {f"team-{n}": Caller(f"team-{n}") for n in range(callers)},
+    )
+
+
+def measure_member(instances, entries):
+    """Return the cost of balancing claims and the size of a revision."""
+    inventory = make_inventory(instances, 330)
+    revision = Revision(1, inventory)
+    members = pmap(
+        {
+            f"e{n}": Member(f"e{n}", f"z{n % 7}", "tcp://10.0.0.1:1", "", 1)
+            for n in range(entries)
+        }
+    )
+    zones = ownership.resources_of(inventory)
+    assign = time_call(
+        lambda: ownership.assign_owners(zones, tuple(members.values())), 3
+    )
+    state = member.MemberState(
+        members["e0"],
+        lease=1,
+        members=members,
+        revision=revision,
+        life=member.Life.SERVING,
+    )
+    claim_all = time_call(lambda: member.decide(state, m.Tick(), NOW), 3)
+    claims = pmap(
+        {name: Claim(name, f"e{n % entries}", 5) for n, name in enumerate(zones)}
+    )
+    state = evolve(state, claims=claims, routes=claims)
+    state = member.decide(state, m.Tick(), NOW).state
+    tick = time_call(lambda: member.decide(state, m.Tick(), NOW), 5)
+    load = m.InstanceLoad("i0", "u", 1, "boot", 1, 4, 0, {"plan": 1.1}, ("a" * 30,) * 4)
+    return {
+        "instances": instances,
+        "entries": entries,
+        "assign_ms": round(assign, 3),
+        "claim_all_ms": round(claim_all, 3),
+        "tick_ms": round(tick, 3),
+        "revision_bytes": len(to_json(revision)),
+        "load_bytes": len(to_wire(m.LoadReport("e0", (load,)))),
+    }
+
+
+def read_process(process):
+    """Return processor seconds and resident bytes of a process."""
+    fields = pathlib.Path(f"/proc/{process.popen.pid}/stat").read_text().split()
+    used = (int(fields[13]) + int(fields[14])) / TICKS_PER_S
+    return used, int(fields[23]) * os.sysconf("SC_PAGESIZE")
+
+
+def measure_processes(workers, entries, seconds=8):
+    """Return what idle entries and instances cost."""
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = Cluster(
+            pathlib.Path(folder),
+            workers=workers,
+            entries=entries,
+            rules=RULES.read_text(),
+            lease_ttl_s=6,
+        )
+        try:
+            cluster.start()
+            time.sleep(3)
+            return _measure_idle(cluster, workers, entries, seconds)
+        finally:
+            cluster.stop()
+
+
+def _measure_idle(cluster, workers, entries, seconds):
+    names = list(cluster.operators)
+    before = {name: read_process(cluster.processes[name]) for name in names}
+    bench = read_process(cluster.processes["bench-0"])
+    calls = cluster.store_calls()
+    time.sleep(seconds)
+    used = [
+        read_process(cluster.processes[name])[0] - before[name][0] for name in names
+    ]
+    worker = read_process(cluster.processes["bench-0"])[0] - bench[0]
+    after = cluster.store_calls()
+    total = sum(after.values()) - sum(calls.values())
+    return {
+        "workers": workers,
+        "entries": entries,
+        "entry_core_percent": round(100 * max(used) / seconds, 2),
+        "entry_core_percent_mean": round(100 * sum(used) / len(used) / seconds, 2),
+        "worker_core_percent": round(100 * worker / seconds, 2),
+        "entry_mb": round(max(value[1] for value in before.values()) / 1e6, 1),
+        "store_calls_per_s": round(total / seconds, 2),
+    }
+
+
+def main():
+    """Run the part that is named on the command line."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--part", default="decisions")
+    args = parser.parse_args()
+    if args.part == "decisions":
+        for size in (
+            (24, 500, 100, 30),
+            (200, 4400, 500, 100),
+            (870, 19000, 2000, 330),
+        ):
+            print(json.dumps(measure_line(*size)), flush=True)
+        for size in ((24, 9), (200, 18), (870, 36)):
+            print(json.dumps(measure_member(*size)), flush=True)
+    else:
+        for size in ((6, 3), (18, 3), (36, 3), (18, 6), (18, 9)):
+            print(json.dumps(measure_processes(*size)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/fighead/decisions/health.py
+++ b/src/fighead/decisions/health.py
@@ -82,14 +82,16 @@
 
 
 def limit_quarantine(
-    states: t.Mapping[str, Health], share: float = LARGEST_QUARANTINED_SHARE
+    states: t.Mapping[str, Health],
+    total: int,
+    share: float = LARGEST_QUARANTINED_SHARE,
 ) -> frozenset[str]:
-    """Return the instances to avoid, never more than ``share`` of all.
+    """Return the instances to avoid, never more than ``share`` of ``total``.
 
     If more are under suspicion, those with the most failures are avoided.
     """
     suspects = [name for name, health in states.items() if health.is_quarantined]
-    most = int(len(states) * share)
+    most = int(total * share)
     suspects.sort(key=lambda name: (-states[name].failures, name))
     return frozenset(suspects[:most])
 
--- a/src/fighead/decisions/line.py
+++ b/src/fighead/decisions/line.py
@@ -9,7 +9,7 @@
 import typing as t
 
 from attrs import evolve, frozen
-from pyrsistent import PMap, pmap
+from pyrsistent import PMap, PSet, pmap, pset
 
 from .. import message as m
 from ..model import (
@@ -31,8 +31,6 @@
 #: Largest added slowdown at which a kind is placed beside checks while other
 #: instances are left.
 PREFERRED_SLOWDOWN = 0.2
-#: Time for which finished work is kept in memory for those who ask.
-FINISHED_MAX_AGE = dt.timedelta(minutes=5)
 #: Pause that is advised while a line moves or the store is away.
 RETRY_SOON = dt.timedelta(milliseconds=500)
 #: Placements that one message may cause, so that none takes long.
@@ -73,6 +71,9 @@
 
     :param placed: Tasks by instance that were placed there and are not yet in
         the owner's report.
+    :param roomy: Instances whose owner reports room for batch work.
+    :param attention: Assigned work that its owner does not list, or that is to
+        be stopped.
     :param gone: Instances that the platform has taken away.
     """
 
@@ -85,6 +86,8 @@
     shares: share.Shares = share.Shares()
     loads: PMap = pmap()
     placed: PMap = pmap()
+    roomy: PSet = pset()
+    attention: PSet = pset()
     health: PMap = pmap()
     leaving: frozenset[str] = frozenset()
     gone: frozenset[str] = frozenset()
@@ -218,7 +221,12 @@
 def _load(state: LineState, records: tuple[StoredRecord, ...]) -> LineState:
     for stored in records:
         state = _put_item(state, Item(stored))
-    return evolve(state, is_loaded=True)
+    assigned = (
+        stored.record.work_id
+        for stored in records
+        if stored.record.phase is Phase.ASSIGNED
+    )
+    return evolve(state, is_loaded=True, attention=pset(assigned))
 
 
 def _group(record: WorkRecord) -> share.Group:
@@ -269,10 +277,14 @@
 
 
 def _is_running(item_: Item) -> bool:
-    phases = {item_.record.phase}
-    if item_.writing is not None:
-        phases.add(item_.writing.phase)
-    return Phase.ASSIGNED in phases
+    return Phase.ASSIGNED in _phases(item_)
+
+
+def _phases(item_: Item) -> tuple[Phase, ...]:
+    """Return the phase as stored and as the write on its way leaves it."""
+    if item_.writing is None:
+        return (item_.record.phase,)
+    return (item_.record.phase, item_.writing.phase)
 
 
 def _submit(state: LineState, record: WorkRecord, now: dt.datetime) -> LineStep:
@@ -377,10 +389,18 @@
     if record.phase is Phase.ASSIGNED:
         settled = evolve(settled, start_sent_at=now)
         effects.append(_start_effect(record))
+        state = _attend(state, msg.work_id)
     effects.extend(_ending_effects(old, record))
+    if record.phase.is_final:
+        # What has ended is read from the store by those who ask later.
+        return Step(_drop_item(state, msg.work_id), tuple(effects))
     return _take_up_deferred(_put_item(state, settled), settled, effects, now)
 
 
+def _attend(state: LineState, key: str) -> LineState:
+    return evolve(state, attention=state.attention.add(key))
+
+
 def _start_effect(record: WorkRecord) -> TellOwner:
     assignment = t.cast(Assignment, record.assignment)
     return TellOwner(assignment.instance, m.StartWork(record))
@@ -426,6 +446,9 @@
         effects.append(_answer_existing(old, msg.found))
     if msg.found.record.phase.is_final:
         effects.append(TellWaiting(msg.found.record))
+        return Step(_drop_item(state, msg.work_id), tuple(effects))
+    if msg.found.record.phase is Phase.ASSIGNED:
+        state = _attend(state, msg.work_id)
     return _take_up_deferred(_put_item(state, settled), settled, effects, now)
 
 
@@ -444,7 +467,8 @@
 def _take_loads(
     state: LineState, loads: tuple[m.InstanceLoad, ...], now: dt.datetime
 ) -> LineStep:
-    seen, placed = state.loads, state.placed
+    seen, placed, roomy = state.loads, state.placed, state.roomy
+    attention = state.attention
     for load in loads:
         if load.upstream != state.upstream.name:
             continue
@@ -454,7 +478,29 @@
         seen = seen.set(load.instance, SeenLoad(load, now))
         open_tasks = placed.get(load.instance, frozenset()) - set(load.batch_tasks)
         placed = placed.set(load.instance, open_tasks)
-    return Step(evolve(state, loads=seen, placed=placed))
+        has_room = load.batch_room > 0
+        roomy = roomy.add(load.instance) if has_room else roomy.discard(load.instance)
+        if known is None or not _lists_the_same(known.load, load):
+            attention = _note_listing(state, attention, known, load)
+    return Step(
+        evolve(state, loads=seen, placed=placed, roomy=roomy, attention=attention)
+    )
+
+
+def _lists_the_same(old: m.InstanceLoad, new: m.InstanceLoad) -> bool:
+    return (old.batch_tasks, old.lapsed) == (new.batch_tasks, new.lapsed)
+
+
+def _note_listing(
+    state: LineState, attention: PSet, known: SeenLoad | None, load: m.InstanceLoad
+) -> PSet:
+    """Attend to tasks that are listed no more; leave alone what is listed."""
+    before = frozenset(known.load.batch_tasks) if known else frozenset()
+    listed = frozenset(load.batch_tasks)
+    for task_id in listed:
+        attention = attention.discard(_work_id_of(state, task_id))
+    vanished = before | listed if load.lapsed else before - listed
+    return attention.update(_work_id_of(state, task_id) for task_id in vanished)
 
 
 def _take_event(state: LineState, msg: t.Any, now: dt.datetime) -> LineStep:
@@ -504,6 +550,7 @@
         return Step(state)
     if record.phase is Phase.QUEUED:
         return _write(state, found, item.change(record, lambda w: w.cancel(now)), now)
+    state = _attend(state, record.work_id)
     return _write(state, found, evolve(record, cancel_requested=True), now)
 
 
@@ -589,14 +636,22 @@
 
 
 def _suspects(state: LineState) -> frozenset[str]:
-    known = {name: state.health.get(name, health.Health()) for name in state.loads}
-    return health.limit_quarantine(known)
+    return health.limit_quarantine(state.health, max(len(state.loads), 1))
 
 
 def _change_rules(state: LineState, msg: LineRules) -> LineStep:
+    attention = state.attention
+    if msg.gone - state.gone:
+        attention = attention.update(
+            key
+            for key, found in state.items.items()
+            if found.record.assignment is not None
+            and found.record.assignment.instance in msg.gone
+        )
     return Step(
         evolve(
             state,
+            attention=attention,
             upstream=msg.upstream,
             kinds=msg.kinds,
             weights=msg.weights,
@@ -609,35 +664,17 @@
 
 
 def _tick(state: LineState, now: dt.datetime) -> LineStep:
-    due = [key for key, found in state.items.items() if _is_due(state, found, now)]
     step = Step(state)
-    for key in due:
-        if state.items[key].record.phase is Phase.ASSIGNED:
+    for key in state.attention:
+        found = state.items.get(key)
+        if found is None or Phase.ASSIGNED not in _phases(found):
+            rest = step.state.attention.discard(key)
+            step = Step(evolve(step.state, attention=rest), step.effects)
+        elif found.writing is None:
             step = step.then(lambda s, key=key: _follow_up(s, s.items[key], now))
-        else:
-            step = Step(_drop_item(step.state, key), step.effects)
     return step
 
 
-def _is_due(state: LineState, found: Item, now: dt.datetime) -> bool:
-    """Whether an item needs more than to be left alone."""
-    if found.writing is not None:
-        return False
-    record = found.record
-    if record.phase is not Phase.ASSIGNED:
-        return _is_old(record, now)
-    assignment = t.cast(Assignment, record.assignment)
-    if record.cancel_requested or _is_lost(state, record, assignment):
-        return True
-    seen = state.loads.get(assignment.instance)
-    return seen is None or record.task_id not in seen.load.batch_tasks
-
-
-def _is_old(record: WorkRecord, now: dt.datetime) -> bool:
-    finished_at = record.finished_at
-    return finished_at is not None and now - finished_at > FINISHED_MAX_AGE
-
-
 def _follow_up(state: LineState, found: Item, now: dt.datetime) -> LineStep:
     """See to work that is assigned: start it again, stop it or count it lost."""
     record = found.record
@@ -707,7 +744,8 @@
     """Return the batch tasks that each usable instance can still take."""
     avoided = _suspects(state)
     rooms = {}
-    for name, seen in state.loads.items():
+    for name in state.roomy:
+        seen = state.loads[name]
         if name in state.leaving or name in state.gone or not seen.load.reachable:
             continue
         if now - seen.seen_at > LOAD_MAX_AGE:
--- a/src/fighead/decisions/member.py
+++ b/src/fighead/decisions/member.py
@@ -7,7 +7,7 @@
 from pyrsistent import PMap, pmap
 
 from .. import message as m
-from ..model import Claim, Inventory, Member, Revision
+from ..model import Claim, Member, Revision
 from . import Step, life, ownership
 from .life import ClaimStage, Life
 
@@ -31,6 +31,16 @@
     is_writing: bool = False
 
 
+@frozen
+class Placement:
+    """Preferred owners, and the revision and members that they follow from."""
+
+    revision: int
+    members: PMap
+    zones: dict[str, str]
+    owners: dict[str, str]
+
+
 @frozen
 class MemberState:
     """What an entry knows of itself and of the others.
@@ -61,6 +71,7 @@
     peer_seen_at: dt.datetime | None = None
     store_reachable: bool = False
     front_is_idle: bool = False
+    placement: Placement | None = None
 
 
 @frozen
@@ -243,12 +254,28 @@
 
 def decide(state: MemberState, msg: t.Any, now: dt.datetime) -> MemberStep:
     """Return the new state and the effects of one message."""
-    before = view_of(state)
-    step = _handle(state, msg, now).then(lambda s: _balance(s, now))
-    after = view_of(step.state)
-    if after == before:
+    step = _handle(state, msg, now)
+    if not isinstance(msg, PeerSeen | StoreSeen | PlatformSeen):
+        step = step.then(lambda s: _balance(s, now))
+    if _shows_the_same(state, step.state):
         return step
-    return Step(step.state, (*step.effects, Publish(after)))
+    return Step(step.state, (*step.effects, Publish(view_of(step.state))))
+
+
+def _shows_the_same(before: MemberState, after: MemberState) -> bool:
+    # Unchanged parts keep their identity, which spares comparing all claims.
+    return all(
+        getattr(before, name) is getattr(after, name)
+        for name in (
+            "members",
+            "claims",
+            "routes",
+            "revision",
+            "platform_gone",
+            "platform_leaving",
+            "store_reachable",
+        )
+    )
 
 
 def view_of(state: MemberState) -> m.View:
@@ -299,7 +326,7 @@
         case StoreSeen(reachable):
             return Step(_note_store(state, reachable, now))
         case PlatformSeen(leaving, gone):
-            return Step(evolve(state, platform_leaving=leaving, platform_gone=gone))
+            return Step(_note_platform(state, leaving, gone))
         case m.Stop():
             return _drain(state)
         case FrontIdle():
@@ -320,6 +347,14 @@
     return evolve(state, store_reachable=reachable, store_seen_at=seen_at)
 
 
+def _note_platform(
+    state: MemberState, leaving: frozenset[str], gone: frozenset[str]
+) -> MemberState:
+    if (leaving, gone) == (state.platform_leaving, state.platform_gone):
+        return state
+    return evolve(state, platform_leaving=leaving, platform_gone=gone)
+
+
 def _lose_lease(state: MemberState) -> MemberStep:
     """Go on with instances until each is claimed anew or seen to be another's.
 
@@ -478,13 +513,24 @@
         return Step(state)
     if state.me.name not in state.members:
         return Step(state)
-    inventory = state.revision.inventory
-    zones = ownership.resources_of(inventory)
-    members = tuple(state.members.values())
-    owners = ownership.assign_owners(zones, members)
-    step = _claim_free(state, zones, owners, now)
-    step = step.then(lambda s: _hand_over(s, owners, now))
-    return step.then(lambda s: _close_undeclared(s, inventory))
+    placement = _placement(state, state.revision)
+    state = evolve(state, placement=placement)
+    step = _claim_free(state, placement.zones, placement.owners, now)
+    step = step.then(lambda s: _hand_over(s, placement.owners, now))
+    return step.then(lambda s: _close_undeclared(s, placement.zones))
+
+
+def _placement(state: MemberState, revision: Revision) -> Placement:
+    known = state.placement
+    if (
+        known is not None
+        and known.revision == revision.number
+        and known.members is state.members
+    ):
+        return known
+    zones = ownership.resources_of(revision.inventory)
+    owners = ownership.assign_owners(zones, tuple(state.members.values()))
+    return Placement(revision.number, state.members, zones, owners)
 
 
 def _claim_free(
@@ -494,43 +540,48 @@
     now: dt.datetime,
 ) -> MemberStep:
     effects: list[t.Any] = []
-    free_since, own = state.free_since, state.own
-    for resource, zone in zones.items():
-        if resource in state.claims:
-            free_since = free_since.discard(resource)
-            continue
+    own = state.own
+    free = [resource for resource in zones if resource not in state.claims]
+    since_by = {name: state.free_since.get(name, now) for name in free}
+    for resource in free:
         mine = own.get(resource)
         if mine is not None:
             if mine.stage is ClaimStage.ORPHANED and not mine.is_writing:
                 own = own.set(resource, evolve(mine, is_writing=True))
                 effects.append(WriteClaim(resource, state.lease))
             continue
-        since = free_since.get(resource, now)
-        free_since = free_since.set(resource, since)
-        preferred = owners.get(resource, "")
+        preferred, since = owners.get(resource, ""), since_by[resource]
         if preferred == state.me.name or now - since >= ownership.claim_delay(
-            resource, zone, state.me.name, preferred, state.members.values()
+            resource,
+            zones[resource],
+            state.me.name,
+            preferred,
+            state.members.values(),
         ):
             own = own.set(resource, OwnClaim(resource))
             effects.append(WriteClaim(resource, state.lease))
-    return Step(evolve(state, free_since=free_since, own=own), tuple(effects))
+    if since_by != state.free_since or own is not state.own:
+        state = evolve(state, free_since=pmap(since_by), own=own)
+    return Step(state, tuple(effects))
 
 
 def _hand_over(
     state: MemberState, owners: t.Mapping[str, str], now: dt.datetime
 ) -> MemberStep:
-    misplaced = state.misplaced_since
-    ready: list[str] = []
-    for resource, own in state.own.items():
-        preferred = owners.get(resource)
-        if own.stage is not ClaimStage.HELD or preferred in (None, state.me.name):
-            misplaced = misplaced.discard(resource)
-            continue
-        since = misplaced.get(resource, now)
-        misplaced = misplaced.set(resource, since)
-        if now - since >= ownership.HANDOVER_DELAY:
-            ready.append(resource)
-    step = Step(evolve(state, misplaced_since=misplaced))
+    misplaced = {
+        resource: state.misplaced_since.get(resource, now)
+        for resource, own in state.own.items()
+        if own.stage is ClaimStage.HELD
+        and owners.get(resource, state.me.name) != state.me.name
+    }
+    ready = [
+        resource
+        for resource, since in misplaced.items()
+        if now - since >= ownership.HANDOVER_DELAY
+    ]
+    if misplaced != state.misplaced_since:
+        state = evolve(state, misplaced_since=pmap(misplaced))
+    step = Step(state)
     closing = sum(own.stage is ClaimStage.CLOSING for own in state.own.values())
     for resource in sorted(ready)[: max(0, HANDOVERS_AT_ONCE - closing)]:
         step = step.then(lambda s, resource=resource: _close(s, resource))
@@ -544,8 +595,7 @@
     return Step(evolve(state, own=closing), (CloseResource(resource),))
 
 
-def _close_undeclared(state: MemberState, inventory: Inventory) -> MemberStep:
-    declared = ownership.resources_of(inventory)
+def _close_undeclared(state: MemberState, declared: t.Container[str]) -> MemberStep:
     step = Step(state)
     for resource, own in state.own.items():
         if own.stage is ClaimStage.HELD and resource not in declared:
--- a/src/fighead/decisions/share.py
+++ b/src/fighead/decisions/share.py
@@ -5,6 +5,7 @@
 """
 
 import bisect
+import heapq
 import typing as t
 
 from attrs import evolve, frozen
@@ -90,37 +91,38 @@
     kinds: t.Mapping[str, Kind],
     weights: t.Mapping[str, float],
     watch_floor: float,
-) -> list[Group]:
-    """Return the groups that wait, the one to serve next first.
+) -> t.Iterator[Group]:
+    """Yield the groups that wait, the one to serve next first.
 
     :param weights: Weight by caller; 1.0 if not named.
     :param watch_floor: Share of all running tasks kept for watches.
     """
-    keyed = [
-        (_rank(shares, kinds, weights, watch_floor, group, places[0]), group)
+    below_floor = _below_floor(shares, kinds, watch_floor)
+    ranked = [
+        (*_rank(shares, kinds, weights, below_floor, group, places[0]), group)
         for group, places in shares.waiting.items()
         if group.kind in kinds
     ]
-    keyed.sort(key=lambda entry: entry[0])
-    return [group for _, group in keyed]
+    # Mostly the first group is served, so the rest need not be sorted.
+    heapq.heapify(ranked)
+    while ranked:
+        yield heapq.heappop(ranked)[-1]
 
 
 def _rank(
     shares: Shares,
     kinds: t.Mapping[str, Kind],
     weights: t.Mapping[str, float],
-    watch_floor: float,
+    below_floor: bool,
     group: Group,
     first: Place,
-) -> tuple[int, float, float, Place]:
+) -> tuple[int, float, float, int, str]:
     kind = kinds[group.kind]
     running = shares.running_by_kind.get(group.kind, 0)
-    below_floor = kind.category is Category.WATCH and _below_floor(
-        shares, kinds, watch_floor
-    )
+    goes_first = below_floor and kind.category is Category.WATCH
     by_kind = running / kind.weight
     by_caller = shares.running_by_group.get(group, 0) / weights.get(group.caller, 1.0)
-    return (0 if below_floor else 1, by_kind, by_caller, first)
+    return (0 if goes_first else 1, by_kind, by_caller, first.revision, first.work_id)
 
 
 def _below_floor(
--- a/src/fighead/fronts/caller.py
+++ b/src/fighead/fronts/caller.py
@@ -134,6 +134,15 @@
         outcome = await cancel_work(
             self.desk, upstream, _header(request, "Caller"), request_id, wait
         )
+        if isinstance(outcome, m.Refused):
+            # Work that has ended is no longer in the line, but in the store.
+            outcome = await find_work(
+                self.desk,
+                upstream,
+                _header(request, "Caller"),
+                request_id,
+                dt.timedelta(),
+            )
         return send_outcome(request, request_id, outcome)
 
     def _admit(self) -> None:
--- a/src/fighead/tasks/roster.py
+++ b/src/fighead/tasks/roster.py
@@ -84,8 +84,9 @@
             case member_deciding.RetireResource(resource):
                 self._retire(resource)
             case m.View():
-                self._view = msg
-                self._pass_on_rules()
+                before, self._view = self._view, msg
+                if _rules_of(before) != _rules_of(msg):
+                    self._pass_on_rules()
             case m.LoadReport():
                 self._pass_on_loads(msg)
 
@@ -256,6 +257,16 @@
             self.share_loads(report)
 
 
+def _rules_of(view: m.View) -> tuple[t.Any, ...]:
+    number = view.revision.number if view.revision else 0
+    return (
+        number,
+        view.platform_gone,
+        view.platform_leaving,
+        view.store_reachable,
+    )
+
+
 def _kinds(inventory: Inventory, upstream: str) -> PMap:
     kinds = inventory.kinds.values()
     return pmap({kind.name: kind for kind in kinds if kind.upstream == upstream})
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -73,7 +73,11 @@
             if self.is_cut:
                 near.close()
                 continue
-            far = socket.create_connection(("127.0.0.1", self.target))
+            try:
+                far = socket.create_connection(("127.0.0.1", self.target))
+            except OSError:
+                near.close()
+                continue
             self._pairs += [near, far]
             for pair in ((near, far), (far, near)):
                 threading.Thread(target=self._pump, args=pair, daemon=True).start()
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -35,7 +35,7 @@
 
 def test_quarantine_never_empties_the_fleet():
     states = {f"i{n}": fail(Health(), ["a", "b", "c"]) for n in range(9)}
-    assert len(health.limit_quarantine(states)) == 3
+    assert len(health.limit_quarantine(states, len(states))) == 3
 
 
 def test_failures_on_suspects_do_not_park_a_job():
