--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -8,7 +8,10 @@
 
 import argparse
 import json
+import os
 import pathlib
+import re
+import shutil
 import signal
 import statistics
 import subprocess
@@ -29,6 +32,7 @@
 )
 from fighead.load.table import summarize  # noqa: E402
 
+DRIVERS = 3
 POLICIES = ("adaptive", "slots-only", "reactive")
 CHECKS = """
 [checks]
@@ -122,24 +126,28 @@
 def measure(cluster, text, seed, fault):
     """Drive the load, make the fault and return the figures."""
     plan = cluster.folder / "plan.ini"
-    plan.write_text(f"[plan]\nname = bench\n{text}")
-    out = cluster.folder / "operations.jsonl"
-    driver = ROOT / "tests" / "driver.py"
+    # One driver alone is at its limit at 400 requests a second.
+    shared = re.sub(r"(rate_per_s = )(\S+)", _share_rate, text)
+    plan.write_text(f"[plan]\nname = bench\n{shared}")
+    outs = [cluster.folder / f"operations-{n}.jsonl" for n in range(DRIVERS)]
     calls = sum(cluster.store_calls().values())
     started = time.monotonic()
-    command = [sys.executable, str(driver), str(plan), str(out), str(seed)]
-    process = subprocess.Popen([*command, *cluster.urls.values()])
+    drivers = [
+        start_driver(cluster, plan, out, seed * 10 + n) for n, out in enumerate(outs)
+    ]
     time.sleep(4)
     if fault == "fail":
         cluster.set_worker("bench-0", fail_all=True)
     if fault == "freeze":
         cluster.processes["bench-1"].send(signal.SIGSTOP)
-    process.wait(120)
+    for driver in drivers:
+        driver.wait(120)
     seconds = time.monotonic() - started
     if fault == "freeze":
         cluster.processes["bench-1"].send(signal.SIGCONT)
     calls = sum(cluster.store_calls().values()) - calls
-    operations = [from_json(line, Operation) for line in out.read_text().splitlines()]
+    lines = [line for out in outs for line in out.read_text().splitlines()]
+    operations = [from_json(line, Operation) for line in lines]
     journals = cluster.journals()
     slots = dict.fromkeys(cluster.worker_urls, cluster.slots)
     verdict = check_history(History(tuple(operations), journals, slots))
@@ -147,6 +155,8 @@
     runs = [run for journal in journals for run in read_runs(journal)]
     done = [r for r in runs if r.ending == "done" and "#" in r.task_id]
     checks = kinds["blade-check"]
+    if os.environ.get("KEEP"):
+        shutil.copytree(cluster.folder, os.environ["KEEP"], dirs_exist_ok=True)
     return {
         "in_time": round(checks.share_in_time, 5),
         "p50_ms": checks.p50_ms,
@@ -160,6 +170,17 @@
     }
 
 
+def _share_rate(match):
+    return f"{match[1]}{float(match[2]) / DRIVERS}"
+
+
+def start_driver(cluster, plan, out, seed):
+    """Start one process that drives its share of the load."""
+    driver = ROOT / "tests" / "driver.py"
+    command = [sys.executable, str(driver), str(plan), str(out), str(seed)]
+    return subprocess.Popen([*command, *cluster.urls.values()])
+
+
 def summary(rows):
     """Return median, least and greatest of each figure."""
     return {
--- a/src/fighead/fronts/caller.py
+++ b/src/fighead/fronts/caller.py
@@ -6,6 +6,7 @@
 import uuid
 
 from klein import Klein
+from twisted.internet.defer import CancelledError
 from twisted.web.iweb import IRequest
 
 from .. import message as m
@@ -36,6 +37,9 @@
             return await handler(self, request, **names)
         except FigheadError as exc:
             return send_error(request, exc)
+        except CancelledError:
+            # The caller has closed the connection.
+            raise
         except Exception as exc:
             log_event(Event.REQUEST_FAILED, error=type(exc).__name__, text=str(exc))
             failure = FigheadError(
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -12,7 +12,11 @@
     ENTRY_STARTED = (1001, "info", "The entry started.")
     ENTRY_DRAINING = (1002, "info", "The entry takes no new work.")
     ENTRY_STOPPED = (1003, "info", "The entry stopped.")
-    ENTRY_NOT_READY = (1004, "warning", "Neither the store nor a peer is reached.")
+    ENTRY_NOT_READY = (
+        1004,
+        "warning",
+        "The entry takes no requests.",
+    )
     ENTRY_READY = (1005, "info", "The entry takes requests.")
     LEASE_GRANTED = (2001, "info", "The store granted a lease.")
     LEASE_LOST = (2002, "warning", "The lease lapsed; claims are made anew.")
--- a/src/fighead/tasks/instance.py
+++ b/src/fighead/tasks/instance.py
@@ -92,11 +92,19 @@
             offer = t.cast(m.OfferCheck, msg.message)
             self._offers[offer.request.request_id] = msg.reply
             msg = offer
+        was_quarantined = self.state.health.is_quarantined
         step = deciding.decide(self.state, msg, self.clock.now())
         self.state = step.state
+        self._log_quarantine(was_quarantined)
         for effect in step.effects:
             self._carry_out(effect)
 
+    def _log_quarantine(self, before: bool) -> None:
+        now = self.state.health.is_quarantined
+        if now != before:
+            event = Event.INSTANCE_QUARANTINED if now else Event.INSTANCE_RELEASED
+            log_event(event, instance=self.state.instance.name)
+
     def _carry_out(self, effect: t.Any) -> None:
         match effect:
             case deciding.RunCheck(request, lease_until):
--- a/src/fighead/tasks/member.py
+++ b/src/fighead/tasks/member.py
@@ -86,7 +86,7 @@
     on_end: t.Callable[[], None]
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("member", 4096))
     _children: list[Deferred] = field(factory=list)
-    _written: Member | None = None
+    _was_ready: bool = False
 
     async def run(self) -> None:
         """Join the others and serve the mailbox until cancelled."""
@@ -107,6 +107,10 @@
         self.state = step.state
         for effect in step.effects:
             self._carry_out(effect)
+        is_ready = self.is_ready()
+        if is_ready != self._was_ready:
+            self._was_ready = is_ready
+            log_event(Event.ENTRY_READY if is_ready else Event.ENTRY_NOT_READY)
 
     def _carry_out(self, effect: t.Any) -> None:
         match effect:
--- a/src/fighead/tasks/roster.py
+++ b/src/fighead/tasks/roster.py
@@ -14,6 +14,7 @@
 from ..decisions import line as line_deciding
 from ..decisions import member as member_deciding
 from ..decisions import ownership
+from ..log import Event, log_event
 from ..mailbox import Mailbox, receive, spawn
 from ..metric import Metrics
 from ..model import Inventory
@@ -82,6 +83,7 @@
             case member_deciding.CloseResource(resource):
                 spawn(self._close(resource))
             case member_deciding.RetireResource(resource):
+                log_event(Event.CLAIM_LOST, resource=resource)
                 self._retire(resource)
             case m.View():
                 before, self._view = self._view, msg
