Serve a claim whose write was given up and took effect after all

Cause: a claim is given up as failed after 5 s; if the write had taken effect and only its answers were lost, the store held the claim for an entry that did not know it, and nobody served the resource while the lease lived. Change: a claim that the store shows as this entry's own for 2 s is served. Before: test_a_claim_that_was_written_after_it_was_given_up_is_served fails (no effect). After: it passes.

--- a/src/fighead/decisions/member_claims.py
+++ b/src/fighead/decisions/member_claims.py
@@ -26,6 +26,8 @@
 
 #: Claims that are handed over for balance at once.
 HANDOVERS_AT_ONCE = 2
+#: Time for which a claim must be seen as this entry's own before it is served.
+STRAY_DELAY = dt.timedelta(seconds=2)
 
 
 def lose_lease(state: MemberState) -> MemberStep:
@@ -143,6 +145,7 @@
     state = evolve(state, placement=placement)
     step = _claim_free(state, placement.zones, placement.owners, now)
     step = step.then(lambda s: _hand_over(s, placement.owners, now))
+    step = step.then(lambda s: _take_up_strays(s, now))
     return step.then(lambda s: _close_undeclared(s, placement.zones))
 
 
@@ -191,6 +194,31 @@
     return Step(state, tuple(effects))
 
 
+def _take_up_strays(state: MemberState, now: dt.datetime) -> MemberStep:
+    """Serve a claim whose write took effect after it was given up as failed.
+
+    Nobody else may claim the resource while this entry's lease lives. The pause
+    leaves time for news that are still on their way.
+    """
+    strays = {
+        resource: state.stray_since.get(resource, now)
+        for resource, claim in state.claims.items()
+        if claim.owner == state.me.name and resource not in state.own
+    }
+    if strays != state.stray_since:
+        state = evolve(state, stray_since=pmap(strays))
+    effects = []
+    own = state.own
+    for resource, since in strays.items():
+        if now - since >= STRAY_DELAY:
+            epoch = state.claims[resource].epoch
+            own = own.set(resource, OwnClaim(resource, ClaimStage.HELD, epoch))
+            effects.append(OpenResource(resource, epoch))
+    if effects:
+        state = evolve(state, own=own)
+    return Step(state, tuple(effects))
+
+
 def _hand_over(
     state: MemberState, owners: t.Mapping[str, str], now: dt.datetime
 ) -> MemberStep:
--- a/src/fighead/decisions/member_state.py
+++ b/src/fighead/decisions/member_state.py
@@ -43,6 +43,8 @@
     :param free_since: When each resource without a claim was first seen so.
     :param misplaced_since: When another entry was first preferred for a
         resource that this one holds.
+    :param stray_since: When each claim that the store holds for this entry, but
+        that the entry does not know of, was first seen.
     :param seen_revision: Revision of the store up to which events are known.
     """
 
@@ -57,6 +59,7 @@
     revision: Revision | None = None
     free_since: PMap = pmap()
     misplaced_since: PMap = pmap()
+    stray_since: PMap = pmap()
     platform_gone: frozenset[str] = frozenset()
     platform_leaving: frozenset[str] = frozenset()
     seen_revision: int = 0
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -115,6 +115,21 @@
     assert member.decide(state, m.Stop(), NOW).state == state
 
 
+def test_a_claim_that_was_written_after_it_was_given_up_is_served():
+    # Regression: nobody served the resource while the lease lived.
+    state = loaded(make_state()).state
+    state = member.decide(state, states.ClaimFailed("instance/i0"), NOW).state
+    claims = {"instance/i0": Claim("instance/i0", "e1", 30)}
+    state = loaded(state, claims, at=31).state
+    # The repeat of the write finds the key in place and fails as well.
+    step = member.decide(state, states.ClaimFailed("instance/i0"), NOW)
+    assert states.OpenResource("instance/i0", 30) not in step.effects
+    later = NOW + claiming.STRAY_DELAY
+    step = member.decide(step.state, m.Tick(), later)
+    assert states.OpenResource("instance/i0", 30) in step.effects
+    assert step.state.own["instance/i0"].epoch == 30
+
+
 def test_better_suited_entry_gets_a_resource_after_a_while():
     alone = pmap({"e1": MEMBERS["e1"]})
     state = own_all(loaded(make_state(), members=alone))
