Judge a rerun after an unreachable instance by its trace

As with a restart the answer could not be had; runs of boots that were given up are left out, a start after a recorded end stays a breach.

--- a/src/fighead/load/history.py
+++ b/src/fighead/load/history.py
@@ -88,13 +88,14 @@
     """Everything that was seen in one run.
 
     :param slots: Slots of each instance by its name.
-    :param restarted: Boots that ended with all that the instance remembered.
+    :param given_up: Boots that ended with all that the instance remembered, or
+        that were out of reach until every task lease had run out.
     """
 
     operations: tuple[Operation, ...]
     journals: tuple[Journal, ...]
     slots: dict[str, int] = field(factory=dict)
-    restarted: frozenset[str] = frozenset()
+    given_up: frozenset[str] = frozenset()
 
 
 def check_history(history: History) -> Verdict:
@@ -190,7 +191,7 @@
         done = sum(run.ending == Ending.DONE.value for run in runs)
         # An answer that was lost with its instance can only be had by another run.
         kept = sum(
-            run.ending == Ending.DONE.value and run.boot not in history.restarted
+            run.ending == Ending.DONE.value and run.boot not in history.given_up
             for run in runs
         )
         if kept > 1:
