--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -27,13 +27,7 @@
 from cluster import RULES, Cluster  # noqa: E402
 from fighead import message as m  # noqa: E402
 from fighead.codec import to_json, to_wire  # noqa: E402
-from fighead.decisions import (  # noqa: E402
-    line,
-    line_state,
-    member,
-    member_state,
-    ownership,
-)
+from fighead.decisions import line, line_state, member, member_state, ownership  # noqa: E402
 from fighead.decisions.life import Life  # noqa: E402
 from fighead.model import (  # noqa: E402
     Assignment,
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -24,12 +24,7 @@
 
 from cluster import RULES, Cluster  # noqa: E402
 from fighead.codec import from_json  # noqa: E402
-from fighead.load.history import (  # noqa: E402
-    History,
-    Operation,
-    check_history,
-    read_runs,
-)
+from fighead.load.history import History, Operation, check_history, read_runs  # noqa: E402
 from fighead.load.table import summarize  # noqa: E402
 
 DRIVERS = 3
--- a/src/fighead/cli.py
+++ b/src/fighead/cli.py
@@ -22,7 +22,6 @@
 
 EXIT_OK = 0
 EXIT_BROKEN = 1
-EXIT_REFUSED = 2
 EXIT_NOT_IN_FORCE = 3
 DEFAULT_OPERATOR = "http://127.0.0.1:7200"
 REPORT_FORMATS = ("text", "json", "html")
@@ -223,7 +222,7 @@
                 entry, method, upstream, caller, request_id
             )
             _print_json(answer)
-            return EXIT_OK if answer.get("request_id") else EXIT_REFUSED
+            return EXIT_OK if answer.get("request_id") else console.EXIT_REFUSED
 
         console.run(main)
 
@@ -355,4 +354,4 @@
         fire.Fire(Cli, name="fighead")
     except FigheadError as exc:
         print(f"fighead: {exc}", file=sys.stderr)
-        sys.exit(EXIT_REFUSED)
+        sys.exit(console.EXIT_REFUSED)
--- a/src/fighead/console.py
+++ b/src/fighead/console.py
@@ -1,4 +1,4 @@
-"""Operators' calls to an entry, and the load tool, as run by the command line."""
+"""Runs the coroutines of the command line, and the load tool among them."""
 
 import datetime as dt
 import pathlib
@@ -17,8 +17,8 @@
 from .load.history import History, Verdict, check_history
 from .load.table import KindResult, render, summarize
 
-CALL_TIMEOUT_S = 10
-POLL_INTERVAL = dt.timedelta(milliseconds=300)
+#: Exit code of a command that was refused.
+EXIT_REFUSED = 2
 #: Time for work that is still open after the last arrival.
 SETTLE_TIME = dt.timedelta(seconds=5)
 
@@ -44,7 +44,7 @@
         code = await coroutine
     except FigheadError as exc:
         print(f"fighead: {exc}")
-        code = 2
+        code = EXIT_REFUSED
     raise SystemExit(code)
 
 
--- a/src/fighead/decisions/instance.py
+++ b/src/fighead/decisions/instance.py
@@ -12,9 +12,7 @@
 from attrs import evolve
 
 from .. import message as m
-from ..model import (
-    Category,
-)
+from ..model import Category
 from . import Step, control, queue, slowdown
 from .control import Level
 from .instance_checks import end_check, fill_checks, offer_check
--- a/src/fighead/decisions/instance_report.py
+++ b/src/fighead/decisions/instance_report.py
@@ -7,12 +7,7 @@
 from pyrsistent import PMap
 
 from .. import message as m
-from ..model import (
-    Category,
-    Ending,
-    InstanceReport,
-    TaskStatus,
-)
+from ..model import Category, Ending, InstanceReport, TaskStatus
 from . import Step
 from .instance_state import (
     HeldCheck,
--- a/src/fighead/decisions/instance_state.py
+++ b/src/fighead/decisions/instance_state.py
@@ -7,13 +7,7 @@
 from pyrsistent import PMap, PSet, pmap, pset
 
 from .. import message as m
-from ..model import (
-    Instance,
-    Kind,
-    TaskStatus,
-    Upstream,
-    WorkRecord,
-)
+from ..model import Instance, Kind, TaskStatus, Upstream, WorkRecord
 from . import Step
 from .control import Control, Level
 from .health import Health
--- a/src/fighead/decisions/instance_tasks.py
+++ b/src/fighead/decisions/instance_tasks.py
@@ -6,11 +6,7 @@
 from attrs import evolve
 
 from .. import message as m
-from ..model import (
-    Ending,
-    TaskStatus,
-    WorkRecord,
-)
+from ..model import Ending, TaskStatus, WorkRecord
 from . import Step
 from .instance_state import (
     TASK_LEASE,
--- a/src/fighead/decisions/line.py
+++ b/src/fighead/decisions/line.py
@@ -12,12 +12,7 @@
 from pyrsistent import PSet, pset
 
 from .. import message as m
-from ..model import (
-    Assignment,
-    Phase,
-    StoredRecord,
-    WorkRecord,
-)
+from ..model import Assignment, Phase, StoredRecord, WorkRecord
 from . import Step
 from .line_end import apply_loss, honour_cancel, take_event
 from .line_place import place_waiting
--- a/src/fighead/decisions/line_end.py
+++ b/src/fighead/decisions/line_end.py
@@ -6,13 +6,7 @@
 from attrs import evolve
 
 from .. import message as m
-from ..model import (
-    Ending,
-    Phase,
-    TaskStatus,
-    WorkRecord,
-    work_id,
-)
+from ..model import Ending, Phase, TaskStatus, WorkRecord, work_id
 from . import Step, health, item
 from .line_state import (
     Item,
--- a/src/fighead/decisions/line_place.py
+++ b/src/fighead/decisions/line_place.py
@@ -3,10 +3,7 @@
 import datetime as dt
 import typing as t
 
-from ..model import (
-    Assignment,
-    WorkRecord,
-)
+from ..model import Assignment, WorkRecord
 from . import Step, health, item, share
 from .line_state import LineState, LineStep, find_suspects, write_record
 
--- a/src/fighead/decisions/line_state.py
+++ b/src/fighead/decisions/line_state.py
@@ -7,13 +7,7 @@
 from pyrsistent import PMap, PSet, pmap, pset
 
 from .. import message as m
-from ..model import (
-    Assignment,
-    Phase,
-    StoredRecord,
-    Upstream,
-    WorkRecord,
-)
+from ..model import Assignment, Phase, StoredRecord, Upstream, WorkRecord
 from . import Step, health, share
 
 #: Pause that is advised while a line moves or the store is away.
--- a/src/fighead/decisions/line_submit.py
+++ b/src/fighead/decisions/line_submit.py
@@ -6,11 +6,7 @@
 from attrs import evolve
 
 from .. import message as m
-from ..model import (
-    Phase,
-    StoredRecord,
-    WorkRecord,
-)
+from ..model import Phase, StoredRecord, WorkRecord
 from . import Step, item
 from .line_end import take_event
 from .line_place import choose_instance, free_rooms
--- a/src/fighead/ini.py
+++ b/src/fighead/ini.py
@@ -1,9 +1,12 @@
 """Reading of INI sections with every fault collected before any complaint."""
 
+import configparser
 import datetime as dt
 import re
 import typing as t
 
+from .exceptions import SettingsError
+
 NAME_PATTERN = re.compile(r"^[a-z0-9][a-z0-9._-]{0,62}$")
 #: Keys whose values are never shown.
 SECRET_KEYS = frozenset({"token", "secret_key"})
@@ -11,6 +14,22 @@
 Reader = t.Callable[[str], t.Any]
 
 
+def read_ini(path: str) -> configparser.ConfigParser:
+    """Read an INI file.
+
+    :raises SettingsError: If it can't be read or is no INI file.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with open(path, encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, configparser.Error, UnicodeDecodeError) as exc:
+        raise SettingsError(
+            f"{path} can't be read: {exc}.", "Give the path of a valid INI file."
+        ) from exc
+    return parser
+
+
 class Section:
     """Reads the values of one section and collects its faults.
 
--- a/src/fighead/load/file.py
+++ b/src/fighead/load/file.py
@@ -1,6 +1,5 @@
 """Load plans as INI files."""
 
-import configparser
 import datetime as dt
 
 from ..exceptions import SettingsError
@@ -8,6 +7,7 @@
     Section,
     read_between,
     read_flag,
+    read_ini,
     read_list,
     read_milliseconds,
     read_name,
@@ -28,14 +28,7 @@
 
     :raises SettingsError: Naming every fault at once.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        with open(path, encoding="utf-8") as file:
-            parser.read_file(file)
-    except (OSError, configparser.Error, UnicodeDecodeError) as exc:
-        raise SettingsError(
-            f"{path} can't be read: {exc}.", "Give the path of a valid INI file."
-        ) from exc
+    parser = read_ini(path)
     head = Section("[plan]", parser["plan"] if parser.has_section("plan") else {})
     seed, name = head.take("seed", int, 1), head.take("name", read_name, "load")
     head.finish()
--- a/src/fighead/message.py
+++ b/src/fighead/message.py
@@ -10,14 +10,7 @@
 
 from attrs import field, frozen
 
-from .model import (
-    Claim,
-    InstanceReport,
-    Member,
-    Revision,
-    TaskStatus,
-    WorkRecord,
-)
+from .model import Claim, InstanceReport, Member, Revision, TaskStatus, WorkRecord
 
 
 @frozen
--- a/src/fighead/settings.py
+++ b/src/fighead/settings.py
@@ -9,7 +9,15 @@
 from attrs import field, frozen
 
 from .exceptions import SettingsError
-from .ini import Reader, Section, read_between, read_flag, read_matching, read_name
+from .ini import (
+    Reader,
+    Section,
+    read_between,
+    read_flag,
+    read_ini,
+    read_matching,
+    read_name,
+)
 
 PEER_PATTERN = re.compile(r"^tcp://[0-9.]+:\d+$")
 URL_PATTERN = re.compile(r"^https?://[0-9.\[\]:a-f]+:\d+$")
@@ -74,15 +82,7 @@
 
     :raises SettingsError: Naming every fault in the file at once.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        with open(path, encoding="utf-8") as file:
-            parser.read_file(file)
-    except (OSError, configparser.Error, UnicodeDecodeError) as exc:
-        raise SettingsError(
-            f"{path} can't be read: {exc}.", "Give the path of a valid INI file."
-        ) from exc
-    return parse_settings(parser, path)
+    return parse_settings(read_ini(path), path)
 
 
 def parse_settings(parser: configparser.ConfigParser, path: str) -> EntrySettings:
