Give back the place of a write that fails, and tell less in load reports

Cause: a repeated request for ended work takes a place at an instance and finds its record in the store; the place was never given back. After an outage, when callers repeat much, all rooms were used up and plans stayed queued for ever. Status shows the places and rooms of a line.

--- a/src/fighead/decisions/line.py
+++ b/src/fighead/decisions/line.py
@@ -92,6 +92,11 @@
         known = seen.get(load.instance)
         if known is not None and known.load.epoch > load.epoch:
             continue
+        if load.batch_tasks is None:
+            if known is None or known.load.epoch != load.epoch:
+                # The whole list follows with the next refresh.
+                continue
+            load = evolve(load, batch_tasks=known.load.batch_tasks)
         seen = seen.set(load.instance, SeenLoad(load, now))
         open_tasks = placed.get(load.instance, frozenset()) - set(load.batch_tasks)
         placed = placed.set(load.instance, open_tasks)
--- a/src/fighead/decisions/line_submit.py
+++ b/src/fighead/decisions/line_submit.py
@@ -23,6 +23,7 @@
     TellWaiting,
     attend,
     drop_item,
+    forget_placed,
     put_item,
     start_effect,
     write_record,
@@ -143,6 +144,7 @@
     old = state.items.get(msg.work_id)
     if old is None:
         return Step(state)
+    state = _give_place_back(state, old)
     if msg.found is None:
         # The claim on the line is lost, so this write can't land later either.
         outcome = m.NotRun("The line has another holder now.", RETRY_SOON, True)
@@ -170,4 +172,15 @@
 def abandon_work(state: LineState, key: str) -> LineStep:
     """Drop new work that is certainly not recorded, and say so."""
     outcome = m.NotRun("The work could not be recorded.", RETRY_SOON, True)
+    abandoned = state.items.get(key)
+    if abandoned is not None:
+        state = _give_place_back(state, abandoned)
     return Step(drop_item(state, key), (AnswerSubmit(key, outcome),))
+
+
+def _give_place_back(state: LineState, old: Item) -> LineState:
+    """Forget the place that a write took which did not take effect."""
+    record = old.writing
+    if record is None or record.assignment is None:
+        return state
+    return forget_placed(state, record.assignment.instance, record.task_id)
--- a/src/fighead/message.py
+++ b/src/fighead/message.py
@@ -172,7 +172,8 @@
     :param slowdown: Learned slowdown of checks by kind of batch work beside
         them; 1.0 means none.
     :param batch_tasks: Ids of all batch tasks that the instance still holds,
-        running or with an end that is not recorded yet.
+        running or with an end that is not recorded yet; ``None`` if they are as
+        last told.
     """
 
     instance: str
@@ -183,7 +184,7 @@
     free_slots: int
     queued_checks: int
     slowdown: dict[str, float] = field(factory=dict)
-    batch_tasks: tuple[str, ...] = ()
+    batch_tasks: tuple[str, ...] | None = ()
     reachable: bool = True
     quarantined: bool = False
     lapsed: bool = False
--- a/src/fighead/queries/status.py
+++ b/src/fighead/queries/status.py
@@ -52,6 +52,9 @@
     loaded: bool
     open: int
     waiting: dict[str, int]
+    store_reachable: bool = True
+    placed: int = 0
+    instances_with_room: tuple[str, ...] = ()
 
 
 @frozen
@@ -138,4 +141,7 @@
         state.is_loaded,
         len(state.items),
         line_deciding.waiting_by_kind(state),
+        state.store_reachable,
+        sum(len(tasks) for tasks in state.placed.values()),
+        tuple(sorted(state.roomy)),
     )
--- a/src/fighead/tasks/roster.py
+++ b/src/fighead/tasks/roster.py
@@ -1,10 +1,11 @@
 """The task that starts and ends the tasks of the resources an entry owns."""
 
 import datetime as dt
+import itertools
 import random
 import typing as t
 
-from attrs import define, field
+from attrs import define, evolve, field
 from pyrsistent import PMap, pmap
 from twisted.internet.defer import Deferred
 
@@ -25,6 +26,8 @@
 
 #: How often owners tell the load of their instances.
 LOAD_INTERVAL = dt.timedelta(milliseconds=500)
+#: Reports after which all loads are told again, since a report may be lost.
+ROUNDS_TO_REFRESH = 4
 #: Longest time that a hand-over waits for work in flight.
 CLOSE_TIMEOUT = dt.timedelta(seconds=10)
 CLOSE_POLL = dt.timedelta(milliseconds=50)
@@ -247,18 +250,49 @@
                 running.task.mailbox.offer(report)
 
     async def _tell_loads(self) -> None:
+        rounds = itertools.count()
+        told: dict[str, m.InstanceLoad] = {}
         while True:
             await sleep(self.clock, LOAD_INTERVAL)
-            now = self.clock.now()
-            loads = tuple(
-                instance_deciding.load_of(running.task.state, now)
-                for running in self._running.values()
-                if isinstance(running.task, InstanceTask)
-            )
-            report = m.LoadReport(self.me, loads)
+            loads = {load.instance: load for load in self._read_loads()}
+            if next(rounds) % ROUNDS_TO_REFRESH == 0:
+                told = {}
+            report = m.LoadReport(self.me, changed_loads(told, loads))
+            told = loads
             self._pass_on_loads(report)
             self.share_loads(report)
 
+    def _read_loads(self) -> t.Iterator[m.InstanceLoad]:
+        now = self.clock.now()
+        for running in self._running.values():
+            if isinstance(running.task, InstanceTask):
+                yield instance_deciding.load_of(running.task.state, now)
+
+
+def changed_loads(
+    told: t.Mapping[str, m.InstanceLoad], loads: t.Mapping[str, m.InstanceLoad]
+) -> tuple[m.InstanceLoad, ...]:
+    """Return the loads that differ from what was told last.
+
+    The list of tasks is the larger part of a load and changes least, so it is
+    left out while it stays the same.
+    """
+    return tuple(
+        _without_known_tasks(told.get(name), load)
+        for name, load in loads.items()
+        if told.get(name) != load
+    )
+
+
+def _without_known_tasks(
+    told: m.InstanceLoad | None, load: m.InstanceLoad
+) -> m.InstanceLoad:
+    if told is None or told.epoch != load.epoch:
+        return load
+    if told.batch_tasks != load.batch_tasks:
+        return load
+    return evolve(load, batch_tasks=None)
+
 
 def _rules_of(view: m.View) -> tuple[t.Any, ...]:
     number = view.revision.number if view.revision else 0
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -130,6 +130,7 @@
     def teardown(self):
         self.world.settle(15)
         self.promises_are_kept()
+        assert not any(self.world.current_line().state.placed.values())
         for stored in self.world.store.values():
             record = stored.record
             is_watch = record.category is Category.WATCH
