--- a/src/fighead/clock.py
+++ b/src/fighead/clock.py
@@ -8,7 +8,10 @@
 
 
 class Clock(t.Protocol):
-    """Tells the time and schedules calls."""
+    """Tells the time and schedules calls.
+
+    .. versionadded:: 0.1
+    """
 
     def now(self) -> dt.datetime:
         """Return the present time, which never goes back in one process."""
@@ -28,6 +31,8 @@
     :param reactor: Source of monotonic seconds and delayed calls.
     :param started_at: Wall-clock time that corresponds to the moment of
         construction.
+
+    .. versionadded:: 0.1
     """
 
     def __init__(self, reactor: IReactorTime, started_at: dt.datetime) -> None:
--- a/src/fighead/commands/apply.py
+++ b/src/fighead/commands/apply.py
@@ -36,6 +36,8 @@
     :param base: Number of the revision that the change was made from; 0 for
         the first.
     :param change_id: Identity under which a repeat is recognised.
+
+    .. versionadded:: 0.1
     """
 
     inventory: Inventory
@@ -55,6 +57,8 @@
     :raises ConflictError: If another change came first.
     :raises StoreError: If the store is away; nothing has changed if it is
         :exc:`.StoreUnavailableError`.
+
+    .. versionadded:: 0.1
     """
     faults = check_inventory(change.inventory)
     if faults:
--- a/src/fighead/commands/check.py
+++ b/src/fighead/commands/check.py
@@ -35,6 +35,8 @@
     :param deadline: Time left to the caller; the kind's own if ``None``.
     :raises UnknownNameError: If upstream or kind is not declared.
     :raises RequestError: If the kind is no check or the deadline has passed.
+
+    .. versionadded:: 0.1
     """
     kind = desk.find_kind(upstream, kind_name)
     if kind.category is not Category.CHECK:
--- a/src/fighead/commands/work.py
+++ b/src/fighead/commands/work.py
@@ -35,6 +35,8 @@
         is not and will not be, :class:`.Unknown` otherwise.
     :raises UnknownNameError: If upstream or kind is not declared.
     :raises RequestError: If the kind is a check or the id is not usable.
+
+    .. versionadded:: 0.1
     """
     kind = desk.find_kind(upstream, kind_name)
     check_request_id(request_id)
@@ -54,6 +56,8 @@
     """Cancel work and return its record, final if it ends within ``wait``.
 
     Work that has ended stays as it ended.
+
+    .. versionadded:: 0.1
     """
     check_request_id(request_id)
     caller = desk.canonical_name(spelling)
--- a/src/fighead/declaration.py
+++ b/src/fighead/declaration.py
@@ -34,6 +34,8 @@
     """Read all INI files of a folder and check them together.
 
     :raises DeclarationError: Naming every fault at once.
+
+    .. versionadded:: 0.1
     """
     folder = pathlib.Path(path)
     files = sorted(folder.glob("*.ini"))
--- a/src/fighead/entry.py
+++ b/src/fighead/entry.py
@@ -51,6 +51,8 @@
 
     :param cfg: Checked settings.
     :param on_end: Called once the planned stop is complete.
+
+    .. versionadded:: 0.1
     """
 
     cfg: EntrySettings
--- a/src/fighead/exceptions.py
+++ b/src/fighead/exceptions.py
@@ -9,6 +9,8 @@
 
     :param message: What is wrong.
     :param remedy: What the reader can do about it.
+
+    .. versionadded:: 0.1
     """
 
     #: HTTP status with which a front reports this kind of error.
@@ -85,13 +87,6 @@
         self.retry_after_s = retry_after_s
 
 
-class OutcomeUnknownError(FigheadError):
-    """The work may or may not have run; the caller has to ask by id."""
-
-    status = 504
-    kind = "outcome_unknown"
-
-
 class ConflictError(FigheadError):
     """A change was based on a revision that is no longer the latest."""
 
--- a/src/fighead/model.py
+++ b/src/fighead/model.py
@@ -132,7 +132,10 @@
 
 @frozen
 class Inventory:
-    """All declarations of one revision: what exists and by which rules."""
+    """All declarations of one revision: what exists and by which rules.
+
+    .. versionadded:: 0.1
+    """
 
     availability_zones: tuple[str, ...] = ()
     racks: dict[str, Rack] = field(factory=dict)
--- a/src/fighead/queries/status.py
+++ b/src/fighead/queries/status.py
@@ -73,7 +73,10 @@
 
 
 def read_status(desk: Desk, own_states: t.Iterable[t.Any]) -> Status:
-    """Return what this entry knows now."""
+    """Return what this entry knows now.
+
+    .. versionadded:: 0.1
+    """
     view = desk.view
     revision = view.revision.number if view.revision else 0
     counts = collections.Counter(claim.owner for claim in view.claims.values())
--- a/src/fighead/queries/work.py
+++ b/src/fighead/queries/work.py
@@ -29,6 +29,8 @@
 
     :return: :class:`.Accepted` with the record, :class:`.Refused` if there is
         none, :class:`.Unknown` if that can't be told now.
+
+    .. versionadded:: 0.1
     """
     check_request_id(request_id)
     caller = desk.canonical_name(spelling)
--- a/src/fighead/settings.py
+++ b/src/fighead/settings.py
@@ -57,6 +57,8 @@
     :param operator_token: Secret that operator calls must carry.
     :param plain: Whether fronts and links may go without encryption, which is
         allowed on loopback only.
+
+    .. versionadded:: 0.1
     """
 
     name: str
@@ -81,6 +83,8 @@
     """Read and check the settings of an entry.
 
     :raises SettingsError: Naming every fault in the file at once.
+
+    .. versionadded:: 0.1
     """
     return parse_settings(read_ini(path), path)
 
