Carry a write through a full mailbox and a lost retention lease

Cause, found by reading: settling a write let the error of a full mailbox through, and the write of ended work whose retention lease the store had lost failed for good; either left the item waiting for its write for ever. Change: a full mailbox counts as not sent; a lost lease is replaced.

--- a/src/fighead/tasks/line.py
+++ b/src/fighead/tasks/line.py
@@ -13,7 +13,7 @@
 from ..decisions import line as deciding
 from ..decisions import line_state as states
 from ..decisions.line import LineState
-from ..exceptions import StoreError, StoreUnavailableError
+from ..exceptions import LeaseLostError, StoreError, StoreUnavailableError
 from ..log import Event, log_event
 from ..mailbox import Mailbox, receive, spawn
 from ..model import StoredRecord, WorkRecord, work_id
@@ -154,18 +154,26 @@
 
     async def _write(self, record: WorkRecord, mod_revision: int) -> None:
         stamped = evolve(record, write_id=f"{self.random.getrandbits(64):016x}")
+        msg = None
+        while msg is None:
+            lease = await self._take_lease() if record.phase.is_final else 0
+            txn = self._make_txn(stamped, mod_revision, lease)
+            try:
+                msg = await self._settle(record, txn, is_new=mod_revision == 0)
+            except LeaseLostError:
+                self._retention_since = None
+        await self.mailbox.put(msg)
+        self._writes -= 1
+        self._check_idle()
+
+    def _make_txn(self, record: WorkRecord, mod_revision: int, lease: int) -> Txn:
         key = record_key(record.upstream, record.work_id)
         claim_key = CLAIMS + self.resource
-        lease = await self._take_lease() if record.phase.is_final else 0
-        txn = Txn(
+        return Txn(
             compares=(Compare(key, mod_revision), Compare(claim_key, self.epoch)),
-            success=(Put(key, to_json(stamped), lease),),
+            success=(Put(key, to_json(record), lease),),
             failure=(Range(key), Range(claim_key)),
         )
-        msg = await self._settle(record, txn, is_new=mod_revision == 0)
-        await self.mailbox.put(msg)
-        self._writes -= 1
-        self._check_idle()
 
     async def _take_lease(self) -> int:
         """Return the lease under which the store forgets ended work."""
@@ -189,6 +197,8 @@
         give_up_at = self.clock.now() + CREATE_TIMEOUT if is_new else None
         try:
             outcome = await settle(self.store, self.clock, self.random, txn, give_up_at)
+        except LeaseLostError:
+            raise
         except StoreUnavailableError:
             return states.WriteAbandoned(record.work_id)
         except StoreError:
--- a/src/fighead/tasks/settle.py
+++ b/src/fighead/tasks/settle.py
@@ -4,7 +4,11 @@
 import random
 
 from ..clock import Clock, sleep
-from ..exceptions import StoreOutcomeUnknownError, StoreUnavailableError
+from ..exceptions import (
+    MailboxFullError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 from ..mailbox import Mailbox
 from ..store import Txn, WriteOutcome, read_outcome
 from .store import StoreCall, ask_store
@@ -35,7 +39,8 @@
             return read_outcome(await ask_store(box, txn), txn)
         except StoreOutcomeUnknownError:
             maybe_applied = True
-        except StoreUnavailableError:
+        except (StoreUnavailableError, MailboxFullError):
+            # Nothing was sent, so only time is lost.
             pass
         delay = pause * (0.5 + rng.random())
         if give_up_at is not None and clock.now() + delay >= give_up_at:
--- a/tests/test_settle.py
+++ b/tests/test_settle.py
@@ -11,7 +11,11 @@
 from fighead.clock import ReactorClock
 from fighead.decisions import breaker as breaking
 from fighead.decisions.breaker import Breaker
-from fighead.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
+from fighead.exceptions import (
+    MailboxFullError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 from fighead.store import KeyValue, TxnResult, delete_if_unchanged, put_if_unchanged
 from fighead.tasks.settle import settle
 
@@ -36,6 +40,8 @@
     def offer(self, call):
         step = self.plan.pop(0) if self.plan else "ok"
         self.calls.append(step)
+        if step == "full":
+            raise MailboxFullError("full", "retry")
         if step == "away":
             call.reply.errback(AWAY)
             return
@@ -70,7 +76,9 @@
     return results[0]
 
 
-@pytest.mark.parametrize("plan", [["lost"], ["cut"], ["away"], ["lost", "cut", "away"]])
+@pytest.mark.parametrize(
+    "plan", [["lost"], ["cut"], ["away"], ["full"], ["lost", "cut", "away"]]
+)
 def test_a_write_is_carried_to_a_known_outcome(plan):
     store = FakeStore(list(plan))
     outcome = run(store, put_if_unchanged("/k", "mine", 0))
