Remove five names that nothing used

An error kind, two functions on shares and two constants were left from earlier shapes; a search of src, tests and benchmarks finds no use. Unit tests and lint pass.

--- a/src/fighead/decisions/control.py
+++ b/src/fighead/decisions/control.py
@@ -12,8 +12,6 @@
 
 from attrs import evolve, frozen
 
-#: Ratio of check latency to its undisturbed value that is aimed at.
-TARGET_RATIO = 1.2
 #: Ratio above which the controller takes a step.
 HIGH_RATIO = 1.25
 #: Ratio below which the controller takes a step back.
--- a/src/fighead/decisions/share.py
+++ b/src/fighead/decisions/share.py
@@ -41,10 +41,6 @@
     running_by_kind: PMap = pmap()
     running_by_group: PMap = pmap()
 
-    def count_waiting(self, group: Group) -> int:
-        """Return how much work of ``group`` waits."""
-        return len(self.waiting.get(group, ()))
-
 
 def add_waiting(shares: Shares, group: Group, place: Place) -> Shares:
     """Add work at its place in line."""
@@ -66,16 +62,6 @@
     return evolve(shares, waiting=shares.waiting.set(group, rest))
 
 
-def remove_many(shares: Shares, gone: t.Mapping[Group, t.Collection[Place]]) -> Shares:
-    """Remove many places in one pass over each group."""
-    waiting = shares.waiting
-    for group, places in gone.items():
-        left = set(places)
-        rest = tuple(p for p in waiting.get(group, ()) if p not in left)
-        waiting = waiting.set(group, rest) if rest else waiting.discard(group)
-    return evolve(shares, waiting=waiting)
-
-
 def count_running(shares: Shares, group: Group, change: int) -> Shares:
     """Note that a task of ``group`` starts (+1) or ends (-1)."""
     by_kind = shares.running_by_kind
--- a/src/fighead/exceptions.py
+++ b/src/fighead/exceptions.py
@@ -59,13 +59,6 @@
     kind = "body_too_large"
 
 
-class DuplicateRequestError(RequestError):
-    """A request id was used before with another body or kind."""
-
-    status = 409
-    kind = "duplicate_request"
-
-
 class AuthenticationError(RequestError):
     """An operator call carries no valid token."""
 
--- a/src/fighead/load/history.py
+++ b/src/fighead/load/history.py
@@ -10,8 +10,6 @@
 from ..worker import Journal, JournalEntry
 
 _ENDINGS = frozenset(ending.value for ending in Ending)
-#: Endings after which the same work may rightly be started again.
-_INTERRUPTED = frozenset({Ending.EVICTED.value, Ending.LEASE_EXPIRED.value})
 
 
 @frozen
