--- a/src/fighead/cli.py
+++ b/src/fighead/cli.py
@@ -8,6 +8,7 @@
 import typing as t
 
 import fire
+import zmq
 
 from . import console, daemon
 from .clock import Clock
@@ -21,6 +22,7 @@
 EXIT_REFUSED = 2
 EXIT_NOT_IN_FORCE = 3
 DEFAULT_OPERATOR = "http://127.0.0.1:7200"
+REPORT_FORMATS = ("text", "json", "html")
 TOKEN_VARIABLE = "FIGHEAD_TOKEN"  # noqa: S105
 
 
@@ -165,6 +167,68 @@
         """Show unknown spellings of callers with the nearest declared names."""
         _show(operator, "/v1/callers", json, _render_callers)
 
+    def report(
+        self,
+        operator: str = DEFAULT_OPERATOR,
+        format: str = "text",
+        out: str = "",
+    ) -> None:
+        """Report the service-level burn of each kind over all windows.
+
+        Args:
+            operator: Address of an entry's operator front.
+            format: text, json or html.
+            out: File to write; standard output if empty.
+        """
+        if format not in REPORT_FORMATS:
+            raise SettingsError(
+                f"The format {format!r} is unknown.",
+                f"Use one of {', '.join(REPORT_FORMATS)}.",
+            )
+
+        async def main(_reactor: t.Any, _clock: Clock) -> int:
+            text = await console.make_report(_client(operator), format)
+            if out:
+                pathlib.Path(out).write_text(text + "\n", encoding="utf-8")
+            else:
+                print(text)
+            return EXIT_OK
+
+        console.run(main)
+
+    def work(
+        self,
+        entry: str,
+        upstream: str,
+        caller: str,
+        request_id: str,
+        cancel: bool = False,
+    ) -> None:
+        """Show the state of one plan or watch, or cancel it.
+
+        Args:
+            entry: Address of an entry's caller front.
+            upstream: Name of the upstream.
+            caller: Name of the caller, in any known spelling.
+            request_id: The caller's own id of the request.
+            cancel: Whether to cancel it.
+        """
+
+        async def main(_reactor: t.Any, _clock: Clock) -> int:
+            method = "DELETE" if cancel else "GET"
+            answer = await console.call_work(
+                entry, method, upstream, caller, request_id
+            )
+            _print_json(answer)
+            return EXIT_OK if answer.get("request_id") else EXIT_REFUSED
+
+        console.run(main)
+
+    def keys(self) -> None:
+        """Make a pair of keys for the links between entries."""
+        public, secret = zmq.curve_keypair()
+        print(f"public_key = {public.decode()}\nsecret_key = {secret.decode()}")
+
     def drain(self, operator: str = DEFAULT_OPERATOR) -> None:
         """Begin the planned stop of the entry at --operator."""
 
--- a/src/fighead/console.py
+++ b/src/fighead/console.py
@@ -22,6 +22,8 @@
 from .load.history import History, Verdict, check_history
 from .load.table import KindResult, render, summarize
 from .model import Revision
+from .queries.burn import BurnReport
+from .queries.page import render_page, render_text
 from .queries.status import Status
 
 CALL_TIMEOUT_S = 10
@@ -152,6 +154,27 @@
         await sleep(clock, POLL_INTERVAL)
 
 
+async def make_report(client: OperatorClient, form: str) -> str:
+    """Return the burn report as ``text``, ``json`` or ``html``."""
+    answer = json.dumps(await client.get("/v1/burn"))
+    if form == "json":
+        return answer
+    report = from_json(answer, BurnReport)
+    if form == "html":
+        return render_page(report.rows, report.at)
+    return render_text(report.rows)
+
+
+async def call_work(
+    entry: str, method: str, upstream: str, caller: str, request_id: str
+) -> t.Any:
+    """Ask for, or cancel, one plan or watch through a caller front."""
+    url = f"{entry.rstrip('/')}/v1/{upstream}/work/{request_id}"
+    headers = {"Caller": [caller]}
+    response = await treq.request(method, url, headers=headers, timeout=CALL_TIMEOUT_S)
+    return json.loads(await response.content())
+
+
 @frozen
 class LoadResult:
     """What the load tool writes."""
--- a/src/fighead/decisions/instance.py
+++ b/src/fighead/decisions/instance.py
@@ -9,7 +9,6 @@
 import collections
 import datetime as dt
 import enum
-import math
 import typing as t
 
 from attrs import evolve, frozen
@@ -29,6 +28,7 @@
 from . import Step, control, health, queue, slowdown
 from .control import Control, Level
 from .health import Health
+from .policy import policy_of
 from .queue import CheckQueue
 from .slowdown import Slowdown
 
@@ -274,12 +274,13 @@
 
 
 def _check_floor(state: InstanceState) -> int:
-    return max(1, math.floor(state.instance.slots * state.upstream.check_floor))
+    policy = policy_of(state.upstream)
+    return policy.check_floor(state.upstream, state.instance.slots)
 
 
 def _batch_floor(state: InstanceState) -> int:
-    most = state.instance.slots - _check_floor(state)
-    return min(most, math.ceil(state.instance.slots * state.upstream.batch_floor))
+    policy = policy_of(state.upstream)
+    return policy.batch_floor(state.upstream, state.instance.slots)
 
 
 def _free_for_checks(state: InstanceState) -> int:
@@ -668,7 +669,7 @@
 
 def _tick(state: InstanceState, now: dt.datetime) -> InstanceStep:
     before = state.control.level
-    state = evolve(state, control=control.advance(state.control, now))
+    state = evolve(state, control=policy_of(state.upstream).advance(state.control, now))
     effects: list[t.Any] = []
     if state.control.level is Level.EVICTING:
         state = _evict_noisiest(state, effects, now)
--- a/src/fighead/decisions/line.py
+++ b/src/fighead/decisions/line.py
@@ -328,7 +328,7 @@
     """Record new work, with its place of start if a slot is free for it."""
     stored = StoredRecord(record, 0, 0)
     if not state.shares.waiting:
-        target = _choose_instance(state, record, now)
+        target = _choose_instance(state, record, _rooms(state, now))
         if target is not None:
             assigned = item.change(record, lambda work: work.assign(target))
             return _write(state, Item(stored), assigned, now)
@@ -609,17 +609,30 @@
 
 
 def _tick(state: LineState, now: dt.datetime) -> LineStep:
+    due = [key for key, found in state.items.items() if _is_due(state, found, now)]
     step = Step(state)
-    for key, found in state.items.items():
-        if found.writing is not None:
-            continue
-        if found.record.phase is Phase.ASSIGNED:
+    for key in due:
+        if state.items[key].record.phase is Phase.ASSIGNED:
             step = step.then(lambda s, key=key: _follow_up(s, s.items[key], now))
-        elif _is_old(found.record, now):
+        else:
             step = Step(_drop_item(step.state, key), step.effects)
     return step
 
 
+def _is_due(state: LineState, found: Item, now: dt.datetime) -> bool:
+    """Whether an item needs more than to be left alone."""
+    if found.writing is not None:
+        return False
+    record = found.record
+    if record.phase is not Phase.ASSIGNED:
+        return _is_old(record, now)
+    assignment = t.cast(Assignment, record.assignment)
+    if record.cancel_requested or _is_lost(state, record, assignment):
+        return True
+    seen = state.loads.get(assignment.instance)
+    return seen is None or record.task_id not in seen.load.batch_tasks
+
+
 def _is_old(record: WorkRecord, now: dt.datetime) -> bool:
     finished_at = record.finished_at
     return finished_at is not None and now - finished_at > FINISHED_MAX_AGE
@@ -660,31 +673,33 @@
 
 def _place(state: LineState, now: dt.datetime) -> LineStep:
     """Give free slots to waiting work in the order of shares."""
-    if not state.is_loaded or not state.store_reachable:
+    if not state.is_loaded or not state.store_reachable or not state.shares.waiting:
         return Step(state)
+    rooms = _rooms(state, now)
     step = Step(state)
     for _ in range(MAX_PLACEMENTS):
-        following = _place_one(step.state, now)
+        if not rooms:
+            break
+        following = _place_one(step.state, rooms, now)
         if not following.effects:
             break
         step = Step(following.state, step.effects + following.effects)
     return step
 
 
-def _place_one(state: LineState, now: dt.datetime) -> LineStep:
-    if not state.shares.waiting:
-        return Step(state)
-    rooms = _rooms(state, now)
-    if not rooms:
-        return Step(state)
+def _place_one(state: LineState, rooms: dict[str, int], now: dt.datetime) -> LineStep:
     floor = state.upstream.watch_floor
     for group in share.order(state.shares, state.kinds, state.weights, floor):
         first = state.shares.waiting[group][0]
         found = state.items[first.work_id]
-        target = _choose_instance(state, found.record, now)
-        if target is not None:
-            assigned = item.change(found.record, lambda w, to=target: w.assign(to))
-            return _write(state, found, assigned, now)
+        target = _choose_instance(state, found.record, rooms)
+        if target is None:
+            continue
+        rooms[target.instance] -= 1
+        if not rooms[target.instance]:
+            del rooms[target.instance]
+        assigned = item.change(found.record, lambda w, to=target: w.assign(to))
+        return _write(state, found, assigned, now)
     return Step(state)
 
 
@@ -711,9 +726,8 @@
 
 
 def _choose_instance(
-    state: LineState, record: WorkRecord, now: dt.datetime
+    state: LineState, record: WorkRecord, rooms: t.Mapping[str, int]
 ) -> Assignment | None:
-    rooms = _rooms(state, now)
     usable = [name for name in rooms if name not in record.failed_on]
     if not usable:
         return None
--- a/src/fighead/declaration.py
+++ b/src/fighead/declaration.py
@@ -9,6 +9,7 @@
 from attrs import evolve, fields_dict
 
 from .caller import fold
+from .decisions.policy import POLICIES
 from .exceptions import DeclarationError
 from .ini import (
     Reader,
@@ -192,6 +193,12 @@
         raise ValueError("use check, plan or watch") from exc
 
 
+def _policy(raw: str) -> str:
+    if raw not in POLICIES:
+        raise ValueError(f"use one of {', '.join(POLICIES)}")
+    return raw
+
+
 def _url(raw: str) -> str:
     scheme, _, rest = raw.partition("://")
     if scheme not in ("http", "https") or ":" not in rest:
@@ -241,6 +248,7 @@
         section.take("check_floor", read_share, 0.25),
         section.take("batch_floor", read_share, 0.375),
         section.take("watch_floor", read_share, 0.25),
+        section.take("policy", _policy, "adaptive"),
     )
     if upstream.check_floor + upstream.batch_floor > 1:
         section.faults.append(
--- a/src/fighead/fronts/operator.py
+++ b/src/fighead/fronts/operator.py
@@ -1,6 +1,5 @@
 """The front for operators: commands and queries behind a token."""
 
-import datetime as dt
 import functools
 import hmac
 import random
@@ -16,7 +15,7 @@
 from ..commands.apply import Change, apply_change, read_current
 from ..desk import Desk
 from ..exceptions import AuthenticationError, FigheadError
-from ..queries.burn import Burn, BurnLedger, compute_burn
+from ..queries.burn import BurnLedger, BurnReport, compute_burn
 from ..queries.ledger import read_buckets
 from ..queries.status import read_history, read_status
 from .answer import OK, send, send_error
@@ -25,14 +24,6 @@
 MAX_BODY_BYTES = 2 << 20
 
 
-@frozen
-class BurnReport:
-    """Burn of every kind, as told by one entry."""
-
-    at: dt.datetime
-    rows: tuple[Burn, ...]
-
-
 @frozen
 class Done:
     """A command was carried out."""
--- a/src/fighead/model.py
+++ b/src/fighead/model.py
@@ -112,6 +112,7 @@
     check_floor: float = 0.25
     batch_floor: float = 0.375
     watch_floor: float = 0.25
+    policy: str = "adaptive"
 
 
 @frozen
--- a/src/fighead/queries/burn.py
+++ b/src/fighead/queries/burn.py
@@ -71,6 +71,14 @@
     rate: float
 
 
+@frozen
+class BurnReport:
+    """Burn of every kind over all windows, as told by one entry."""
+
+    at: dt.datetime
+    rows: tuple[Burn, ...]
+
+
 @define(eq=False)
 class BurnLedger:
     """Counts the requests of one entry.
--- a/src/fighead/tasks/line.py
+++ b/src/fighead/tasks/line.py
@@ -21,7 +21,7 @@
 from .settle import settle
 from .store import StoreCall, read_prefix
 
-TICK_INTERVAL = dt.timedelta(milliseconds=500)
+TICK_INTERVAL = dt.timedelta(seconds=1)
 #: Time within which new work must be recorded.
 CREATE_TIMEOUT = dt.timedelta(seconds=5)
 RETRY_PAUSE = dt.timedelta(milliseconds=500)
