--- a/src/fighead/__init__.py
+++ b/src/fighead/__init__.py
@@ -5,26 +5,44 @@
     cfg = load_settings("entry.ini")
     clock = ReactorClock(reactor, datetime.datetime.now(datetime.UTC))
     Entry(cfg, clock, reactor, on_end=reactor.stop).start()
+
+Public names are imported when they are first used, so that a daemon starts
+with just the modules that it needs.
 """
 
-from .clock import Clock as Clock
-from .clock import ReactorClock as ReactorClock
-from .commands.apply import Change as Change
-from .commands.apply import apply_change as apply_change
-from .commands.check import run_check as run_check
-from .commands.work import cancel_work as cancel_work
-from .commands.work import submit_work as submit_work
-from .declaration import load_folder as load_folder
-from .entry import Entry as Entry
-from .exceptions import ConflictError as ConflictError
-from .exceptions import DeclarationError as DeclarationError
-from .exceptions import FigheadError as FigheadError
-from .exceptions import NotRunError as NotRunError
-from .exceptions import RequestError as RequestError
-from .exceptions import SettingsError as SettingsError
-from .exceptions import StoreError as StoreError
-from .model import Inventory as Inventory
-from .queries.status import read_status as read_status
-from .queries.work import find_work as find_work
-from .settings import EntrySettings as EntrySettings
-from .settings import load_settings as load_settings
+import importlib
+import typing as t
+
+_PUBLIC = {
+    "Clock": "clock",
+    "ReactorClock": "clock",
+    "Change": "commands.apply",
+    "apply_change": "commands.apply",
+    "run_check": "commands.check",
+    "cancel_work": "commands.work",
+    "submit_work": "commands.work",
+    "load_folder": "declaration",
+    "Entry": "entry",
+    "ConflictError": "exceptions",
+    "DeclarationError": "exceptions",
+    "FigheadError": "exceptions",
+    "NotRunError": "exceptions",
+    "RequestError": "exceptions",
+    "SettingsError": "exceptions",
+    "StoreError": "exceptions",
+    "JobEntry": "job_entry",
+    "JobSettings": "job_settings",
+    "Inventory": "model",
+    "read_status": "queries.status",
+    "find_work": "queries.work",
+    "EntrySettings": "settings",
+    "load_settings": "settings",
+}
+
+__all__ = sorted(_PUBLIC)  # noqa: PLE0605
+
+
+def __getattr__(name: str) -> t.Any:
+    if name not in _PUBLIC:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(f".{_PUBLIC[name]}", __name__), name)
--- /dev/null
+++ b/src/fighead/commands/job.py
@@ -0,0 +1,126 @@
+"""Commands of clients on jobs: submit and cancel."""
+
+import datetime as dt
+
+from attrs import frozen
+
+from .. import job_message as m
+from ..codec import to_json
+from ..exceptions import StoreError, StoreOutcomeUnknownError
+from ..job import JobRecord, JobSpec, Queue
+from ..job_desk import JobDesk
+from ..log import Event, log_event
+from ..store import (
+    CANCEL_MARK,
+    JOB_ENDINGS,
+    JOBS,
+    Compare,
+    KeyValue,
+    Put,
+    Range,
+    Txn,
+    TxnResult,
+)
+from ..tasks.watch import STORE_TIMEOUT
+
+#: What a client is told to wait after a refusal for want of the store: it is
+#: probed several times within that time.
+STORE_RETRY_AFTER = dt.timedelta(seconds=1)
+
+
+@frozen
+class Accepted:
+    """The command is stored."""
+
+
+@frozen
+class NotAccepted:
+    """The command is not stored, and never will be."""
+
+    reason: str
+    retry_after: dt.timedelta = STORE_RETRY_AFTER
+
+
+@frozen
+class Uncertain:
+    """The command may be stored, or may be later."""
+
+    reason: str
+
+
+@frozen
+class NoSuchJob:
+    """There is no such job."""
+
+
+async def submit_job(
+    desk: JobDesk, queue: Queue, job_id: str, spec: JobSpec, give_up_at: dt.datetime
+) -> Accepted | NotAccepted | Uncertain:
+    """Store a job under its client's id and tell the scheduler.
+
+    The same id again is the same job, whichever entry it arrives at.
+    """
+    accepted_ms = int(desk.clock.now().timestamp() * 1000)
+    record = JobRecord(job_id, queue.name, queue.upstream, spec, accepted_ms)
+    txn = Txn(
+        (Compare(JOBS + job_id, 0), Compare(JOB_ENDINGS + job_id, 0)),
+        (Put(JOBS + job_id, to_json(record)),),
+    )
+    is_certain, reason = True, ""
+    while desk.clock.now() < give_up_at:
+        left = min(STORE_TIMEOUT, give_up_at - desk.clock.now())
+        try:
+            result: TxnResult = await desk.store.call(txn, left)
+        except StoreOutcomeUnknownError as exc:
+            is_certain, reason = False, exc.message
+            continue
+        except StoreError as exc:
+            reason = exc.message
+            break
+        if result.succeeded:
+            desk.tell(m.JobTold(record, result.revision))
+        log_event(
+            Event.JOB_ACCEPTED, job=job_id, queue=queue.name, is_new=result.succeeded
+        )
+        return Accepted()
+    if is_certain:
+        log_event(Event.JOB_REFUSED, job=job_id, queue=queue.name, reason=reason)
+        return NotAccepted(reason)
+    log_event(Event.JOB_UNCERTAIN, job=job_id, queue=queue.name, reason=reason)
+    return Uncertain(reason)
+
+
+async def cancel_job(
+    desk: JobDesk, job_id: str, give_up_at: dt.datetime
+) -> Accepted | NoSuchJob | NotAccepted:
+    """Mark a job as cancelled; the scheduler then stops its runs.
+
+    A job that has ended already is left as it is.
+    """
+    reason = ""
+    while desk.clock.now() < give_up_at:
+        try:
+            record = await _read(desk, JOBS + job_id)
+            if record is None:
+                ending = await _read(desk, JOB_ENDINGS + job_id)
+                return Accepted() if ending else NoSuchJob()
+            txn = Txn(
+                (Compare(JOBS + job_id, record.mod_revision),),
+                (Put(JOBS + job_id + CANCEL_MARK, "{}"),),
+            )
+            result: TxnResult = await desk.store.call(txn, STORE_TIMEOUT)
+        except StoreOutcomeUnknownError as exc:
+            reason = exc.message
+            continue
+        except StoreError as exc:
+            return NotAccepted(exc.message)
+        if result.succeeded:
+            log_event(Event.JOB_CANCELLING, job=job_id)
+            desk.tell(m.CancelTold(job_id))
+            return Accepted()
+    return NotAccepted(reason)
+
+
+async def _read(desk: JobDesk, key: str) -> KeyValue | None:
+    result = await desk.store.call(Range(key), STORE_TIMEOUT)
+    return next(iter(result.kvs), None)
--- a/src/fighead/daemon.py
+++ b/src/fighead/daemon.py
@@ -1,34 +1,24 @@
 """Thin daemons: one reactor, one service, a planned stop on SIGTERM."""
 
-import datetime as dt
-import signal
 import typing as t
 
-from twisted.internet import reactor as default_reactor
 from twisted.web.server import Site
 
-from .clock import ReactorClock
 from .entry import Entry
 from .log import configure
+from .runtime import make_clock, reactor, run_until_stopped, stop_reactor
 from .settings import EntrySettings, ListenAddress
 from .standins.machine import Interference, Machine
 from .standins.store import StoreStandIn
 from .standins.worker import WorkerStandIn
 
-reactor: t.Any = default_reactor
-
-
-def make_clock() -> ReactorClock:
-    """Return the clock of a daemon."""
-    return ReactorClock(reactor, dt.datetime.now(dt.UTC))
-
 
 def serve_entry(cfg: EntrySettings) -> None:
     """Run one entry until a planned stop."""
     configure(cfg.name)
-    entry = Entry(cfg, make_clock(), reactor, _end)
+    entry = Entry(cfg, make_clock(), reactor, stop_reactor)
     reactor.callWhenRunning(entry.start)
-    _run(entry.stop)
+    run_until_stopped(entry.stop)
 
 
 def serve_store(address: ListenAddress, seed: int) -> None:
@@ -58,18 +48,4 @@
 
 def _serve(address: ListenAddress, resource: t.Any) -> None:
     reactor.listenTCP(address.port, Site(resource), interface=address.host)
-    _run(_end)
-
-
-def _run(stop: t.Callable[[], None]) -> None:
-    def begin_stop(_signal: int, _frame: t.Any) -> None:
-        reactor.callFromThread(stop)
-
-    reactor.callWhenRunning(signal.signal, signal.SIGTERM, begin_stop)
-    reactor.callWhenRunning(signal.signal, signal.SIGINT, begin_stop)
-    reactor.run(installSignalHandlers=False)
-
-
-def _end() -> None:
-    if reactor.running:
-        reactor.callLater(0.2, reactor.stop)
+    run_until_stopped(stop_reactor)
--- /dev/null
+++ b/src/fighead/decisions/instance_watch.py
@@ -0,0 +1,119 @@
+"""Which instances there are, and when everything on one has certainly ended."""
+
+import datetime as dt
+import typing as t
+
+from ..log import Event
+from ..run import Instance, StopRun
+from .run_end import lose_run
+from .schedule_state import Effect, InstanceState, Note, Order, RunPhase, Schedule
+
+#: Most that an instance's steady clock may lag, by the page on running tasks.
+CLOCK_LAG = 0.02
+#: Time for which a scheduler acts without word from the store or a peer.
+AUTHORITY = dt.timedelta(seconds=3)
+#: Added to each bound for timers that fire late.
+TIMER_SLACK = dt.timedelta(milliseconds=200)
+#: Time before a draining instance goes at which its last runs are stopped, so
+#: that their checkpoints are kept.
+EVACUATION_NOTICE = dt.timedelta(milliseconds=1000)
+
+
+def lease_bound(sent_at: dt.datetime, lease: dt.timedelta) -> dt.datetime:
+    """Return when a lease that was ordered at ``sent_at`` has run out.
+
+    >>> at = dt.datetime(2030, 1, 1)
+    >>> (lease_bound(at, dt.timedelta(seconds=4.9)) - at).total_seconds()
+    5.2
+    """
+    return sent_at + lease / (1 - CLOCK_LAG) + TIMER_SLACK
+
+
+def add_instance(
+    schedule: Schedule, instance: Instance, lease: dt.timedelta
+) -> list[Effect]:
+    """Take in a registration."""
+    state = schedule.instances.get(instance.instance_id)
+    if state is None:
+        # A scheduler before this one may have given out leases there.
+        bound = lease_bound(schedule.elected_at + AUTHORITY, lease)
+        state = InstanceState(instance, bound)
+        schedule.instances[instance.instance_id] = state
+        fields = {"instance": instance.instance_id, "address": instance.address}
+        return [Note(Event.INSTANCE_FOUND, fields)]
+    was_draining = state.instance.is_draining
+    state.is_registered = True
+    state.instance = instance
+    if instance.is_draining and not was_draining:
+        fields = {"instance": instance.instance_id}
+        return [Note(Event.INSTANCE_DRAINING, fields), *evacuate(state)]
+    return []
+
+
+def is_reborn(state: InstanceState, instance: Instance) -> bool:
+    """Whether a registration is of a later life than the known one."""
+    known = state.instance.incarnation
+    return bool(instance.incarnation and known and instance.incarnation != known)
+
+
+def evacuate(state: InstanceState) -> list[Effect]:
+    """Stop the lasting runs on an instance, so that they start elsewhere."""
+    orders: list[Effect] = []
+    for run in state.runs.values():
+        if run.stage.is_lasting and run.phase is not RunPhase.STOPPING:
+            run.phase = RunPhase.STOPPING
+            run.confirmed_at = None
+            orders.append(Order(run.instance_id, StopRun(run.key, run.number)))
+    return orders
+
+
+def unregister(schedule: Schedule, instance_ids: t.Iterable[str]) -> list[Effect]:
+    """Note that registrations are gone: nothing new starts there."""
+    effects: list[Effect] = []
+    for instance_id in instance_ids:
+        state = schedule.instances.get(instance_id)
+        if state is not None and state.is_registered:
+            state.is_registered = False
+            effects.append(Note(Event.INSTANCE_UNREGISTERED, {"instance": instance_id}))
+    return effects
+
+
+def note_contact(state: InstanceState, leases_end_at: dt.datetime) -> None:
+    """Note that a call was answered, and to when leases now last."""
+    state.is_reachable = True
+    state.leases_end_at = max(state.leases_end_at, leases_end_at)
+
+
+def note_silence(state: InstanceState, leases_end_at: dt.datetime) -> None:
+    """Note until when leases may last at an instance that does not answer."""
+    state.leases_end_at = max(state.leases_end_at, leases_end_at)
+
+
+def check_instances(schedule: Schedule, now: dt.datetime) -> list[Effect]:
+    """Write off what can't run any more, and settle the schedule."""
+    effects: list[Effect] = []
+    for state in list(schedule.instances.values()):
+        if state.is_reachable or now < state.leases_end_at:
+            continue
+        effects += _write_off(schedule, state)
+    if not schedule.is_settled and schedule.instances:
+        schedule.is_settled = all(
+            state.is_listed or now >= state.leases_end_at
+            for state in schedule.instances.values()
+        )
+        if schedule.is_settled:
+            count = len(schedule.instances)
+            effects.append(Note(Event.SCHEDULE_SETTLED, {"instances": count}))
+    return effects
+
+
+def _write_off(schedule: Schedule, state: InstanceState) -> list[Effect]:
+    effects: list[Effect] = []
+    if state.runs:
+        fields = {"instance": state.instance.instance_id, "runs": len(state.runs)}
+        effects.append(Note(Event.INSTANCE_LOST, fields))
+    for run in list(state.runs.values()):
+        lose_run(schedule, run)
+    if not state.is_registered:
+        del schedule.instances[state.instance.instance_id]
+    return effects
--- /dev/null
+++ b/src/fighead/decisions/job_intake.py
@@ -0,0 +1,156 @@
+"""Taking jobs into the schedule: new, restored and cancelled ones."""
+
+import datetime as dt
+
+from ..job import JobPhase, JobProgress, JobRecord, Queue, StageProgress, TaskKey
+from ..log import Event
+from ..run import StopRun
+from .schedule_state import (
+    Effect,
+    JobState,
+    Note,
+    Order,
+    RunPhase,
+    Schedule,
+    StageState,
+    TaskState,
+)
+
+
+def add_job(
+    schedule: Schedule,
+    record: JobRecord,
+    revision: int,
+    now: dt.datetime,
+    progress: JobProgress | None = None,
+    progress_revision: int = 0,
+) -> list[Effect]:
+    """Take in an accepted job; one that is known already is left as it is."""
+    known = schedule.jobs.get(record.job_id)
+    if known is not None:
+        known.revision = known.revision or revision
+        return []
+    if record.job_id in schedule.endings:
+        return []
+    queue = schedule.config.find_queue(record.queue) or Queue(
+        record.queue, "", "", record.upstream
+    )
+    job = JobState(record, queue, revision, _make_stages(record))
+    job.progress_revision = progress_revision
+    age = dt.timedelta(milliseconds=now.timestamp() * 1000 - record.accepted_ms)
+    # Clocks of entries differ; an age that makes no sense counts as none.
+    accepted_at = now - age if dt.timedelta() < age < dt.timedelta(hours=1) else now
+    job.objective_at = accepted_at + dt.timedelta(
+        milliseconds=queue.objective_ms(record.spec)
+    )
+    schedule.jobs[record.job_id] = job
+    if progress is not None:
+        _restore(job, progress)
+    open_stages(job)
+    fields = {"job": record.job_id, "queue": record.queue, "revision": revision}
+    return [Note(Event.JOB_TAKEN, fields)]
+
+
+def _make_stages(record: JobRecord) -> dict[tuple[int, int], StageState]:
+    return {
+        (occurrence, number): StageState(
+            stage,
+            [
+                TaskState(TaskKey(record.job_id, occurrence, number, index))
+                for index in range(stage.count)
+            ],
+            set(range(stage.count)),
+        )
+        for occurrence in range(max(1, record.spec.occurrences))
+        for number, stage in enumerate(record.spec.stages)
+    }
+
+
+def _restore(job: JobState, progress: JobProgress) -> None:
+    job.phase = JobPhase.RUNNING
+    for row in progress.stages:
+        stage = job.stages.get((row.occurrence, row.stage))
+        if stage is None:
+            continue
+        done = int(row.done, 16)
+        for index, task in enumerate(stage.tasks):
+            task.failures = row.failures.get(index, 0)
+            task.checkpoint = row.checkpoints.get(index, "")
+            if done >> index & 1:
+                task.is_done = True
+                stage.done_count += 1
+                stage.waiting.discard(index)
+
+
+def open_stages(job: JobState) -> None:
+    """Open each stage whose earlier stages are done."""
+    for (occurrence, _), stage in job.stages.items():
+        if not stage.is_open:
+            stage.is_open = all(
+                job.stages[occurrence, before].is_done for before in stage.spec.after
+            )
+
+
+def progress_of(job: JobState) -> JobProgress:
+    """Return what must last of a job that has not ended."""
+    return JobProgress(
+        tuple(
+            _stage_progress(occurrence, number, stage)
+            for (occurrence, number), stage in job.stages.items()
+            if stage.done_count or any(t.failures or t.checkpoint for t in stage.tasks)
+        )
+    )
+
+
+def _stage_progress(occurrence: int, number: int, stage: StageState) -> StageProgress:
+    done = sum(1 << i for i, task in enumerate(stage.tasks) if task.is_done)
+    failures = {i: t.failures for i, t in enumerate(stage.tasks) if t.failures}
+    checkpoints = {
+        i: t.checkpoint
+        for i, t in enumerate(stage.tasks)
+        if t.checkpoint and not t.is_done
+    }
+    return StageProgress(occurrence, number, f"{done:x}", failures, checkpoints)
+
+
+def cancel_job(schedule: Schedule, job_id: str) -> list[Effect]:
+    """End a job at its client's wish and stop its runs."""
+    job = schedule.jobs.get(job_id)
+    if job is None or job.is_ended:
+        return []
+    job.is_cancelled = True
+    return end_job(schedule, job, JobPhase.CANCELLED, "its client cancelled it")
+
+
+def end_job(
+    schedule: Schedule, job: JobState, phase: JobPhase, reason: str
+) -> list[Effect]:
+    """End a job and stop whatever it still runs."""
+    job.phase, job.reason = phase, reason
+    schedule.dirty.add(job.job_id)
+    for stage in job.stages.values():
+        stage.waiting.clear()
+    note = Note(
+        Event.JOB_ENDED, {"job": job.job_id, "phase": phase.value, "reason": reason}
+    )
+    return [note, *stop_runs(job)]
+
+
+def stop_runs(job: JobState) -> list[Effect]:
+    """Return the orders that stop all runs of a job."""
+    orders: list[Effect] = []
+    for run in job.runs():
+        if run.phase is not RunPhase.STOPPING:
+            run.phase = RunPhase.STOPPING
+            run.confirmed_at = None
+            orders.append(Order(run.instance_id, StopRun(run.key, run.number)))
+    return orders
+
+
+def forget_job(schedule: Schedule, job_id: str) -> None:
+    """Drop a job whose end is written, and remember how it ended."""
+    job = schedule.jobs.get(job_id)
+    if job is None or not job.is_recorded or any(True for _ in job.runs()):
+        return
+    del schedule.jobs[job_id]
+    schedule.endings[job_id] = job.phase
--- /dev/null
+++ b/src/fighead/decisions/placing.py
@@ -0,0 +1,235 @@
+"""Which waiting task starts next, and where.
+
+The load this answers: quick tasks that must start at once, lasting tasks
+that serve, and long tasks that fill what the others leave of the processors.
+"""
+
+import datetime as dt
+import typing as t
+
+from ..job import Demand, JobPhase, TaskKey
+from ..log import Event
+from ..run import StartRun
+from .run_end import add_run
+from .schedule_state import (
+    Effect,
+    InstanceState,
+    JobState,
+    Note,
+    Order,
+    RunPhase,
+    RunState,
+    Schedule,
+    StageState,
+    TaskState,
+)
+
+#: Share of its processor demand that a serving task uses on average: its load
+#: swings around half of what it asks for.
+SERVING_USE = 0.6
+#: Share of its processor demand that must be unused for a filler to start.
+MIN_FILLER_SHARE = 0.75
+
+
+def place(schedule: Schedule, now: dt.datetime) -> list[Effect]:
+    """Start waiting tasks, the most urgent ones first."""
+    if not schedule.is_settled:
+        return []
+    effects: list[Effect] = []
+    for job, stage in _waiting_stages(schedule, now):
+        if stage.spec.is_gang:
+            effects += _place_gang(schedule, job, stage, now)
+        else:
+            effects += _place_tasks(schedule, job, stage, now)
+    return effects
+
+
+def _waiting_stages(
+    schedule: Schedule, now: dt.datetime
+) -> list[tuple[JobState, StageState]]:
+    now_ms = now.timestamp() * 1000
+    found = [
+        (job, stage)
+        for job in schedule.jobs.values()
+        if not job.is_ended
+        for (occurrence, _), stage in job.stages.items()
+        if stage.waiting
+        and stage.is_open
+        and job.record.spec.due_ms(occurrence) <= now_ms
+    ]
+    found.sort(key=lambda pair: _urgency(*pair, now))
+    return found
+
+
+def _urgency(job: JobState, stage: StageState, now: dt.datetime) -> tuple[t.Any, ...]:
+    """Order by priority; jobs that can still be in time go before late ones."""
+    left = job.objective_at - now if job.objective_at else dt.timedelta.max
+    is_late = left < dt.timedelta(milliseconds=stage.spec.estimate_ms)
+    return (job.queue.priority, is_late, job.objective_at, job.job_id)
+
+
+def _place_tasks(
+    schedule: Schedule, job: JobState, stage: StageState, now: dt.datetime
+) -> list[Effect]:
+    effects: list[Effect] = []
+    for index in sorted(stage.waiting):
+        task = stage.tasks[index]
+        state = _choose(schedule, job, stage, task, now)
+        if state is None:
+            break
+        number = max(task.last_number + 1, schedule.first_number)
+        effects += _start(job, stage, task, state, number, now)
+    return effects
+
+
+def _start(
+    job: JobState,
+    stage: StageState,
+    task: TaskState,
+    state: InstanceState,
+    number: int,
+    now: dt.datetime,
+) -> list[Effect]:
+    instance_id = state.instance.instance_id
+    run = RunState(task.key, number, instance_id, RunPhase.ORDERED, now, stage.spec)
+    add_run(state, stage, task, run)
+    if job.phase is JobPhase.QUEUED:
+        job.phase = JobPhase.RUNNING
+    checkpoint = task.checkpoint if stage.spec.is_checkpointed else ""
+    order = StartRun(task.key, number, job.record.spec.payload, checkpoint)
+    fields = {"task": _name(task.key), "run": number, "instance": instance_id}
+    fields["cpu_room"] = state.room.cpu
+    return [Note(Event.RUN_ORDERED, fields), Order(instance_id, order)]
+
+
+def _choose(
+    schedule: Schedule,
+    job: JobState,
+    stage: StageState,
+    task: TaskState,
+    now: dt.datetime,
+) -> InstanceState | None:
+    usable = [
+        state
+        for state in schedule.instances.values()
+        if _is_usable(state, job, stage, now)
+    ]
+    others = [s for s in usable if s.instance.instance_id not in task.avoided]
+    return max(others or usable, key=lambda s: _fitness(s, stage), default=None)
+
+
+def _is_usable(
+    state: InstanceState, job: JobState, stage: StageState, now: dt.datetime
+) -> bool:
+    spec, instance = stage.spec, state.instance
+    return (
+        accepts_runs(state, now)
+        and instance.upstream == job.queue.upstream
+        and (not spec.required_label or spec.required_label in instance.labels)
+        and spec.demand.fits(state.room)
+        and _is_below_limit(state, stage)
+        and (not spec.is_filler or unused_cpu(state) >= spec.cpu * MIN_FILLER_SHARE)
+    )
+
+
+def accepts_runs(state: InstanceState, now: dt.datetime) -> bool:
+    """Whether an instance may be given new runs."""
+    return (
+        state.is_reachable
+        and state.is_listed
+        and state.is_registered
+        and not state.is_suspect
+        and not state.instance.is_draining
+        and (state.refused_until is None or state.refused_until <= now)
+    )
+
+
+def _is_below_limit(state: InstanceState, stage: StageState) -> bool:
+    most = stage.spec.max_per_instance
+    return not most or stage.by_instance.get(state.instance.instance_id, 0) < most
+
+
+def unused_cpu(state: InstanceState) -> float:
+    """Return the millicores that neither its tasks nor its fillers use."""
+    steady = state.used.cpu - state.serving_cpu
+    busy = steady + SERVING_USE * state.serving_cpu + state.fillers_cpu
+    return state.instance.capacity.cpu - busy
+
+
+def _fitness(state: InstanceState, stage: StageState) -> float:
+    """Return how well an instance suits a stage; the highest is chosen."""
+    spec = stage.spec
+    fitness = unused_cpu(state)
+    if spec.preferred_rack and spec.preferred_rack not in state.instance.labels:
+        fitness -= state.instance.capacity.cpu
+    if spec.target_ms:
+        # Serving tasks are spread, so that a crash takes few of a stage.
+        here = stage.by_instance.get(state.instance.instance_id, 0)
+        fitness -= here * spec.cpu + state.fillers_cpu
+    return fitness
+
+
+def _place_gang(
+    schedule: Schedule, job: JobState, stage: StageState, now: dt.datetime
+) -> list[Effect]:
+    """Start all tasks of a gang under one number, or none."""
+    if len(stage.waiting) < len(stage.tasks):
+        return []
+    usable = [
+        state
+        for state in schedule.instances.values()
+        if _is_usable(state, job, stage, now)
+    ]
+    seats = _seat_gang(usable, stage)
+    if seats is None:
+        return []
+    number = max(task.last_number for task in stage.tasks) + 1
+    number = max(number, schedule.first_number)
+    checkpoint = next((t.checkpoint for t in stage.tasks if t.checkpoint), "")
+    effects: list[Effect] = []
+    for task, state in zip(stage.tasks, seats, strict=True):
+        task.checkpoint = checkpoint
+        effects += _start(job, stage, task, state, number, now)
+    return effects
+
+
+def _seat_gang(
+    usable: list[InstanceState], stage: StageState
+) -> list[InstanceState] | None:
+    if stage.spec.same_rack:
+        racks = sorted({state.rack for state in usable})
+        for rack in racks:
+            members = [state for state in usable if state.rack == rack]
+            seats = _fill_seats(members, stage)
+            if seats is not None:
+                return seats
+    return _fill_seats(usable, stage)
+
+
+def _fill_seats(
+    usable: list[InstanceState], stage: StageState
+) -> list[InstanceState] | None:
+    seats: list[InstanceState] = []
+    demand, most = stage.spec.demand, stage.spec.max_per_instance
+    for state in sorted(usable, key=lambda s: -_fitness(s, stage)):
+        room, taken = state.room, 0
+        while demand.fits(room) and (not most or taken < most):
+            if len(seats) == len(stage.tasks):
+                return seats
+            seats.append(state)
+            taken += 1
+            room = room - demand
+    return seats if len(seats) == len(stage.tasks) else None
+
+
+def is_possible(schedule: Schedule, demand: Demand, label: str) -> bool:
+    """Whether any instance could ever hold a task."""
+    return any(
+        demand.fits(state.instance.capacity)
+        and (not label or label in state.instance.labels)
+        for state in schedule.instances.values()
+    )
+
+
+def _name(key: TaskKey) -> str:
+    return f"{key.job_id}.{key.occurrence}.{key.stage}.{key.index}"
--- /dev/null
+++ b/src/fighead/decisions/run_end.py
@@ -0,0 +1,342 @@
+"""What the start, the listing and the end of a run mean for its job."""
+
+import datetime as dt
+
+from ..job import JobPhase, TaskKey
+from ..log import Event
+from ..run import EndKind, Listing, Refusal, RunEnd, RunRow, StopRun
+from .job_intake import end_job, open_stages
+from .schedule_state import (
+    Effect,
+    InstanceState,
+    JobState,
+    Note,
+    Order,
+    RunPhase,
+    RunState,
+    Schedule,
+    StageState,
+    TaskState,
+)
+
+#: Ends that an instance returns at once, by the page on running tasks.
+MAX_ENDS_LISTED = 500
+#: Pause after a refusal before an instance is given new runs.
+REFUSAL_PAUSE = dt.timedelta(milliseconds=500)
+
+
+def find_run(schedule: Schedule, key: TaskKey, number: int) -> RunState | None:
+    """Return a run that may still be there."""
+    job = schedule.jobs.get(key.job_id)
+    task = job.task(key) if job else None
+    runs = task.runs if task else []
+    return next((run for run in runs if run.number == number), None)
+
+
+def unknown_jobs(schedule: Schedule, listing: Listing) -> set[str]:
+    """Return the jobs of a listing of which the schedule does not know.
+
+    They may have been accepted a moment ago, so the store has to be asked
+    before anything is concluded.
+    """
+    named = {row.task.job_id for row in listing.running}
+    named.update(end.task.job_id for end in listing.ended)
+    return named - schedule.jobs.keys() - schedule.endings.keys()
+
+
+def take_listing(
+    schedule: Schedule,
+    state: InstanceState,
+    listing: Listing,
+    sent_at: dt.datetime,
+    now: dt.datetime,
+) -> list[Effect]:
+    """Take in what an instance runs and what has ended there.
+
+    :param sent_at: When the listing was asked for; a run that was confirmed
+        before and is not listed is gone.
+    """
+    effects: list[Effect] = []
+    for row in listing.running:
+        effects += _take_row(schedule, state, row, now)
+    for end in listing.ended:
+        if end.sequence > state.sequence:
+            effects += _take_end(schedule, state, end, now)
+    if listing.ended:
+        state.sequence = max(state.sequence, listing.ended[-1].sequence)
+    if len(listing.ended) < MAX_ENDS_LISTED:
+        effects += _drop_missing(schedule, state, listing, sent_at, now)
+    state.is_listed = True
+    return effects
+
+
+def _take_row(
+    schedule: Schedule, state: InstanceState, row: RunRow, now: dt.datetime
+) -> list[Effect]:
+    run = find_run(schedule, row.task, row.number)
+    if run is not None and run.instance_id == state.instance.instance_id:
+        _note_progress(schedule, run, row, now)
+        return []
+    job = schedule.jobs.get(row.task.job_id)
+    task = job.task(row.task) if job else None
+    if job is None or task is None or not _may_adopt(job, task):
+        stop = StopRun(row.task, row.number)
+        fields = {"task": _name(row.task), "run": row.number}
+        fields["instance"] = state.instance.instance_id
+        return [
+            Note(Event.RUN_UNWANTED, fields),
+            Order(state.instance.instance_id, stop),
+        ]
+    return _adopt(schedule, state, job, task, row, now)
+
+
+def _may_adopt(job: JobState, task: TaskState) -> bool:
+    stage = job.stages[task.key.occurrence, task.key.stage].spec
+    return (
+        not job.is_ended
+        and not task.is_done
+        and (not task.runs or (stage.allows_copies and len(task.runs) < 2))
+    )
+
+
+def _adopt(
+    schedule: Schedule,
+    state: InstanceState,
+    job: JobState,
+    task: TaskState,
+    row: RunRow,
+    now: dt.datetime,
+) -> list[Effect]:
+    stage = job.stages[task.key.occurrence, task.key.stage]
+    run = RunState(
+        task.key,
+        row.number,
+        state.instance.instance_id,
+        RunPhase.RUNNING,
+        now,
+        stage.spec,
+        now,
+        now,
+    )
+    add_run(state, stage, task, run)
+    _note_progress(schedule, run, row, now)
+    if job.phase is JobPhase.QUEUED:
+        job.phase = JobPhase.RUNNING
+    fields = {"task": _name(task.key), "run": row.number, "percent": row.percent}
+    fields["instance"] = state.instance.instance_id
+    return [Note(Event.RUN_ADOPTED, fields)]
+
+
+def add_run(
+    state: InstanceState, stage: StageState, task: TaskState, run: RunState
+) -> None:
+    """Count a run at its instance, its stage and its task."""
+    task.runs.append(run)
+    task.last_number = max(task.last_number, run.number)
+    stage.waiting.discard(task.key.index)
+    instance_id = state.instance.instance_id
+    stage.by_instance[instance_id] = stage.by_instance.get(instance_id, 0) + 1
+    state.add(run)
+
+
+def _note_progress(
+    schedule: Schedule, run: RunState, row: RunRow, now: dt.datetime
+) -> None:
+    if run.phase is RunPhase.ORDERED:
+        run.phase = RunPhase.RUNNING
+        run.confirmed_at = now
+    if row.percent > run.percent or run.progressed_at is None:
+        run.progressed_at = now
+    run.percent, run.usage = row.percent, row.usage
+    if row.checkpoint:
+        task = schedule.jobs[run.key.job_id].task(run.key)
+        if task is not None:
+            task.checkpoint = row.checkpoint
+
+
+def _take_end(
+    schedule: Schedule, state: InstanceState, end: RunEnd, now: dt.datetime
+) -> list[Effect]:
+    job = schedule.jobs.get(end.task.job_id)
+    task = job.task(end.task) if job else None
+    if job is None or task is None:
+        return []
+    run = find_run(schedule, end.task, end.number)
+    if run is not None:
+        release_run(schedule, run)
+    task.last_number = max(task.last_number, end.number)
+    fields = {"task": _name(end.task), "run": end.number, "kind": end.kind.value}
+    fields |= {"instance": state.instance.instance_id, "sequence": end.sequence}
+    return [
+        Note(Event.RUN_ENDED, fields),
+        *settle_end(schedule, job, task, end, state, now),
+    ]
+
+
+def settle_end(
+    schedule: Schedule,
+    job: JobState,
+    task: TaskState,
+    end: RunEnd,
+    state: InstanceState,
+    now: dt.datetime,
+) -> list[Effect]:
+    """Draw the conclusions of an end for its task and job."""
+    stage = job.stages[task.key.occurrence, task.key.stage]
+    if end.checkpoint:
+        task.checkpoint = end.checkpoint
+    if job.is_ended or task.is_done:
+        return []
+    if end.kind is EndKind.DONE and not stage.spec.is_lasting:
+        return _finish_task(schedule, job, stage, task)
+    if end.kind is EndKind.FAILED:
+        task.failures += 1
+        task.avoided.add(state.instance.instance_id)
+        state.failed_jobs[job.job_id] = now
+        schedule.dirty.add(job.job_id)
+        if _is_hopeless(job, stage, task):
+            reason = f"task {_name(task.key)} failed {task.failures} times"
+            return end_job(schedule, job, JobPhase.FAILED, reason)
+    if not task.runs:
+        stage.waiting.add(task.key.index)
+    return []
+
+
+def _is_hopeless(job: JobState, stage: StageState, task: TaskState) -> bool:
+    attempts = max(1, job.queue.max_attempts)
+    return not stage.spec.is_lasting and task.failures >= attempts
+
+
+def _finish_task(
+    schedule: Schedule, job: JobState, stage: StageState, task: TaskState
+) -> list[Effect]:
+    members = stage.tasks if stage.spec.is_gang else [task]
+    effects: list[Effect] = []
+    for member in members:
+        if member.is_done:
+            continue
+        member.is_done = True
+        stage.done_count += 1
+        stage.waiting.discard(member.key.index)
+        effects += _stop_copies(member)
+    schedule.dirty.add(job.job_id)
+    if stage.is_done:
+        open_stages(job)
+    if all(each.is_done for each in job.stages.values()):
+        effects += end_job(schedule, job, JobPhase.COMPLETED, "all tasks are done")
+    return effects
+
+
+def _stop_copies(task: TaskState) -> list[Effect]:
+    orders: list[Effect] = []
+    for run in task.runs:
+        if run.phase is not RunPhase.STOPPING:
+            run.phase = RunPhase.STOPPING
+            run.confirmed_at = None
+            orders.append(Order(run.instance_id, StopRun(run.key, run.number)))
+    return orders
+
+
+def release_run(schedule: Schedule, run: RunState) -> None:
+    """Stop counting a run that is certainly gone."""
+    job = schedule.jobs.get(run.key.job_id)
+    if job is not None:
+        stage = job.stages[run.key.occurrence, run.key.stage]
+        task = stage.tasks[run.key.index]
+        if run in task.runs:
+            task.runs.remove(run)
+            stage.by_instance[run.instance_id] -= 1
+    state = schedule.instances.get(run.instance_id)
+    if state is not None:
+        state.remove(run)
+
+
+def lose_run(schedule: Schedule, run: RunState) -> None:
+    """Give a task back whose run is certainly gone without an end."""
+    release_run(schedule, run)
+    job = schedule.jobs.get(run.key.job_id)
+    if job is None or job.is_ended:
+        return
+    stage = job.stages[run.key.occurrence, run.key.stage]
+    task = stage.tasks[run.key.index]
+    if not task.is_done and not task.runs:
+        stage.waiting.add(run.key.index)
+
+
+def _drop_missing(
+    schedule: Schedule,
+    state: InstanceState,
+    listing: Listing,
+    sent_at: dt.datetime,
+    now: dt.datetime,
+) -> list[Effect]:
+    listed = {(row.task, row.number) for row in listing.running}
+    effects: list[Effect] = []
+    for identity, run in list(state.runs.items()):
+        is_settled = run.confirmed_at is not None and run.confirmed_at < sent_at
+        if identity in listed or not is_settled:
+            continue
+        fields = {"task": _name(run.key), "run": run.number}
+        fields["instance"] = run.instance_id
+        effects.append(Note(Event.RUN_MISSING, fields))
+        lose_run(schedule, run)
+    return effects
+
+
+def take_start(
+    schedule: Schedule,
+    key: TaskKey,
+    number: int,
+    refusal: Refusal | None,
+    now: dt.datetime,
+) -> list[Effect]:
+    """Take in the answer to the start of a run.
+
+    :param refusal: Why it was not started; ``None`` if it was.
+    """
+    run = find_run(schedule, key, number)
+    if run is None:
+        return []
+    if refusal is None:
+        if run.phase is RunPhase.ORDERED:
+            run.phase = RunPhase.RUNNING
+            run.confirmed_at = run.progressed_at = now
+        return []
+    state = schedule.instances.get(run.instance_id)
+    if state is not None and refusal is not Refusal.STALE:
+        state.refused_until = now + REFUSAL_PAUSE
+    if refusal is Refusal.STALE:
+        # It has been there and has ended; the next listing tells how.
+        run.confirmed_at = now
+        return []
+    fields = {"task": _name(key), "run": number, "reason": refusal.value}
+    fields["instance"] = run.instance_id
+    lose_run(schedule, run)
+    return [Note(Event.START_REFUSED, fields)]
+
+
+def give_up_start(schedule: Schedule, key: TaskKey, number: int) -> list[Effect]:
+    """Settle a start without an answer: once it is stopped, it can't begin."""
+    run = find_run(schedule, key, number)
+    if run is None or run.phase is not RunPhase.ORDERED:
+        return []
+    run.phase = RunPhase.STOPPING
+    fields = {"task": _name(key), "run": number, "instance": run.instance_id}
+    return [
+        Note(Event.START_UNANSWERED, fields),
+        Order(run.instance_id, StopRun(key, number)),
+    ]
+
+
+def take_stop(
+    schedule: Schedule, key: TaskKey, number: int, now: dt.datetime
+) -> list[Effect]:
+    """Note that an instance confirmed a stop; a listing tells the end."""
+    run = find_run(schedule, key, number)
+    if run is not None:
+        run.confirmed_at = now
+    return []
+
+
+def _name(key: TaskKey) -> str:
+    return f"{key.job_id}.{key.occurrence}.{key.stage}.{key.index}"
--- a/src/fighead/exceptions.py
+++ b/src/fighead/exceptions.py
@@ -98,6 +98,16 @@
     """The key-value service was not reached, and a read has no answer."""
 
 
+class StoreRejectedError(StoreUnavailableError):
+    """The key-value service answered that it did nothing."""
+
+
+class HistoryLostError(StoreError):
+    """The key-value service no longer keeps the changes that a watch asks for."""
+
+    kind = "history_lost"
+
+
 class StoreOutcomeUnknownError(StoreError):
     """A write was sent, but whether it took effect is not known."""
 
@@ -141,6 +151,10 @@
     kind = "worker_unreachable"
 
 
+class WorkerNotReachedError(WorkerUnreachableError):
+    """A call to an instance was certainly not sent."""
+
+
 class MailboxFullError(FigheadError):
     """A task's mailbox is full and the sender may not wait."""
 
--- /dev/null
+++ b/src/fighead/job_desk.py
@@ -0,0 +1,31 @@
+"""What commands and queries about jobs work with."""
+
+import typing as t
+
+from attrs import define, field
+from twisted.internet.defer import Deferred
+
+from .clock import Clock
+from .job import JobConfig
+from .tasks.leadership import ControlView
+from .tasks.watch import StoreClient
+
+
+@define(eq=False)
+class JobDesk:
+    """State of an entry's client front and its way to the scheduler.
+
+    :param ask: Sends a message to the entry that schedules and returns the
+        answer; raises :exc:`.PeerUnreachableError`.
+    :param tell: Sends it a message that may be lost.
+    :param config: Configuration in force; ``None`` before the first one.
+    """
+
+    clock: Clock
+    store: StoreClient
+    ask: t.Callable[[t.Any], Deferred[t.Any]]
+    tell: t.Callable[[t.Any], None]
+    config: JobConfig | None = None
+    view: ControlView = field(factory=ControlView)
+    in_flight: int = 0
+    is_draining: bool = False
--- a/src/fighead/standins/store.py
+++ b/src/fighead/standins/store.py
@@ -20,7 +20,7 @@
 from .. import gateway
 from ..clock import Clock, sleep
 from ..codec import from_json, to_json
-from ..platform import PlatformList
+from ..instance_list import PlatformList
 from ..store import KeyValue, WatchEvent
 from .connection import cut_off
 from .keyspace import Keyspace
--- a/src/fighead/store.py
+++ b/src/fighead/store.py
@@ -17,6 +17,16 @@
 HISTORY = "/fighead/history/"
 WORK = "/fighead/work/"
 BURN = "/fighead/burn/"
+#: Who schedules, and which entries there are.
+JOB_CONTROL = "fighead/control/"
+JOB_LEADER = JOB_CONTROL + "leader"
+JOB_TERM = JOB_CONTROL + "term"
+JOB_MEMBERS = JOB_CONTROL + "members/"
+#: Accepted jobs that have not ended, and marks of cancelled ones.
+JOBS = "fighead/jobs/"
+CANCEL_MARK = "/cancelled"
+JOB_PROGRESS = "fighead/progress/"
+JOB_ENDINGS = "fighead/ended/"
 
 
 @frozen
@@ -66,12 +76,14 @@
 
     :param limit: Most keys to return; 0 for all.
     :param start: First key of a page within the prefix.
+    :param is_stale_ok: Whether the answer may be seconds old, for a lower price.
     """
 
     key: str
     is_prefix: bool = False
     limit: int = 0
     start: str = ""
+    is_stale_ok: bool = False
 
 
 @frozen
@@ -130,7 +142,7 @@
     """A lease and its remaining seconds; 0 means that it is gone."""
 
     lease: int
-    ttl_s: int
+    ttl_s: float
 
 
 @frozen
--- a/src/fighead/tasks/member.py
+++ b/src/fighead/tasks/member.py
@@ -20,11 +20,11 @@
 from ..decisions import member_state as states
 from ..decisions.member import MemberState
 from ..exceptions import FigheadError, LeaseLostError, StoreError
+from ..instance_list import PlatformList
 from ..log import Event, log_event
 from ..mailbox import Mailbox, receive, spawn
 from ..metric import Metrics
 from ..model import Claim, Member, Revision
-from ..platform import PlatformList
 from ..store import (
     CLAIMS,
     CONTROL,
--- a/src/fighead/tasks/peer.py
+++ b/src/fighead/tasks/peer.py
@@ -105,6 +105,7 @@
 
     :param address: ``tcp://`` address to listen on.
     :param handle: Answers a peer's message; ``None`` means no answer.
+    :param registry: Classes of the messages that may arrive.
     """
 
     me: str
@@ -113,6 +114,7 @@
     clock: Clock
     reactor: t.Any
     handle: t.Callable[[str, t.Any], t.Any]
+    registry: t.Mapping[str, type] = field(factory=lambda: m.WIRE_MESSAGES)
     mailbox: Mailbox[m.View] = field(factory=lambda: Mailbox("peer"))
     _factory: ZmqFactory = field(factory=ZmqFactory)
     _links: dict[str, _Outbound] = field(factory=dict)
@@ -192,7 +194,7 @@
     def _receive(self, frame: bytes) -> None:
         try:
             envelope = from_wire(frame, m.WIRE_MESSAGES)
-            message = from_wire(envelope.payload, m.WIRE_MESSAGES)
+            message = from_wire(envelope.payload, self.registry)
         except RequestError as exc:
             log_event(Event.PEER_MESSAGE_REFUSED, reason=exc.message)
             return
--- /dev/null
+++ b/src/fighead/tasks/scheduler.py
@@ -0,0 +1,537 @@
+"""The task that schedules all jobs while its entry is the leader."""
+
+import datetime as dt
+import random
+import typing as t
+
+from attrs import define, field, frozen
+
+from .. import job_message as m
+from ..clock import Clock, sleep
+from ..codec import from_json
+from ..decisions import instance_watch, job_intake, placing, run_end
+from ..decisions.schedule_state import JobState, Note, Order, Schedule
+from ..exceptions import RequestError, StoreError
+from ..job import JobConfig, JobEnding, JobPhase, JobProgress, JobRecord
+from ..log import Event, log_event
+from ..mailbox import Mailbox, receive, spawn
+from ..run import Instance
+from ..store import CANCEL_MARK, JOB_PROGRESS, JOBS, KeyValue, Range
+from . import agent as reports
+from .agent import AgentTask, InstanceClient
+from .call import Call
+from .recorder import JobWrite, LeadershipMissing, Record, Recorded, RecorderTask
+from .watch import (
+    STORE_TIMEOUT,
+    Changes,
+    Snapshot,
+    StoreClient,
+    StoreContact,
+    WatchTask,
+    read_all,
+)
+
+#: Pause in which changes are gathered before tasks are placed.
+PLACE_PAUSE = dt.timedelta(milliseconds=5)
+#: Least time between two writes of progress, since each write is priced.
+FLUSH_PAUSE = dt.timedelta(milliseconds=80)
+#: How often time-outs are looked at.
+TICK = dt.timedelta(milliseconds=100)
+#: Longest wait for all instances before jobs are read.
+FENCE_WAIT = dt.timedelta(milliseconds=500)
+#: Least time between two looks at registrations and at new jobs, of which the
+#: entries also tell directly.
+WATCH_PAUSE = dt.timedelta(milliseconds=300)
+#: Ids of jobs that the store was found not to hold.
+MAX_ABSENT = 10_000
+
+
+@frozen
+class Adapter:
+    """What a platform brings: its store, its instances and its formats.
+
+    :param decode_instance: Reads a registration; ``None`` if it is unusable.
+    """
+
+    store: StoreClient
+    config_prefix: str
+    config_key: str
+    instances_prefix: str
+    decode_config: t.Callable[[str], JobConfig | None]
+    decode_instance: t.Callable[[str, str], Instance | None]
+    make_client: t.Callable[[Instance], InstanceClient]
+
+
+@frozen
+class Tick:
+    """Time has passed."""
+
+
+@frozen
+class Loaded:
+    """All jobs have been read."""
+
+    jobs: Snapshot
+    progress: Snapshot
+
+
+@frozen
+class Verified:
+    """The store was asked for a job that an instance named."""
+
+    job_id: str
+    record: KeyValue | None
+    progress: KeyValue | None
+
+
+@frozen
+class Refenced:
+    """The entry was elected again without a leader in between."""
+
+    fence: int
+
+
+@define(eq=False)
+class SchedulerTask:
+    """Owns the schedule and the agents of all instances.
+
+    :param may_act: Whether the entry may still give orders.
+    :param depose: Called when an instance has seen a higher fence.
+    """
+
+    schedule: Schedule
+    adapter: Adapter
+    clock: Clock
+    random: random.Random
+    lease: dt.timedelta
+    may_act: t.Callable[[], bool]
+    depose: t.Callable[[], None]
+    mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("scheduler", 65536))
+    agents: dict[str, AgentTask] = field(factory=dict)
+    _recorder: RecorderTask = field(init=False)
+    _futs: list[t.Any] = field(factory=list)
+    _is_loaded: bool = False
+    _stashed: dict[str, reports.Listed] = field(factory=dict)
+    _verifying: set[str] = field(factory=set)
+    _absent: set[str] = field(factory=set)
+    _acknowledged: dict[str, int] = field(factory=dict)
+    _marks: dict[str, int] = field(factory=dict)
+    _is_writing: bool = False
+    _flushed_at: dt.datetime | None = None
+    _place_call: t.Any = None
+
+    def __attrs_post_init__(self) -> None:
+        self._recorder = RecorderTask(
+            self.adapter.store, self.clock, self.mailbox.offer
+        )
+
+    def start(self) -> None:
+        """Begin to schedule."""
+        instances = WatchTask(
+            self.adapter.store,
+            self.adapter.instances_prefix,
+            self.clock,
+            self.random,
+            self.mailbox.offer,
+            pause=WATCH_PAUSE,
+        )
+        loops = (
+            receive(self.mailbox, self._handle, "scheduler"),
+            instances.run(),
+            self._recorder.run(),
+            self._load(),
+            self._keep_ticking(),
+        )
+        self._futs.extend(spawn(loop) for loop in loops)
+
+    def stop(self) -> None:
+        """End all tasks of the scheduler; runs go on under their leases."""
+        for fut in self._futs:
+            fut.cancel()
+        for agent in self.agents.values():
+            agent.stop()
+        if self._place_call is not None and self._place_call.active():
+            self._place_call.cancel()
+
+    async def _keep_ticking(self) -> None:
+        while True:
+            await sleep(self.clock, TICK)
+            self.mailbox.offer(Tick())
+
+    async def _load(self) -> None:
+        """Read all jobs once the fence is up at the instances.
+
+        A run that an earlier scheduler started before then belongs to a job
+        that is read here.
+        """
+        waited = dt.timedelta()
+        while not self._is_fenced() and waited < FENCE_WAIT:
+            await sleep(self.clock, PLACE_PAUSE * 2)
+            waited += PLACE_PAUSE * 2
+        while True:
+            try:
+                jobs = await read_all(self.adapter.store, JOBS)
+                progress = await read_all(self.adapter.store, JOB_PROGRESS)
+            except StoreError as exc:
+                log_event(Event.STORE_CALL_FAILED, what="load", reason=exc.message)
+                await sleep(self.clock, TICK)
+                continue
+            self.mailbox.offer(Loaded(jobs, progress))
+            break
+        watch = WatchTask(
+            self.adapter.store,
+            JOBS,
+            self.clock,
+            self.random,
+            self.mailbox.offer,
+            pause=WATCH_PAUSE,
+        )
+        self._futs.append(spawn(watch.run()))
+
+    def _is_fenced(self) -> bool:
+        return bool(self.agents) and self._stashed.keys() >= self.agents.keys()
+
+    def _handle(self, msg: t.Any) -> None:
+        now = self.clock.now()
+        match msg:
+            case Call(message, reply):
+                reply.callback(self._answer(message))
+                return
+            case m.JobTold(record, revision):
+                self._carry_out(
+                    job_intake.add_job(self.schedule, record, revision, now)
+                )
+            case m.CancelTold(job_id):
+                self._carry_out(job_intake.cancel_job(self.schedule, job_id))
+            case Loaded():
+                self._take_loaded(msg, now)
+            case Verified():
+                self._take_verified(msg, now)
+            case Snapshot() | Changes():
+                self._take_keys(msg, now)
+            case Recorded():
+                self._take_recorded(msg)
+            case LeadershipMissing():
+                self._is_writing = False
+                self.depose()
+            case Refenced(fence):
+                self._refence(fence)
+            case Tick():
+                self._tick(now)
+            case JobConfig():
+                self.schedule.config = msg
+            case StoreContact():
+                return
+            case _:
+                self._take_report(msg, now)
+        self._place_soon()
+
+    def _answer(self, message: t.Any) -> t.Any:
+        match message:
+            case m.FindPhase(job_id):
+                return m.PhaseIs(self._find_phase(job_id))
+            case m.CountPending(queue):
+                return m.PendingIs(self._count_pending(queue))
+        return m.NotScheduler()
+
+    def _find_phase(self, job_id: str) -> JobPhase | None:
+        job = self.schedule.jobs.get(job_id)
+        if job is None:
+            return self.schedule.endings.get(job_id)
+        if job.is_ended and not job.is_recorded:
+            return JobPhase.RUNNING
+        return job.phase
+
+    def _count_pending(self, queue: str) -> int | None:
+        if not self._is_loaded:
+            return None
+        return sum(
+            job.record.queue == queue and job.phase is JobPhase.QUEUED
+            for job in self.schedule.jobs.values()
+        )
+
+    def _carry_out(self, effects: t.Iterable[t.Any]) -> None:
+        for effect in effects:
+            match effect:
+                case Order(instance_id, order):
+                    agent = self.agents.get(instance_id)
+                    if agent is not None:
+                        agent.mailbox.offer(order)
+                case Note(event, fields):
+                    log_event(event, **fields)
+
+    # Jobs and instances as the store holds them.
+
+    def _take_keys(self, msg: Snapshot | Changes, now: dt.datetime) -> None:
+        is_snapshot = isinstance(msg, Snapshot)
+        rows = (
+            [(kv, False) for kv in msg.kvs]
+            if is_snapshot
+            else [(event.kv, event.deleted) for event in msg.events]
+        )
+        if msg.prefix == JOBS:
+            for kv, is_deleted in rows:
+                if not is_deleted:
+                    self._take_job_key(kv, now)
+            return
+        for kv, is_deleted in rows:
+            self._take_registration(kv, is_deleted)
+        if is_snapshot:
+            prefix = self.adapter.instances_prefix
+            listed = {kv.key.removeprefix(prefix) for kv in msg.kvs}
+            missing = self.schedule.instances.keys() - listed
+            self._carry_out(instance_watch.unregister(self.schedule, missing))
+
+    def _take_job_key(self, kv: KeyValue, now: dt.datetime) -> None:
+        if kv.key.endswith(CANCEL_MARK):
+            job_id = kv.key.removeprefix(JOBS).removesuffix(CANCEL_MARK)
+            self._carry_out(job_intake.cancel_job(self.schedule, job_id))
+            return
+        record = _read(kv, JobRecord)
+        if record is not None:
+            self._carry_out(
+                job_intake.add_job(self.schedule, record, kv.mod_revision, now)
+            )
+
+    def _take_registration(self, kv: KeyValue, is_deleted: bool) -> None:
+        instance_id = kv.key.removeprefix(self.adapter.instances_prefix)
+        if is_deleted:
+            self._carry_out(instance_watch.unregister(self.schedule, (instance_id,)))
+            return
+        instance = self.adapter.decode_instance(kv.key, kv.value)
+        if instance is None:
+            log_event(Event.REGISTRATION_UNREADABLE, key=kv.key)
+            return
+        if instance.upstream not in self.schedule.config.upstreams:
+            return
+        known = self.schedule.instances.get(instance_id)
+        if known is not None and instance_watch.is_reborn(known, instance):
+            self._take_reborn(instance_id)
+        effects = instance_watch.add_instance(self.schedule, instance, self.lease)
+        if instance_id not in self.agents:
+            self._add_agent(instance)
+        self._carry_out(effects)
+
+    def _add_agent(self, instance: Instance) -> None:
+        agent = AgentTask(
+            self.adapter.make_client(instance),
+            self.clock,
+            self.lease,
+            self.schedule.fence,
+            self.may_act,
+            self.mailbox.offer,
+        )
+        self.agents[instance.instance_id] = agent
+        agent.start()
+
+    def _take_loaded(self, msg: Loaded, now: dt.datetime) -> None:
+        progress = {kv.key.removeprefix(JOB_PROGRESS): kv for kv in msg.progress.kvs}
+        for kv in msg.jobs.kvs:
+            if not kv.key.endswith(CANCEL_MARK):
+                job_id = kv.key.removeprefix(JOBS)
+                self._restore_job(kv, progress.get(job_id), now)
+        for kv in msg.jobs.kvs:
+            if kv.key.endswith(CANCEL_MARK):
+                self._take_job_key(kv, now)
+        self._is_loaded = True
+        log_event(Event.SCHEDULE_LOADED, jobs=len(self.schedule.jobs))
+        self._take_stashed(now)
+
+    def _restore_job(
+        self, kv: KeyValue, progress_kv: KeyValue | None, now: dt.datetime
+    ) -> None:
+        record = _read(kv, JobRecord)
+        if record is None:
+            return
+        progress = _read(progress_kv, JobProgress) if progress_kv else None
+        revision = progress_kv.mod_revision if progress_kv else 0
+        effects = job_intake.add_job(
+            self.schedule, record, kv.mod_revision, now, progress, revision
+        )
+        self._carry_out(effects)
+
+    # What instances say.
+
+    def _take_report(self, msg: reports.AgentReport, now: dt.datetime) -> None:
+        state = self.schedule.instances.get(msg.instance_id)
+        if state is None:
+            return
+        match msg:
+            case reports.Listed():
+                self._stashed[msg.instance_id] = msg
+                instance_watch.note_contact(state, msg.leases_end_at)
+                self._take_stashed(now)
+            case reports.Silent(_, reason, leases_end_at):
+                instance_watch.note_silence(state, leases_end_at)
+                if state.is_reachable:
+                    state.is_reachable = False
+                    log_event(
+                        Event.INSTANCE_SILENT, instance=msg.instance_id, reason=reason
+                    )
+            case reports.Deposed():
+                log_event(Event.SCHEDULER_FENCED, instance=msg.instance_id)
+                self.depose()
+            case reports.Reborn():
+                self._take_reborn(msg.instance_id)
+            case reports.StartAnswered(_, task, number, refusal):
+                self._carry_out(
+                    run_end.take_start(self.schedule, task, number, refusal, now)
+                )
+            case reports.StartUnanswered(_, task, number):
+                self._carry_out(run_end.give_up_start(self.schedule, task, number))
+            case reports.StopAnswered(_, task, number):
+                self._carry_out(run_end.take_stop(self.schedule, task, number, now))
+
+    def _take_reborn(self, instance_id: str) -> None:
+        """Drop a life that has ended; its registration brings the new one."""
+        state = self.schedule.instances[instance_id]
+        state.is_reachable = False
+        self._drop_agent(instance_id)
+        for run in list(state.runs.values()):
+            run_end.lose_run(self.schedule, run)
+        del self.schedule.instances[instance_id]
+        log_event(Event.INSTANCE_REBORN, instance=instance_id)
+
+    def _drop_agent(self, instance_id: str) -> None:
+        agent = self.agents.pop(instance_id, None)
+        if agent is not None:
+            agent.stop()
+        self._stashed.pop(instance_id, None)
+        self._acknowledged.pop(instance_id, None)
+
+    def _take_stashed(self, now: dt.datetime) -> None:
+        """Take in listings, unless a job in one has to be asked for first."""
+        if not self._is_loaded:
+            return
+        for instance_id, msg in list(self._stashed.items()):
+            unknown = run_end.unknown_jobs(self.schedule, msg.listing) - self._absent
+            if unknown:
+                self._verify(unknown)
+                continue
+            del self._stashed[instance_id]
+            state = self.schedule.instances.get(instance_id)
+            if state is not None:
+                effects = run_end.take_listing(
+                    self.schedule, state, msg.listing, msg.sent_at, now
+                )
+                self._carry_out(effects)
+
+    def _verify(self, job_ids: set[str]) -> None:
+        for job_id in job_ids - self._verifying:
+            self._verifying.add(job_id)
+            spawn(self._verify_one(job_id))
+
+    async def _verify_one(self, job_id: str) -> None:
+        store = self.adapter.store
+        while True:
+            try:
+                record = await store.call(Range(JOBS + job_id), STORE_TIMEOUT)
+                progress = await store.call(Range(JOB_PROGRESS + job_id), STORE_TIMEOUT)
+            except StoreError:
+                await sleep(self.clock, TICK)
+                continue
+            found = [next(iter(r.kvs), None) for r in (record, progress)]
+            self.mailbox.offer(Verified(job_id, *found))
+            return
+
+    def _take_verified(self, msg: Verified, now: dt.datetime) -> None:
+        self._verifying.discard(msg.job_id)
+        if msg.record is not None:
+            self._restore_job(msg.record, msg.progress, now)
+        elif len(self._absent) < MAX_ABSENT:
+            self._absent.add(msg.job_id)
+        self._take_stashed(now)
+
+    # Orders and writes.
+
+    def _tick(self, now: dt.datetime) -> None:
+        self._carry_out(instance_watch.check_instances(self.schedule, now))
+        for instance_id in self.agents.keys() - self.schedule.instances.keys():
+            self._drop_agent(instance_id)
+        for job_id in [j.job_id for j in self.schedule.jobs.values() if j.is_recorded]:
+            job_intake.forget_job(self.schedule, job_id)
+        self._flush(now)
+
+    def _place_soon(self) -> None:
+        if self._place_call is None or not self._place_call.active():
+            self._place_call = self.clock.call_later(PLACE_PAUSE, self._place)
+
+    def _place(self) -> None:
+        now = self.clock.now()
+        if self.may_act():
+            self._carry_out(placing.place(self.schedule, now))
+        self._flush(now)
+
+    def _flush(self, now: dt.datetime) -> None:
+        """Write what changed, and let instances forget ends that are written."""
+        if self._is_writing or not self._is_loaded:
+            return
+        if self._flushed_at is not None and now - self._flushed_at < FLUSH_PAUSE:
+            return
+        marks = self._new_marks()
+        jobs = [self.schedule.jobs[job_id] for job_id in self.schedule.dirty]
+        self.schedule.dirty.clear()
+        writes = tuple(_make_write(job, now) for job in jobs if not job.is_recorded)
+        if not writes:
+            self._acknowledge(marks)
+            return
+        self._marks, self._is_writing, self._flushed_at = marks, True, now
+        self._recorder.mailbox.offer(Record(self.schedule.fence, writes))
+
+    def _new_marks(self) -> dict[str, int]:
+        return {
+            instance_id: state.sequence
+            for instance_id, state in self.schedule.instances.items()
+            if state.sequence > self._acknowledged.get(instance_id, 0)
+        }
+
+    def _acknowledge(self, marks: dict[str, int]) -> None:
+        for instance_id, sequence in marks.items():
+            agent = self.agents.get(instance_id)
+            if agent is not None:
+                self._acknowledged[instance_id] = sequence
+                agent.mailbox.offer(reports.Acknowledge(sequence))
+
+    def _take_recorded(self, msg: Recorded) -> None:
+        self._is_writing = False
+        for write in msg.writes:
+            job = self.schedule.jobs.get(write.job_id)
+            if job is None:
+                continue
+            if isinstance(write.value, JobEnding):
+                job.is_recorded = True
+                log_event(
+                    Event.JOB_RECORDED, job=job.job_id, phase=write.value.phase.value
+                )
+                job_intake.forget_job(self.schedule, job.job_id)
+            else:
+                job.progress_revision = msg.revisions[write.job_id]
+        self._acknowledge(self._marks)
+
+    def _refence(self, fence: int) -> None:
+        self.schedule.fence = fence
+        for agent in self.agents.values():
+            agent.mailbox.offer(reports.SetFence(fence))
+        # Writes under the old fence may not have been made.
+        self.schedule.dirty.update(
+            job.job_id for job in self.schedule.jobs.values() if not job.is_recorded
+        )
+        self._is_writing = False
+
+
+def _make_write(job: JobState, now: dt.datetime) -> JobWrite:
+    value: JobProgress | JobEnding
+    if job.is_ended:
+        ended_ms = int(now.timestamp() * 1000)
+        value = JobEnding(job.phase, job.record.queue, ended_ms, job.reason)
+    else:
+        value = job_intake.progress_of(job)
+    return JobWrite(job.job_id, job.revision, job.progress_revision, value)
+
+
+def _read(kv: KeyValue, cls: type) -> t.Any:
+    try:
+        return from_json(kv.value, cls)
+    except RequestError as exc:
+        log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=exc.message)
+        return None
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -66,4 +66,6 @@
 
 
 def test_the_shape_stands_on_the_developers_page():
-    assert "tasks that own their sockets and their state" in read("developers.md")
+    assert "tasks that own their sockets and their state" in (
+        ROOT / "DEVELOPERS.md"
+    ).read_text(encoding="utf-8")
