Learn interference by pair of images, and pace fillers by it

Excluded: own load of the serving tasks (alone, 6 to 11 % of the listed tails are over the target, with fillers 13 to 47 %).

--- a/src/fighead/decisions/placing.py
+++ b/src/fighead/decisions/placing.py
@@ -7,9 +7,12 @@
 import datetime as dt
 import typing as t
 
+from attrs import define, field
+
 from ..job import Demand, JobPhase, TaskKey
 from ..log import Event
 from ..run import StartRun
+from . import sharing
 from .run_end import add_run
 from .schedule_state import (
     Effect,
@@ -23,12 +26,16 @@
     StageState,
     TaskState,
 )
+from .sharing import Neighbourhood
 
 #: Share of its processor demand that a serving task uses on average: its load
 #: swings around half of what it asks for.
 SERVING_USE = 0.6
 #: Share of its processor demand that must be unused for a filler to start.
 MIN_FILLER_SHARE = 0.75
+#: How much the slack of serving tasks counts against unused processors when a
+#: filler is placed.
+HEADROOM_WORTH = 1.0
 
 
 def place(schedule: Schedule, now: dt.datetime) -> list[Effect]:
@@ -36,14 +43,38 @@
     if not schedule.is_settled:
         return []
     effects: list[Effect] = []
+    round_ = Round(schedule, now)
     for job, stage in _waiting_stages(schedule, now):
         if stage.spec.is_gang:
-            effects += _place_gang(schedule, job, stage, now)
+            effects += _place_gang(round_, job, stage)
         else:
-            effects += _place_tasks(schedule, job, stage, now)
+            effects += _place_tasks(round_, job, stage)
     return effects
 
 
+@define(eq=False)
+class Round:
+    """One round of placing, and what it has looked up.
+
+    :param around: Serving tasks by instance, as fillers see them.
+    :param hopeless: Images of fillers, with the least demand, that no instance
+        takes in this round.
+    """
+
+    schedule: Schedule
+    now: dt.datetime
+    around: dict[str, Neighbourhood] = field(factory=dict)
+    hopeless: dict[str, int] = field(factory=dict)
+
+    def look(self, state: InstanceState) -> Neighbourhood:
+        """Return the serving tasks of an instance."""
+        instance_id = state.instance.instance_id
+        if instance_id not in self.around:
+            learned = self.schedule.learned
+            self.around[instance_id] = sharing.look(learned, state, self.now)
+        return self.around[instance_id]
+
+
 def _waiting_stages(
     schedule: Schedule, now: dt.datetime
 ) -> list[tuple[JobState, StageState]]:
@@ -68,17 +99,23 @@
     return (job.queue.priority, is_late, job.objective_at, job.job_id)
 
 
-def _place_tasks(
-    schedule: Schedule, job: JobState, stage: StageState, now: dt.datetime
-) -> list[Effect]:
+def _place_tasks(round_: Round, job: JobState, stage: StageState) -> list[Effect]:
+    spec = stage.spec
+    if spec.is_filler and spec.cpu >= round_.hopeless.get(spec.image, spec.cpu + 1):
+        return []
     effects: list[Effect] = []
     for index in sorted(stage.waiting):
         task = stage.tasks[index]
-        state = _choose(schedule, job, stage, task, now)
+        state = _choose(round_, job, stage, task)
         if state is None:
+            if spec.is_filler:
+                round_.hopeless[spec.image] = spec.cpu
             break
-        number = max(task.last_number + 1, schedule.first_number)
-        effects += _start(job, stage, task, state, number, now)
+        if spec.is_filler:
+            learned, capacity = round_.schedule.learned, state.instance.capacity.cpu
+            sharing.join(learned, round_.look(state), spec, capacity)
+        number = max(task.last_number + 1, round_.schedule.first_number)
+        effects += _start(job, stage, task, state, number, round_.now)
     return effects
 
 
@@ -103,19 +140,28 @@
 
 
 def _choose(
-    schedule: Schedule,
-    job: JobState,
-    stage: StageState,
-    task: TaskState,
-    now: dt.datetime,
+    round_: Round, job: JobState, stage: StageState, task: TaskState
 ) -> InstanceState | None:
+    usable = _usable(round_, job, stage)
+    others = [s for s in usable if s.instance.instance_id not in task.avoided]
+    return max(others or usable, key=lambda s: _fitness(round_, s, stage), default=None)
+
+
+def _usable(round_: Round, job: JobState, stage: StageState) -> list[InstanceState]:
     usable = [
         state
-        for state in schedule.instances.values()
-        if _is_usable(state, job, stage, now)
+        for state in round_.schedule.instances.values()
+        if _is_usable(state, job, stage, round_.now)
     ]
-    others = [s for s in usable if s.instance.instance_id not in task.avoided]
-    return max(others or usable, key=lambda s: _fitness(s, stage), default=None)
+    if not stage.spec.is_filler:
+        return usable
+    return [s for s in usable if _headroom(round_, s, stage) >= sharing.START_MARGIN]
+
+
+def _headroom(round_: Round, state: InstanceState, stage: StageState) -> float:
+    capacity = state.instance.capacity.cpu
+    around = round_.look(state)
+    return sharing.headroom(round_.schedule.learned, around, stage.spec, capacity)
 
 
 def _is_usable(
@@ -156,40 +202,37 @@
     return state.instance.capacity.cpu - busy
 
 
-def _fitness(state: InstanceState, stage: StageState) -> float:
+def _fitness(round_: Round, state: InstanceState, stage: StageState) -> float:
     """Return how well an instance suits a stage; the highest is chosen."""
-    spec = stage.spec
-    fitness = unused_cpu(state)
+    spec, capacity = stage.spec, state.instance.capacity.cpu
+    fitness = unused_cpu(state) / capacity
     if spec.preferred_rack and spec.preferred_rack not in state.instance.labels:
-        fitness -= state.instance.capacity.cpu
+        fitness -= 1.0
+    if spec.is_filler:
+        return fitness + HEADROOM_WORTH * _headroom(round_, state, stage)
     if spec.target_ms:
         # Serving tasks are spread, so that a crash takes few of a stage.
         here = stage.by_instance.get(state.instance.instance_id, 0)
-        fitness -= here * spec.cpu + state.fillers_cpu
+        fitness -= (here * spec.cpu + state.fillers_cpu) / capacity
     return fitness
 
 
-def _place_gang(
-    schedule: Schedule, job: JobState, stage: StageState, now: dt.datetime
-) -> list[Effect]:
+def _place_gang(round_: Round, job: JobState, stage: StageState) -> list[Effect]:
     """Start all tasks of a gang under one number, or none."""
     if len(stage.waiting) < len(stage.tasks):
         return []
-    usable = [
-        state
-        for state in schedule.instances.values()
-        if _is_usable(state, job, stage, now)
-    ]
+    usable = _usable(round_, job, stage)
+    usable.sort(key=lambda state: -_fitness(round_, state, stage))
     seats = _seat_gang(usable, stage)
     if seats is None:
         return []
     number = max(task.last_number for task in stage.tasks) + 1
-    number = max(number, schedule.first_number)
+    number = max(number, round_.schedule.first_number)
     checkpoint = next((t.checkpoint for t in stage.tasks if t.checkpoint), "")
     effects: list[Effect] = []
     for task, state in zip(stage.tasks, seats, strict=True):
         task.checkpoint = checkpoint
-        effects += _start(job, stage, task, state, number, now)
+        effects += _start(job, stage, task, state, number, round_.now)
     return effects
 
 
@@ -197,8 +240,7 @@
     usable: list[InstanceState], stage: StageState
 ) -> list[InstanceState] | None:
     if stage.spec.same_rack:
-        racks = sorted({state.rack for state in usable})
-        for rack in racks:
+        for rack in sorted({state.rack for state in usable}):
             members = [state for state in usable if state.rack == rack]
             seats = _fill_seats(members, stage)
             if seats is not None:
@@ -211,7 +253,7 @@
 ) -> list[InstanceState] | None:
     seats: list[InstanceState] = []
     demand, most = stage.spec.demand, stage.spec.max_per_instance
-    for state in sorted(usable, key=lambda s: -_fitness(s, stage)):
+    for state in usable:
         room, taken = state.room, 0
         while demand.fits(room) and (not most or taken < most):
             if len(seats) == len(stage.tasks):
--- a/src/fighead/decisions/run_end.py
+++ b/src/fighead/decisions/run_end.py
@@ -5,6 +5,7 @@
 from ..job import JobPhase, TaskKey
 from ..log import Event
 from ..run import EndKind, Listing, Refusal, RunEnd, RunRow, StopRun
+from . import interference, sharing
 from .job_intake import end_job, open_stages
 from .schedule_state import (
     Effect,
@@ -67,7 +68,8 @@
     if len(listing.ended) < MAX_ENDS_LISTED:
         effects += _drop_missing(schedule, state, listing, sent_at, now)
     state.is_listed = True
-    return effects
+    sharing.observe_listing(schedule, state, now)
+    return effects + sharing.pace(schedule, state, now)
 
 
 def _take_row(
@@ -249,6 +251,8 @@
     state = schedule.instances.get(run.instance_id)
     if state is not None:
         state.remove(run)
+    if run.stage.target_ms:
+        interference.forget(schedule.learned, (run.key, run.number))
 
 
 def lose_run(schedule: Schedule, run: RunState) -> None:
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -9,6 +9,7 @@
 from ..job import Demand, JobConfig, JobPhase, JobRecord, Queue, Stage, TaskKey
 from ..log import Event
 from ..run import Instance, PaceRun, StartRun, StopRun
+from .interference import Interference
 
 #: Run numbers that one term may give to a task.
 RUNS_PER_TERM = 10_000
@@ -33,6 +34,7 @@
         later listing that lacks the run proves that it is gone.
     :param progressed_at: When its percentage last rose.
     :param pace: Share of full speed in percent that was last ordered.
+    :param crawling_since: Since when its pace has been very low.
     :param late_since: Since when a serving task has missed its target.
     """
 
@@ -47,7 +49,7 @@
     percent: int = 0
     usage: int = 0
     pace: int = 100
-    paced_at: dt.datetime | None = None
+    crawling_since: dt.datetime | None = None
     late_since: dt.datetime | None = None
 
 
@@ -203,6 +205,7 @@
     :param endings: Jobs that ended in this term, by id.
     :param is_settled: Whether all instances have been listed or written off,
         so that no unknown run can exist.
+    :param learned: How images disturb each other.
     """
 
     term: int
@@ -214,6 +217,7 @@
     dirty: set[str] = field(factory=set)
     endings: dict[str, JobPhase] = field(factory=dict)
     is_settled: bool = False
+    learned: Interference = field(factory=Interference)
 
     @property
     def first_number(self) -> int:
