Keep serving tasks of an image together, and estimate loads by stage

Change: a load is common to the tasks of a stage (within a job the tails vary by 0.004, over an image by 0.03, trial dump), with level and slope; serving tasks go to instances of the same stage or image; a tenth of the instances is kept free of them; a harmless filler starts anywhere; a task that is late has no new filler beside it.

--- a/src/fighead/decisions/interference.py
+++ b/src/fighead/decisions/interference.py
@@ -3,21 +3,29 @@
 The tail latency of a serving task grows as ``base / (1 - pressure)``. The
 pressure is its own load, which swings within seconds, plus the effects of the
 fillers beside it. Effects belong to pairs of images and are learned from all
-instances; loads belong to single tasks. Both are estimated together by a
-Kalman filter whose covariances are left out.
+instances; a load is common to the tasks of a stage, since the same users call
+them. Both are estimated together by Kalman filters: a load by its level and
+slope, an effect by its mean, the covariances between them left out.
 """
 
 import datetime as dt
-import math
 import typing as t
 
-from attrs import define, field
+from attrs import define, field, frozen
 
-#: Load assumed of a serving task that was never observed, and its variance.
+#: Names a stage: job, occurrence and number.
+StageId = tuple[str, int, int]
+
+#: Load assumed of a stage that was never observed, and its variance.
 PRIOR_LOAD = 0.5
 PRIOR_LOAD_VARIANCE = 0.03
-#: Variance that a load gains in a second: it swings by half in 5 to 10 s.
-LOAD_DRIFT = 0.006
+#: Variance assumed of the slope of a load, in 1/s squared: a load that swings
+#: by half in 10 to 20 s changes by up to 0.15 in a second.
+PRIOR_SLOPE_VARIANCE = 0.01
+#: Variance of the change of a slope within a second: for such swings.
+SLOPE_DRIFT = 0.002
+#: Age at which an observed load says nothing any more.
+LOAD_MAX_AGE = dt.timedelta(seconds=6)
 #: Effect of a pair that was never observed, for a weight of 1.
 PRIOR_EFFECT = 0.12
 PRIOR_EFFECT_VARIANCE = 0.02
@@ -53,12 +61,53 @@
     weight: float
 
 
-@define(eq=False)
+@frozen
 class Load:
-    """Own load of one serving task."""
+    """Own load of the tasks of a stage: level and slope with covariances.
+
+    :param slope: Change in a second.
+    """
 
-    estimate: Estimate
     observed_at: dt.datetime
+    level: float = PRIOR_LOAD
+    slope: float = 0.0
+    level_variance: float = PRIOR_LOAD_VARIANCE
+    covariance: float = 0.0
+    slope_variance: float = PRIOR_SLOPE_VARIANCE
+
+    def at(self, now: dt.datetime) -> "Load":
+        """Return the load as it is expected at another time."""
+        if abs(now - self.observed_at) > LOAD_MAX_AGE:
+            return Load(now)
+        s = (now - self.observed_at).total_seconds()
+        drift = SLOPE_DRIFT * abs(s)
+        return Load(
+            now,
+            min(max(self.level + self.slope * s, 0.0), 1.0),
+            self.slope,
+            self.level_variance
+            + 2 * s * self.covariance
+            + s * s * (self.slope_variance + drift / 3),
+            self.covariance + s * (self.slope_variance + drift / 2),
+            self.slope_variance + drift,
+        )
+
+    def corrected(self, error: float, total: float) -> "Load":
+        """Return the load after an observation.
+
+        :param error: Observed less expected pressure.
+        :param total: Variance of that difference.
+        """
+        gain = self.level_variance / total
+        slope_gain = self.covariance / total
+        return Load(
+            self.observed_at,
+            min(max(self.level + gain * error, 0.0), 1.0),
+            self.slope + slope_gain * error,
+            self.level_variance * (1 - gain),
+            self.covariance * (1 - gain),
+            self.slope_variance - slope_gain * self.covariance,
+        )
 
 
 @define(eq=False)
@@ -67,12 +116,12 @@
 
     :param effects: By image of the serving task and image of the filler.
     :param bases: Least tail seen, by image and target.
-    :param loads: By serving run.
+    :param loads: By job and stage.
     """
 
     effects: dict[tuple[str, str], Estimate] = field(factory=dict)
     bases: dict[tuple[str, int], float] = field(factory=dict)
-    loads: dict[t.Hashable, Load] = field(factory=dict)
+    loads: dict[StageId, Load] = field(factory=dict)
 
 
 def weigh(cpu: float, capacity_cpu: int) -> float:
@@ -90,14 +139,10 @@
     return known or Estimate(PRIOR_EFFECT, PRIOR_EFFECT_VARIANCE)
 
 
-def load_of(learned: Interference, run: t.Hashable, now: dt.datetime) -> Estimate:
-    """Return the estimated own load of a serving run."""
-    known = learned.loads.get(run)
-    if known is None:
-        return Estimate(PRIOR_LOAD, PRIOR_LOAD_VARIANCE)
-    age = (now - known.observed_at).total_seconds()
-    variance = known.estimate.variance + LOAD_DRIFT * age
-    return Estimate(known.estimate.mean, min(variance, PRIOR_LOAD_VARIANCE))
+def load_of(learned: Interference, stage: StageId, now: dt.datetime) -> Load:
+    """Return the load of a stage as it is expected at ``now``."""
+    known = learned.loads.get(stage)
+    return known.at(now) if known is not None else Load(now)
 
 
 def added_pressure(
@@ -118,7 +163,7 @@
 
 def observe(
     learned: Interference,
-    run: t.Hashable,
+    stage: StageId,
     image: str,
     target_ms: int,
     tail_ms: float,
@@ -129,23 +174,16 @@
     if tail_ms <= 0:
         return
     pressure = _pressure(learned, image, target_ms, tail_ms)
-    load = load_of(learned, run, now)
-    effects = [effect_of(learned, image, each.image) for each in beside]
-    expected = load.mean + sum(
-        effect.mean * each.weight for effect, each in zip(effects, beside, strict=True)
-    )
+    load = load_of(learned, stage, now)
+    effects = [(effect_of(learned, image, each.image), each) for each in beside]
+    expected = load.level + sum(effect.mean * each.weight for effect, each in effects)
     error = pressure - expected
     if pressure >= SATURATED and error < 0:
         error = 0.0
-    total = OBSERVATION_VARIANCE + load.variance
-    total += sum(
-        each.weight**2 * effect.variance
-        for effect, each in zip(effects, beside, strict=True)
-    )
-    gain = load.variance / total
-    mean = min(max(load.mean + gain * error, 0.0), 1.2)
-    learned.loads[run] = Load(Estimate(mean, load.variance * (1 - gain)), now)
-    for effect, each in zip(effects, beside, strict=True):
+    total = OBSERVATION_VARIANCE + load.level_variance
+    total += sum(each.weight**2 * effect.variance for effect, each in effects)
+    learned.loads[stage] = load.corrected(error, total)
+    for effect, each in effects:
         gain = effect.variance * each.weight / total
         learned.effects[image, each.image] = Estimate(
             min(max(effect.mean + gain * error, -0.05), 1.0),
@@ -165,11 +203,7 @@
     return max(0.0, 1.0 - base / max(tail_ms, base))
 
 
-def forget(learned: Interference, run: t.Hashable) -> None:
-    """Drop the load of a run that is gone."""
-    learned.loads.pop(run, None)
-
-
-def deviation(estimate: Estimate) -> float:
-    """Return the standard deviation of an estimate."""
-    return math.sqrt(estimate.variance)
+def forget(learned: Interference, job_id: str) -> None:
+    """Drop the loads of a job that has ended."""
+    for stage in [stage for stage in learned.loads if stage[0] == job_id]:
+        del learned.loads[stage]
--- a/src/fighead/decisions/job_intake.py
+++ b/src/fighead/decisions/job_intake.py
@@ -5,6 +5,7 @@
 from ..job import JobPhase, JobProgress, JobRecord, Queue, StageProgress, TaskKey
 from ..log import Event
 from ..run import StopRun
+from . import interference
 from .schedule_state import (
     Effect,
     JobState,
@@ -153,4 +154,5 @@
     if job is None or not job.is_recorded or any(True for _ in job.runs()):
         return
     del schedule.jobs[job_id]
+    interference.forget(schedule.learned, job_id)
     schedule.endings[job_id] = job.phase
--- a/src/fighead/decisions/placing.py
+++ b/src/fighead/decisions/placing.py
@@ -9,7 +9,7 @@
 
 from attrs import define, field
 
-from ..job import Demand, JobPhase, TaskKey
+from ..job import Demand, JobPhase, Stage, TaskKey
 from ..log import Event
 from ..run import StartRun
 from . import sharing
@@ -26,16 +26,27 @@
     StageState,
     TaskState,
 )
-from .sharing import Neighbourhood
+from .sharing import Neighbourhood, Outlook
 
 #: Share of its processor demand that a serving task uses on average: its load
 #: swings around half of what it asks for.
 SERVING_USE = 0.6
 #: Share of its processor demand that must be unused for a filler to start.
 MIN_FILLER_SHARE = 0.75
-#: How much the slack of serving tasks counts against unused processors when a
-#: filler is placed.
-HEADROOM_WORTH = 1.0
+#: What a filler's place costs, in shares of an instance's processors: for a
+#: pressure of 1, and for an instance without serving tasks.
+PRESSURE_PRICE = 8.0
+FREE_INSTANCE_PRICE = 0.6
+#: Worth of an instance to a serving task by the images that serve there; each
+#: outweighs any difference in unused processors.
+SAME_STAGE = 3.0
+SAME_IMAGE = 6.0
+NO_IMAGE = 4.0
+MIXED_WITH_SAME = 2.0
+LAST_RESORT = -50.0
+#: Share of the instances that is kept free of serving tasks while they fit
+#: elsewhere.
+FREE_SHARE = 0.1
 
 
 def place(schedule: Schedule, now: dt.datetime) -> list[Effect]:
@@ -66,6 +77,15 @@
     around: dict[str, Neighbourhood] = field(factory=dict)
     hopeless: dict[str, int] = field(factory=dict)
 
+    def has_spare_instances(self) -> bool:
+        """Whether more instances serve nothing than are kept for fillers."""
+        states = self.schedule.instances.values()
+        free = sum(
+            accepts_runs(state, self.now) and not sharing.serving_runs(state)
+            for state in states
+        )
+        return free > len(states) * FREE_SHARE
+
     def look(self, state: InstanceState) -> Neighbourhood:
         """Return the serving tasks of an instance."""
         instance_id = state.instance.instance_id
@@ -155,13 +175,13 @@
     ]
     if not stage.spec.is_filler:
         return usable
-    return [s for s in usable if _headroom(round_, s, stage) >= sharing.START_MARGIN]
+    return [s for s in usable if _foresee(round_, s, stage).is_bearable]
 
 
-def _headroom(round_: Round, state: InstanceState, stage: StageState) -> float:
+def _foresee(round_: Round, state: InstanceState, stage: StageState) -> Outlook:
     capacity = state.instance.capacity.cpu
     around = round_.look(state)
-    return sharing.headroom(round_.schedule.learned, around, stage.spec, capacity)
+    return sharing.foresee(round_.schedule.learned, around, stage.spec, capacity)
 
 
 def _is_usable(
@@ -209,14 +229,39 @@
     if spec.preferred_rack and spec.preferred_rack not in state.instance.labels:
         fitness -= 1.0
     if spec.is_filler:
-        return fitness + HEADROOM_WORTH * _headroom(round_, state, stage)
+        return fitness + _gentleness(round_, state, stage)
     if spec.target_ms:
-        # Serving tasks are spread, so that a crash takes few of a stage.
-        here = stage.by_instance.get(state.instance.instance_id, 0)
-        fitness -= (here * spec.cpu + state.fillers_cpu) / capacity
+        return _kinship(round_, state, spec) - fitness
     return fitness
 
 
+def _gentleness(round_: Round, state: InstanceState, stage: StageState) -> float:
+    """Return how little a filler disturbs; instances without serving tasks are
+    left to the fillers that find no other place."""
+    if not round_.look(state).neighbours:
+        return -FREE_INSTANCE_PRICE
+    outlook = _foresee(round_, state, stage)
+    return -PRESSURE_PRICE * outlook.pressure + min(outlook.headroom, 0.0)
+
+
+def _kinship(round_: Round, state: InstanceState, spec: Stage) -> float:
+    """Return how well a serving task keeps an instance to one image.
+
+    Tasks of one stage come first, since their loads swing together. Which
+    fillers disturb a serving task depends on both images: where all serving
+    tasks are of one image, some fillers do no harm; beside a mixture hardly any
+    does. Some instances are kept free of serving tasks.
+    """
+    serving = sharing.serving_runs(state)
+    images = {run.stage.image for run in serving}
+    if images == {spec.image}:
+        same = sum(run.stage is spec for run in serving)
+        return SAME_IMAGE + SAME_STAGE * same / len(serving)
+    if not images:
+        return NO_IMAGE if round_.has_spare_instances() else LAST_RESORT
+    return MIXED_WITH_SAME if spec.image in images else -float(len(images))
+
+
 def _place_gang(round_: Round, job: JobState, stage: StageState) -> list[Effect]:
     """Start all tasks of a gang under one number, or none."""
     if len(stage.waiting) < len(stage.tasks):
--- a/src/fighead/decisions/run_end.py
+++ b/src/fighead/decisions/run_end.py
@@ -5,7 +5,7 @@
 from ..job import JobPhase, TaskKey
 from ..log import Event
 from ..run import EndKind, Listing, Refusal, RunEnd, RunRow, StopRun
-from . import interference, sharing
+from . import sharing
 from .job_intake import end_job, open_stages
 from .schedule_state import (
     Effect,
@@ -251,8 +251,6 @@
     state = schedule.instances.get(run.instance_id)
     if state is not None:
         state.remove(run)
-    if run.stage.target_ms:
-        interference.forget(schedule.learned, (run.key, run.number))
 
 
 def lose_run(schedule: Schedule, run: RunState) -> None:
--- a/src/fighead/decisions/sharing.py
+++ b/src/fighead/decisions/sharing.py
@@ -26,18 +26,29 @@
     Schedule,
 )
 
-#: Pressure kept free below the limit of a serving task when fillers start:
-#: what a load gains in about a second.
-START_MARGIN = 0.10
+#: Pressure kept free below the limit of a serving task when fillers start: twice
+#: the deviation of a load that is listed twice a second.
+START_MARGIN = 0.03
 #: Pressure kept free when running fillers are paced.
-PACE_MARGIN = 0.05
+PACE_MARGIN = 0.0
+#: How far ahead loads are looked at when a filler starts: half a run.
+START_HORIZON = dt.timedelta(milliseconds=1500)
+#: How far ahead they are looked at for a pace: until the next listing.
+PACE_HORIZON = dt.timedelta(milliseconds=500)
 #: Least change of a pace that is worth a call, in percent.
 LEAST_CHANGE = 15
 #: Time over its target after which a serving task has all fillers beside it
 #: that may disturb it stand still; a bound on harm allows about 4 s.
 PATIENCE = dt.timedelta(milliseconds=1200)
+#: Pressure below which a filler may start whatever the slack is.
+HARMLESS_PRESSURE = 0.03
 #: Effect of a weight of 1 below which a filler counts as harmless.
 HARMLESS_EFFECT = 0.02
+#: Time over its target after which even those stand still.
+LAST_PATIENCE = dt.timedelta(milliseconds=2200)
+#: Share of its target below which a serving task counts as in time again;
+#: listed tails are rough.
+RELIEVED_SHARE = 0.85
 #: Pace at or below which a filler is better moved, in percent.
 CRAWL = 25
 #: Time at a crawl after which a checkpointed filler is moved.
@@ -50,6 +61,7 @@
 
     image: str
     slack: float
+    is_late: bool = False
 
 
 @define(eq=False)
@@ -62,16 +74,26 @@
 def look(
     learned: Interference, state: InstanceState, now: dt.datetime
 ) -> Neighbourhood:
-    """Return how much more the serving tasks of an instance bear."""
+    """Return how much more the serving tasks of an instance bear for a while."""
     beside = _planned(state)
+    horizon = now + START_HORIZON
     return Neighbourhood(
         [
-            Neighbour(run.stage.image, _slack(learned, run, beside, now))
+            Neighbour(
+                run.stage.image,
+                min(_slack(learned, run, beside, at) for at in (now, horizon)),
+                run.late_since is not None,
+            )
             for run in serving_runs(state)
         ]
     )
 
 
+def stage_id(run: RunState) -> interference.StageId:
+    """Return the stage that a run belongs to."""
+    return (run.key.job_id, run.key.occurrence, run.key.stage)
+
+
 def serving_runs(state: InstanceState) -> list[RunState]:
     """Return the runs on an instance that have a target."""
     return [run for run in state.runs.values() if run.stage.target_ms]
@@ -99,25 +121,44 @@
     learned: Interference, run: RunState, beside: list[Beside], now: dt.datetime
 ) -> float:
     image, target_ms = run.stage.image, run.stage.target_ms
-    load = interference.load_of(learned, (run.key, run.number), now).mean
+    load = interference.load_of(learned, stage_id(run), now).level
     added = interference.added_pressure(learned, image, beside)
     return interference.limit_of(learned, image, target_ms) - load - added
 
 
-def headroom(
+@define(eq=False)
+class Outlook:
+    """What a further filler would do to the serving tasks of an instance.
+
+    :param pressure: Most that it would add to one of them.
+    :param headroom: Least slack that it would leave.
+    :param is_late: Whether one of them misses its target now.
+    """
+
+    pressure: float = 0.0
+    headroom: float = 1.0
+    is_late: bool = False
+
+    @property
+    def is_bearable(self) -> bool:
+        """Whether the filler may start: it is harmless, or there is room."""
+        if self.is_late:
+            return False
+        return self.pressure <= HARMLESS_PRESSURE or self.headroom >= START_MARGIN
+
+
+def foresee(
     learned: Interference, around: Neighbourhood, stage: Stage, capacity_cpu: int
-) -> float:
-    """Return the least slack that a further filler would leave."""
+) -> Outlook:
+    """Return what a further filler would do."""
     weight = interference.weigh(stage.cpu, capacity_cpu)
-    return min(
-        (
-            each.slack
-            - max(0.0, interference.effect_of(learned, each.image, stage.image).mean)
-            * weight
-            for each in around.neighbours
-        ),
-        default=1.0,
-    )
+    outlook = Outlook(is_late=any(each.is_late for each in around.neighbours))
+    for each in around.neighbours:
+        effect = interference.effect_of(learned, each.image, stage.image).mean
+        pressure = max(0.0, effect) * weight
+        outlook.pressure = max(outlook.pressure, pressure)
+        outlook.headroom = min(outlook.headroom, each.slack - pressure)
+    return outlook
 
 
 def join(
@@ -144,15 +185,17 @@
             continue
         interference.observe(
             schedule.learned,
-            (run.key, run.number),
+            stage_id(run),
             run.stage.image,
             run.stage.target_ms,
             run.usage,
             beside,
             now,
         )
-        is_late = run.usage > run.stage.target_ms
-        run.late_since = (run.late_since or now) if is_late else None
+        if run.usage > run.stage.target_ms:
+            run.late_since = run.late_since or now
+        elif run.usage <= RELIEVED_SHARE * run.stage.target_ms:
+            run.late_since = None
 
 
 def pace(schedule: Schedule, state: InstanceState, now: dt.datetime) -> list[Effect]:
@@ -180,11 +223,10 @@
     for serving in serving_runs(state):
         if serving.percent < 100:
             continue
-        is_late = (
-            serving.late_since is not None and now - serving.late_since >= PATIENCE
-        )
-        room = _slack(learned, serving, [], now) - PACE_MARGIN
-        _fit(learned, serving.stage.image, fillers, shares, capacity, room, is_late)
+        late = now - (serving.late_since or now)
+        ahead = (now, now + PACE_HORIZON)
+        room = min(_slack(learned, serving, [], at) for at in ahead) - PACE_MARGIN
+        _fit(learned, serving.stage.image, fillers, shares, capacity, room, late)
     return {identity: round(100 * share) for identity, share in shares.items()}
 
 
@@ -195,14 +237,14 @@
     shares: dict[t.Hashable, float],
     capacity: int,
     room: float,
-    is_late: bool,
+    late: dt.timedelta,
 ) -> None:
     """Cut shares, the most disturbing filler first, until one task bears them."""
     added: list[tuple[float, RunState]] = []
     for run in fillers:
         effect = max(0.0, interference.effect_of(learned, image, run.stage.image).mean)
         weight = interference.weigh(run.stage.cpu, capacity)
-        if is_late and effect > HARMLESS_EFFECT:
+        if late >= LAST_PATIENCE or (late >= PATIENCE and effect > HARMLESS_EFFECT):
             shares[run.key, run.number] = 0.0
         added.append((effect * weight, run))
     added.sort(key=lambda pair: -pair[0])
