Count failed runs by their numbers

Change: progress holds the numbers of failed runs, not their count; a gang counts each number once. Conclusion: ends are idempotent for the schedule, as listings repeat them.

--- a/src/fighead/decisions/job_intake.py
+++ b/src/fighead/decisions/job_intake.py
@@ -75,7 +75,7 @@
             continue
         done = int(row.done, 16)
         for index, task in enumerate(stage.tasks):
-            task.failures = row.failures.get(index, 0)
+            task.failures = set(row.failures.get(index, ()))
             task.checkpoint = row.checkpoints.get(index, "")
             if done >> index & 1:
                 task.is_done = True
@@ -105,7 +105,9 @@
 
 def _stage_progress(occurrence: int, number: int, stage: StageState) -> StageProgress:
     done = sum(1 << i for i, task in enumerate(stage.tasks) if task.is_done)
-    failures = {i: t.failures for i, t in enumerate(stage.tasks) if t.failures}
+    failures = {
+        i: tuple(sorted(t.failures)) for i, t in enumerate(stage.tasks) if t.failures
+    }
     checkpoints = {
         i: t.checkpoint
         for i, t in enumerate(stage.tasks)
--- a/src/fighead/decisions/run_end.py
+++ b/src/fighead/decisions/run_end.py
@@ -192,12 +192,12 @@
     if end.kind is EndKind.DONE and not stage.spec.is_lasting:
         return _finish_task(schedule, job, stage, task)
     if end.kind is EndKind.FAILED:
-        task.failures += 1
+        task.failures.add(end.number)
         task.avoided.add(state.instance.instance_id)
         state.failed_jobs[job.job_id] = now
         schedule.dirty.add(job.job_id)
         if _is_hopeless(job, stage, task):
-            reason = f"task {_name(task.key)} failed {task.failures} times"
+            reason = f"task {_name(task.key)} failed in runs {sorted(task.failures)}"
             return end_job(schedule, job, JobPhase.FAILED, reason)
     if not task.runs:
         stage.waiting.add(task.key.index)
@@ -206,7 +206,10 @@
 
 def _is_hopeless(job: JobState, stage: StageState, task: TaskState) -> bool:
     attempts = max(1, job.queue.max_attempts)
-    return not stage.spec.is_lasting and task.failures >= attempts
+    # A gang fails as a whole, whichever of its members did.
+    members = stage.tasks if stage.spec.is_gang else [task]
+    failures = set[int]().union(*(member.failures for member in members))
+    return not stage.spec.is_lasting and len(failures) >= attempts
 
 
 def _finish_task(
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -57,13 +57,14 @@
 class TaskState:
     """One task: what is known of its runs.
 
+    :param failures: Numbers of the runs that failed.
     :param last_number: Highest number of a run that was ever heard of.
     :param avoided: Instances on which a run of the task has failed.
     """
 
     key: TaskKey
     is_done: bool = False
-    failures: int = 0
+    failures: set[int] = field(factory=set)
     checkpoint: str = ""
     last_number: int = 0
     runs: list[RunState] = field(factory=list)
--- a/src/fighead/job.py
+++ b/src/fighead/job.py
@@ -166,14 +166,15 @@
     """What is durable of one stage of one occurrence.
 
     :param done: Bit set of the tasks that are done, as a hexadecimal number.
-    :param failures: Failed runs by task.
+    :param failures: Numbers of the failed runs by task. An end that is listed
+        again after a takeover so counts once.
     :param checkpoints: Latest checkpoint by task, where that task has failed.
     """
 
     occurrence: int
     stage: int
     done: str = "0"
-    failures: dict[int, int] = field(factory=dict)
+    failures: dict[int, tuple[int, ...]] = field(factory=dict)
     checkpoints: dict[int, str] = field(factory=dict)
 
 
--- /dev/null
+++ b/tests/job_world.py
@@ -0,0 +1,75 @@
+"""Small builders for tests of the decisions on jobs."""
+
+import datetime as dt
+
+from fighead.decisions import instance_watch, job_intake, run_end
+from fighead.decisions.schedule_state import Order, Schedule
+from fighead.job import Demand, JobConfig, JobRecord, JobSpec, Queue, Stage, TaskKey
+from fighead.run import EndKind, Instance, Listing, RunEnd, RunRow
+
+START = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
+LEASE = dt.timedelta(seconds=6)
+JOB = "5c0e7a21d94b36f8"
+QUEUE = Queue("plans", "a.example", "/p/", "mill", 2, 2, 2.0, 1000)
+
+
+def seconds(count):
+    return START + dt.timedelta(seconds=count)
+
+
+def make_schedule(instances=("i1",), queue=QUEUE, term=1, capacity=None):
+    schedule = Schedule(term, term, START)
+    schedule.config = JobConfig(1, (queue,), ("mill",))
+    for number, name in enumerate(instances):
+        add_instance(schedule, name, capacity, f"r{number}")
+    schedule.is_settled = True
+    return schedule
+
+
+def add_instance(schedule, name, capacity=None, rack="r1", **fields):
+    room = capacity or Demand(64000, 256000, 0)
+    instance = Instance(
+        name, "1", "10.0.0.1:80", "mill", "z", room, ("a", rack), **fields
+    )
+    instance_watch.add_instance(schedule, instance, LEASE)
+    state = schedule.instances[name]
+    state.is_reachable = state.is_listed = True
+    return state
+
+
+def add_job(schedule, *stages, job_id=JOB, progress=None, **spec):
+    stages = stages or (Stage(cpu=1000, memory_mb=100, estimate_ms=1000),)
+    queue = schedule.config.queues[0]
+    record = JobRecord(
+        job_id,
+        queue.name,
+        "mill",
+        JobSpec("text", stages, **spec),
+        int(START.timestamp() * 1000),
+    )
+    job_intake.add_job(schedule, record, 7, START, progress, 9 if progress else 0)
+    return schedule.jobs[job_id]
+
+
+def key(index=0, stage=0, occurrence=0, job_id=JOB):
+    return TaskKey(job_id, occurrence, stage, index)
+
+
+def row(task, number, percent=10, usage=0, checkpoint=""):
+    return RunRow(task, number, checkpoint, percent, usage)
+
+
+def end(sequence, task, number, kind=EndKind.DONE, checkpoint=""):
+    return RunEnd(sequence, task, number, kind, checkpoint)
+
+
+def listed(schedule, name, running=(), ended=(), at=1.0, sent=None):
+    """Take in a listing of an instance, asked for at ``sent``."""
+    state = schedule.instances[name]
+    listing = Listing(1000, tuple(running), tuple(ended))
+    sent_at = seconds(at if sent is None else sent)
+    return run_end.take_listing(schedule, state, listing, sent_at, seconds(at))
+
+
+def orders(effects):
+    return [effect.order for effect in effects if isinstance(effect, Order)]
