Judge instances by their runs, and keep what was learned of interference

Cause: nothing noticed instances that fail or stall what they start, and each new leader learned all effects anew. Change: an instance is suspected for failures of two jobs, for runs that all stand still, or for non-fillers of two jobs that are all three times slower than usual; learned effects are written every 5 s.

--- a/src/fighead/decisions/interference.py
+++ b/src/fighead/decisions/interference.py
@@ -124,6 +124,40 @@
     loads: dict[StageId, Load] = field(factory=dict)
 
 
+@frozen
+class LearnedEffect:
+    """One effect, as it is kept for the next scheduler."""
+
+    serving: str
+    filler: str
+    mean: float
+    variance: float
+
+
+@frozen
+class Learned:
+    """What outlives a scheduler; loads are seen anew within seconds."""
+
+    effects: tuple[LearnedEffect, ...] = ()
+
+
+def keep(learned: Interference) -> Learned:
+    """Return what is worth keeping."""
+    return Learned(
+        tuple(
+            LearnedEffect(serving, filler, round(e.mean, 4), round(e.variance, 6))
+            for (serving, filler), e in sorted(learned.effects.items())
+        )
+    )
+
+
+def restore(learned: Interference, kept: Learned) -> None:
+    """Take over what an earlier scheduler has learned, where nothing is known."""
+    for row in kept.effects:
+        pair = (row.serving, row.filler)
+        learned.effects.setdefault(pair, Estimate(row.mean, row.variance))
+
+
 def weigh(cpu: float, capacity_cpu: int) -> float:
     """Return the weight of a filler that uses ``cpu`` millicores.
 
--- a/src/fighead/decisions/placing.py
+++ b/src/fighead/decisions/placing.py
@@ -12,6 +12,7 @@
 from ..job import Demand, JobPhase, Stage, TaskKey
 from ..log import Event
 from ..run import StartRun
+from . import instance_health as health
 from . import sharing
 from .run_end import add_run
 from .schedule_state import (
@@ -164,7 +165,12 @@
 ) -> InstanceState | None:
     usable = _usable(round_, job, stage)
     others = [s for s in usable if s.instance.instance_id not in task.avoided]
-    return max(others or usable, key=lambda s: _fitness(round_, s, stage), default=None)
+    proven = [s for s in others if health.is_proven(s)] if task.failures else []
+    return max(
+        proven or others or usable,
+        key=lambda s: _fitness(round_, s, stage),
+        default=None,
+    )
 
 
 def _usable(round_: Round, job: JobState, stage: StageState) -> list[InstanceState]:
@@ -204,7 +210,7 @@
         state.is_reachable
         and state.is_listed
         and state.is_registered
-        and not state.is_suspect
+        and not health.is_suspect(state, now)
         and not state.instance.is_draining
         and (state.refused_until is None or state.refused_until <= now)
     )
--- a/src/fighead/decisions/run_end.py
+++ b/src/fighead/decisions/run_end.py
@@ -5,6 +5,7 @@
 from ..job import JobPhase, TaskKey
 from ..log import Event
 from ..run import EndKind, Listing, Refusal, RunEnd, RunRow, StopRun
+from . import instance_health as health
 from . import sharing
 from .job_intake import end_job, open_stages
 from .schedule_state import (
@@ -69,6 +70,7 @@
         effects += _drop_missing(schedule, state, listing, sent_at, now)
     state.is_listed = True
     sharing.observe_listing(schedule, state, now)
+    effects += health.judge(schedule, state, now)
     return effects + sharing.pace(schedule, state, now)
 
 
@@ -147,6 +149,8 @@
     if run.phase is RunPhase.ORDERED:
         run.phase = RunPhase.RUNNING
         run.confirmed_at = now
+    if run.first_at is None:
+        run.first_at, run.first_percent = now, row.percent
     if row.percent > run.percent or run.progressed_at is None:
         run.progressed_at = now
     run.percent, run.usage = row.percent, row.usage
@@ -165,6 +169,7 @@
         return []
     run = find_run(schedule, end.task, end.number)
     if run is not None:
+        health.note_end(schedule, state, job, run, end.kind, now)
         release_run(schedule, run)
     task.last_number = max(task.last_number, end.number)
     fields = {"task": _name(end.task), "run": end.number, "kind": end.kind.value}
@@ -194,7 +199,6 @@
     if end.kind is EndKind.FAILED:
         task.failures.add(end.number)
         task.avoided.add(state.instance.instance_id)
-        state.failed_jobs[job.job_id] = now
         schedule.dirty.add(job.job_id)
         if _is_hopeless(job, stage, task):
             reason = f"task {_name(task.key)} failed in runs {sorted(task.failures)}"
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -1,5 +1,6 @@
 """The scheduler's state: jobs, their runs, and the instances they run on."""
 
+import collections
 import datetime as dt
 import enum
 import typing as t
@@ -14,6 +15,9 @@
 #: Run numbers that one term may give to a task.
 RUNS_PER_TERM = 10_000
 
+#: Ends of runs that are remembered of an instance.
+ENDS_KEPT = 16
+
 StageKey = tuple[int, int]
 
 
@@ -33,6 +37,7 @@
     :param confirmed_at: When the instance last answered an order for it; a
         later listing that lacks the run proves that it is gone.
     :param progressed_at: When its percentage last rose.
+    :param first_percent: Its percentage when it was first listed.
     :param pace: Share of full speed in percent that was last ordered.
     :param crawling_since: Since when its pace has been very low.
     :param late_since: Since when a serving task has missed its target.
@@ -48,6 +53,8 @@
     progressed_at: dt.datetime | None = None
     percent: int = 0
     usage: int = 0
+    first_percent: int = 0
+    first_at: dt.datetime | None = None
     pace: int = 100
     crawling_since: dt.datetime | None = None
     late_since: dt.datetime | None = None
@@ -137,6 +144,15 @@
                 yield from task.runs
 
 
+@define(frozen=True)
+class EndNote:
+    """How a run on an instance ended."""
+
+    at: dt.datetime
+    job_id: str
+    is_done: bool
+
+
 @define(eq=False)
 class InstanceState:
     """One instance and what it runs.
@@ -150,6 +166,8 @@
     :param leases_end_at: When everything on it has certainly ended unless it
         is heard from again.
     :param sequence: Highest end that was taken in.
+    :param ends: The last ends of runs, for the judgement of its health.
+    :param suspect_until: Until when it is given no new runs, and why.
     """
 
     instance: Instance
@@ -163,8 +181,11 @@
     is_registered: bool = True
     refused_until: dt.datetime | None = None
     sequence: int = 0
-    failed_jobs: dict[str, dt.datetime] = field(factory=dict)
-    is_suspect: bool = False
+    ends: collections.deque[EndNote] = field(
+        factory=lambda: collections.deque(maxlen=ENDS_KEPT)
+    )
+    suspect_until: dt.datetime | None = None
+    suspicion: str = ""
 
     @property
     def room(self) -> Demand:
@@ -219,6 +240,8 @@
     endings: dict[str, JobPhase] = field(factory=dict)
     is_settled: bool = False
     learned: Interference = field(factory=Interference)
+    #: Usual ratio of run time to its estimate, as a logarithm, by queue.
+    usual_pace: dict[str, float] = field(factory=dict)
 
     @property
     def first_number(self) -> int:
--- a/src/fighead/store.py
+++ b/src/fighead/store.py
@@ -27,6 +27,8 @@
 CANCEL_MARK = "/cancelled"
 JOB_PROGRESS = "fighead/progress/"
 JOB_ENDINGS = "fighead/ended/"
+#: What was learned of how images disturb each other.
+LEARNED = "fighead/learned"
 
 
 @frozen
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -8,15 +8,26 @@
 
 from .. import job_message as m
 from ..clock import Clock, sleep
-from ..codec import from_json
-from ..decisions import instance_watch, job_intake, placing, run_end
+from ..codec import from_json, to_json
+from ..decisions import instance_watch, interference, job_intake, placing, run_end
 from ..decisions.schedule_state import JobState, Note, Order, Schedule
 from ..exceptions import RequestError, StoreError
 from ..job import JobConfig, JobEnding, JobPhase, JobProgress, JobRecord
 from ..log import Event, log_event
 from ..mailbox import Mailbox, receive, spawn
 from ..run import Instance
-from ..store import CANCEL_MARK, JOB_PROGRESS, JOBS, KeyValue, Range
+from ..store import (
+    CANCEL_MARK,
+    JOB_LEADER,
+    JOB_PROGRESS,
+    JOBS,
+    LEARNED,
+    Compare,
+    KeyValue,
+    Put,
+    Range,
+    Txn,
+)
 from . import agent as reports
 from .agent import AgentTask, InstanceClient
 from .call import Call
@@ -42,6 +53,8 @@
 #: Least time between two looks at registrations and at new jobs, of which the
 #: entries also tell directly.
 WATCH_PAUSE = dt.timedelta(milliseconds=300)
+#: How often what was learned is written for the next scheduler.
+KEEP_INTERVAL = dt.timedelta(seconds=5)
 #: Ids of jobs that the store was found not to hold.
 MAX_ABSENT = 10_000
 
@@ -73,6 +86,7 @@
 
     jobs: Snapshot
     progress: Snapshot
+    learned: KeyValue | None
 
 
 @frozen
@@ -141,6 +155,7 @@
             self._recorder.run(),
             self._load(),
             self._keep_ticking(),
+            self._keep_learned(),
         )
         self._futs.extend(spawn(loop) for loop in loops)
 
@@ -158,6 +173,20 @@
             await sleep(self.clock, TICK)
             self.mailbox.offer(Tick())
 
+    async def _keep_learned(self) -> None:
+        while True:
+            await sleep(self.clock, KEEP_INTERVAL)
+            if not self._is_loaded or not self.schedule.learned.effects:
+                continue
+            value = to_json(interference.keep(self.schedule.learned))
+            txn = Txn(
+                (Compare(JOB_LEADER, self.schedule.fence),), (Put(LEARNED, value),)
+            )
+            try:
+                await self.adapter.store.call(txn, STORE_TIMEOUT)
+            except StoreError as exc:
+                log_event(Event.STORE_CALL_FAILED, what="keep", reason=exc.message)
+
     async def _load(self) -> None:
         """Read all jobs once the fence is up at the instances.
 
@@ -172,11 +201,13 @@
             try:
                 jobs = await read_all(self.adapter.store, JOBS)
                 progress = await read_all(self.adapter.store, JOB_PROGRESS)
+                learned = await self.adapter.store.call(Range(LEARNED), STORE_TIMEOUT)
             except StoreError as exc:
                 log_event(Event.STORE_CALL_FAILED, what="load", reason=exc.message)
                 await sleep(self.clock, TICK)
                 continue
-            self.mailbox.offer(Loaded(jobs, progress))
+            kept = next(iter(learned.kvs), None)
+            self.mailbox.offer(Loaded(jobs, progress, kept))
             break
         watch = WatchTask(
             self.adapter.store,
@@ -333,6 +364,9 @@
         for kv in msg.jobs.kvs:
             if kv.key.endswith(CANCEL_MARK):
                 self._take_job_key(kv, now)
+        learned = _read(msg.learned, interference.Learned) if msg.learned else None
+        if learned is not None:
+            interference.restore(self.schedule.learned, learned)
         self._is_loaded = True
         log_event(Event.SCHEDULE_LOADED, jobs=len(self.schedule.jobs))
         self._take_stashed(now)
