Stand with what was known before the lease was granted

Cause: an entry that stood for the empty leader's key read the key's revision only after its lease was granted. Excluded: a lapsed lease (the key was 30 ms old). Change: the expected revisions are taken before the grant.

--- a/src/fighead/decisions/job_intake.py
+++ b/src/fighead/decisions/job_intake.py
@@ -40,10 +40,8 @@
     job.progress_revision = progress_revision
     age = dt.timedelta(milliseconds=now.timestamp() * 1000 - record.accepted_ms)
     # Clocks of entries differ; an age that makes no sense counts as none.
-    accepted_at = now - age if dt.timedelta() < age < dt.timedelta(hours=1) else now
-    job.objective_at = accepted_at + dt.timedelta(
-        milliseconds=queue.objective_ms(record.spec)
-    )
+    is_likely = dt.timedelta() < age < dt.timedelta(hours=1)
+    job.accepted_at = now - age if is_likely else now
     schedule.jobs[record.job_id] = job
     if progress is not None:
         _restore(job, progress)
--- a/src/fighead/decisions/placing.py
+++ b/src/fighead/decisions/placing.py
@@ -13,7 +13,7 @@
 from ..log import Event
 from ..run import StartRun
 from . import instance_health as health
-from . import sharing
+from . import prospects, sharing
 from .run_end import add_run
 from .schedule_state import (
     Effect,
@@ -114,10 +114,15 @@
 
 
 def _urgency(job: JobState, stage: StageState, now: dt.datetime) -> tuple[t.Any, ...]:
-    """Order by priority; jobs that can still be in time go before late ones."""
-    left = job.objective_at - now if job.objective_at else dt.timedelta.max
-    is_late = left < dt.timedelta(milliseconds=stage.spec.estimate_ms)
-    return (job.queue.priority, is_late, job.objective_at, job.job_id)
+    """Order by priority, then by what can still be earned, then by its density.
+
+    In a flood, order of arrival makes every job late. A job that can still be
+    in time goes before one that can only be late, and among equals the one
+    that is worth most for each unit of work that is left.
+    """
+    prospect = prospects.prospect_of(job, now)
+    density = prospects.density_of(job)
+    return (job.queue.priority, prospect, -density, job.job_id)
 
 
 def _place_tasks(round_: Round, job: JobState, stage: StageState) -> list[Effect]:
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -105,7 +105,7 @@
 
     :param revision: Revision of its record in the store.
     :param progress_revision: Revision of its progress there; 0: none.
-    :param objective_at: Until when it is in time.
+    :param accepted_at: When it was accepted, on this entry's clock.
     """
 
     record: JobRecord
@@ -115,7 +115,7 @@
     progress_revision: int = 0
     phase: JobPhase = JobPhase.QUEUED
     reason: str = ""
-    objective_at: dt.datetime | None = None
+    accepted_at: dt.datetime | None = None
     is_cancelled: bool = False
     #: Whether the end has been written.
     is_recorded: bool = False
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -299,15 +299,18 @@
 
     async def _write_key(self) -> None:
         sent_at = self.clock.now()
+        # What the write expects is what this entry stands on now: another may
+        # be elected while the lease is granted.
+        expected = (
+            Compare(JOB_LEADER, self._key.mod_revision),
+            Compare(JOB_TERM, self._term.mod_revision),
+        )
+        leader = Leader(self.me.name, self._next_term(), nonce=self._nonce)
         lease: LeaseResult = await self.store.call(
             LeaseGrant(election.LEADER_TTL_S), STORE_TIMEOUT
         )
-        leader = Leader(self.me.name, self._next_term(), nonce=self._nonce)
         txn = Txn(
-            (
-                Compare(JOB_LEADER, self._key.mod_revision),
-                Compare(JOB_TERM, self._term.mod_revision),
-            ),
+            expected,
             (
                 Put(JOB_LEADER, to_json(leader), lease.lease),
                 Put(JOB_TERM, str(leader.term)),
--- /dev/null
+++ b/tests/memory_store.py
@@ -0,0 +1,200 @@
+"""A key-value service in memory for tests of tasks, with faults to order."""
+
+import datetime as dt
+import json
+
+from attrs import define, field
+from twisted.internet.defer import Deferred
+
+from fighead.clock import sleep
+from fighead.exceptions import (
+    LeaseLostError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from fighead.store import (
+    JOB_LEADER,
+    Delete,
+    KeyValue,
+    LeaseGrant,
+    LeaseKeepAlive,
+    LeaseResult,
+    LeaseRevoke,
+    Put,
+    Range,
+    RangeResult,
+    Txn,
+    TxnResult,
+    WatchBatch,
+    WatchEvent,
+)
+
+
+@define(eq=False)
+class MemoryStore:
+    """Keeps keys, leases and their history.
+
+    :param delay: Time that each call takes.
+    :param grant_delay: Time that the grant of a lease takes besides, one more
+        of it for each grant that came before.
+    :param lose_answers: Number of writes whose answers get lost next.
+    """
+
+    clock: object
+    delay: dt.timedelta = dt.timedelta(milliseconds=4)
+    grant_delay: dt.timedelta = dt.timedelta()
+    is_away: bool = False
+    lose_answers: int = 0
+    revision: int = 1
+    items: dict = field(factory=dict)
+    leases: dict = field(factory=dict)
+    lease_of: dict = field(factory=dict)
+    history: list = field(factory=list)
+    waiting: list = field(factory=list)
+    away_for: str = ""
+    refused_lease: int = 0
+    grants: int = 0
+    calls: int = 0
+
+    def turn_away(self, leader):
+        """Take the leader's key away and refuse its renewals."""
+        self.away_for = leader
+        self.refused_lease = self.lease_of[JOB_LEADER]
+
+    async def call(self, req, timeout):
+        self.calls += 1
+        await sleep(self.clock, self.delay)
+        if isinstance(req, LeaseGrant):
+            self.grants += 1
+            await sleep(self.clock, self.grant_delay * self.grants)
+        self._expire()
+        if self.is_away:
+            raise StoreUnavailableError("away", "wait")
+        if self._is_turned_away(req):
+            raise StoreUnavailableError("turned away", "wait")
+        result = self._carry_out(req)
+        if isinstance(req, Txn) and self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreOutcomeUnknownError("lost", "ask again")
+        return result
+
+    def _is_turned_away(self, req):
+        if not self.away_for:
+            return False
+        if isinstance(req, LeaseKeepAlive):
+            return req.lease == self.refused_lease
+        return any(
+            isinstance(change, Put)
+            and change.key == JOB_LEADER
+            and json.loads(change.value)["name"] == self.away_for
+            for change in getattr(req, "success", ())
+        )
+
+    def _carry_out(self, req):
+        match req:
+            case Range(is_prefix=False):
+                kv = self.items.get(req.key)
+                return RangeResult(self.revision, (kv,) if kv else ())
+            case Range():
+                kvs = [kv for k, kv in sorted(self.items.items()) if k > req.start]
+                kvs = [kv for kv in kvs if kv.key.startswith(req.key)]
+                return RangeResult(self.revision, tuple(kvs))
+            case Txn():
+                return self._commit(req)
+            case LeaseGrant(ttl_s):
+                lease = len(self.leases) + 100
+                self.leases[lease] = (ttl_s, self.clock.now())
+                return LeaseResult(lease, ttl_s)
+            case LeaseKeepAlive(lease):
+                if lease not in self.leases:
+                    return LeaseResult(lease, 0)
+                ttl_s, _ = self.leases[lease]
+                self.leases[lease] = (ttl_s, self.clock.now())
+                return LeaseResult(lease, ttl_s)
+            case LeaseRevoke(lease):
+                self._end(lease)
+                return LeaseResult(lease, 0)
+
+    def _commit(self, txn):
+        found = [
+            self.items.get(compare.key, KeyValue(compare.key))
+            for compare in txn.compares
+        ]
+        is_met = all(
+            kv.mod_revision == compare.mod_revision
+            for kv, compare in zip(found, txn.compares, strict=True)
+        )
+        if not is_met:
+            return TxnResult(False, 0, tuple(kv for kv in found if kv.mod_revision))
+        for change in txn.success:
+            lease = getattr(change, "lease", 0)
+            if lease and lease not in self.leases:
+                raise LeaseLostError("lease", "ask anew")
+        self.revision += 1
+        for change in txn.success:
+            self._change(change)
+        self._wake()
+        return TxnResult(True, self.revision)
+
+    def _change(self, change):
+        if isinstance(change, Delete):
+            if self.items.pop(change.key, None):
+                gone = KeyValue(change.key, "", 0, self.revision)
+                self.history.append(WatchEvent(gone, True))
+            return
+        old = self.items.get(change.key)
+        created = old.create_revision if old else self.revision
+        kv = KeyValue(change.key, change.value, created, self.revision)
+        self.items[change.key] = kv
+        self.lease_of[change.key] = change.lease
+        self.history.append(WatchEvent(kv))
+
+    def _expire(self):
+        for lease, (ttl_s, at) in list(self.leases.items()):
+            if self.clock.now() - at > dt.timedelta(seconds=ttl_s):
+                self._end(lease)
+
+    def _end(self, lease):
+        self.leases.pop(lease, None)
+        self.revision += 1
+        for key in [k for k, held in self.lease_of.items() if held == lease]:
+            self._change(Delete(key))
+        self._wake()
+
+    def put(self, key, value):
+        """Write a key as the operator or an instance would."""
+        return self._commit(Txn(success=(Put(key, value),)))
+
+    def _wake(self):
+        waiting, self.waiting = self.waiting, []
+        for fut in waiting:
+            fut.callback(None)
+
+    async def watch(self, prefix, after, wait):
+        deadline = self.clock.now() + wait
+        while True:
+            await sleep(self.clock, self.delay)
+            self._expire()
+            if self.is_away:
+                raise StoreUnavailableError("away", "wait")
+            events = tuple(
+                event
+                for event in self.history
+                if event.kv.key.startswith(prefix) and event.kv.mod_revision > after
+            )
+            if events or self.clock.now() >= deadline:
+                return WatchBatch(self.revision, events)
+            await self._changed(deadline)
+
+    def _changed(self, deadline):
+        fut = Deferred()
+        self.waiting.append(fut)
+        left = min(deadline - self.clock.now(), dt.timedelta(milliseconds=100))
+
+        def expire():
+            if fut in self.waiting:
+                self.waiting.remove(fut)
+                fut.callback(None)
+
+        self.clock.call_later(left, expire)
+        return fut
