--- a/src/fighead/decisions/placing.py
+++ b/src/fighead/decisions/placing.py
@@ -45,6 +45,9 @@
 NO_IMAGE = 4.0
 MIXED_WITH_SAME = 2.0
 LAST_RESORT = -50.0
+#: How long a serving task is kept from them: half of the 6 s after which one
+#: that could run counts as lost.
+HOLD_BACK_TIME = dt.timedelta(seconds=3)
 #: Share of the instances that is kept free of serving tasks while they fit
 #: elsewhere.
 FREE_SHARE = 0.1
@@ -132,6 +135,7 @@
     effects: list[Effect] = []
     for index in sorted(stage.waiting):
         task = stage.tasks[index]
+        task.waiting_since = task.waiting_since or round_.now
         state = _choose(round_, job, stage, task)
         if state is None:
             if spec.is_filler:
@@ -169,6 +173,8 @@
     round_: Round, job: JobState, stage: StageState, task: TaskState
 ) -> InstanceState | None:
     usable = _usable(round_, job, stage)
+    if _is_held_back(round_, stage, task):
+        usable = [s for s in usable if sharing.serving_runs(s)]
     others = [s for s in usable if s.instance.instance_id not in task.avoided]
     proven = [s for s in others if health.is_proven(s)] if task.failures else []
     return max(
@@ -178,6 +184,18 @@
     )
 
 
+def _is_held_back(round_: Round, stage: StageState, task: TaskState) -> bool:
+    """Whether a serving task leaves the last free instances to other work yet.
+
+    Quick tasks and fillers that disturb all images find room there; a task
+    that waits while there is capacity for it may do so for a few seconds.
+    """
+    if not stage.spec.target_ms or round_.has_spare_instances():
+        return False
+    since = task.waiting_since
+    return since is None or round_.now - since < HOLD_BACK_TIME
+
+
 def _usable(round_: Round, job: JobState, stage: StageState) -> list[InstanceState]:
     usable = [
         state
--- a/src/fighead/decisions/run_end.py
+++ b/src/fighead/decisions/run_end.py
@@ -136,6 +136,7 @@
 ) -> None:
     """Count a run at its instance, its stage and its task."""
     task.runs.append(run)
+    task.waiting_since = None
     task.last_number = max(task.last_number, run.number)
     stage.waiting.discard(task.key.index)
     instance_id = state.instance.instance_id
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -67,6 +67,7 @@
     :param failures: Numbers of the runs that failed.
     :param last_number: Highest number of a run that was ever heard of.
     :param avoided: Instances on which a run of the task has failed.
+    :param waiting_since: Since when it could start, but has no place.
     """
 
     key: TaskKey
@@ -76,6 +77,7 @@
     last_number: int = 0
     runs: list[RunState] = field(factory=list)
     avoided: set[str] = field(factory=set)
+    waiting_since: dt.datetime | None = None
 
 
 @define(eq=False)
