--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -56,6 +56,7 @@
 
     :param cfg: Checked settings.
     :param on_end: Called once the planned stop is complete.
+    :param make_peer: Builds the task that owns the links to the other entries.
     """
 
     cfg: JobSettings
@@ -64,6 +65,7 @@
     clock: Clock
     reactor: t.Any
     on_end: t.Callable[[], None]
+    make_peer: t.Callable[..., PeerTask] = PeerTask
     desk: JobDesk = field(init=False)
     peer: PeerTask = field(init=False)
     leadership: LeadershipTask = field(init=False)
@@ -76,7 +78,7 @@
     def __attrs_post_init__(self) -> None:
         cfg = self.cfg
         self.desk = JobDesk(self.clock, self.adapter.store, self._ask, self._tell)
-        self.peer = PeerTask(
+        self.peer = self.make_peer(
             cfg.name,
             cfg.peer_address,
             CurveKeys(),
--- /dev/null
+++ b/tests/test_job_cluster.py
@@ -0,0 +1,237 @@
+"""Jobs on whole entries without sockets: kills, cuts, lost and late calls."""
+
+import random
+
+import pytest
+
+from fighead.job import JobPhase, JobSpec, Stage
+from job_cluster import JobCluster, has_ended
+
+SHORT = Stage(count=3, cpu=2000, memory_mb=100, estimate_ms=400)
+LONG = Stage(count=4, cpu=3000, memory_mb=100, estimate_ms=2500, is_checkpointed=True)
+TWO_STAGES = JobSpec(
+    "x", (SHORT, Stage(count=2, cpu=1000, memory_mb=1, estimate_ms=600, after=(0,)))
+)
+WATCH = JobSpec("w", (Stage(count=2, cpu=1000, memory_mb=1, is_lasting=True),))
+
+
+def job_id(number):
+    return f"{number:016x}"
+
+
+@pytest.fixture
+def cluster():
+    return JobCluster()
+
+
+def test_a_job_of_two_stages_completes(cluster):
+    cluster.submit(job_id(1), TWO_STAGES)
+    cluster.pass_time(3)
+    assert cluster.phase(job_id(1)) is JobPhase.COMPLETED
+    assert cluster.phase(job_id(2)) is None
+    assert not cluster.breaches()
+
+
+def test_the_same_id_at_another_entry_is_the_same_job(cluster):
+    cluster.submit(job_id(1), TWO_STAGES, entry="e1")
+    cluster.pass_time(3)
+    cluster.submit(job_id(1), TWO_STAGES, entry="e2")
+    cluster.pass_time(3)
+    starts = [e for e in cluster.history if e.event == "started"]
+    assert len(starts) == 5 and not cluster.breaches()
+
+
+def test_a_job_goes_on_after_its_scheduler_was_killed(cluster):
+    cluster.submit(job_id(1), JobSpec("x", (LONG,)))
+    cluster.pass_time(1)
+    cluster.kill(cluster.leader())
+    cluster.pass_time(8)
+    assert cluster.phase(job_id(1)) is JobPhase.COMPLETED
+    starts = [e for e in cluster.history if e.event == "started"]
+    assert len(starts) == 4 and not cluster.breaches()
+
+
+def test_accepted_jobs_outlive_all_entries(cluster):
+    cluster.submit(job_id(1), JobSpec("x", (LONG,)))
+    cluster.submit(job_id(2), TWO_STAGES)
+    cluster.pass_time(0.5)
+    cluster.kill(*cluster.names)
+    cluster.pass_time(2)
+    for name in cluster.names:
+        cluster.boot(name)
+    cluster.pass_time(10)
+    assert cluster.phase(job_id(1)) is JobPhase.COMPLETED
+    assert cluster.phase(job_id(2)) is JobPhase.COMPLETED
+    assert not cluster.breaches()
+
+
+def test_a_leader_whose_key_is_taken_away_is_fenced(cluster):
+    cluster.submit(job_id(1), JobSpec("x", (LONG,)))
+    cluster.pass_time(1)
+    old = cluster.leader()
+    cluster.entries[old].store.is_cut = True
+    cluster.pass_time(8)
+    assert cluster.leader() != old
+    assert not cluster.breaches()
+
+
+def test_a_frozen_leader_wakes_up_deposed(cluster):
+    cluster.submit(job_id(1), JobSpec("x", (LONG, LONG)))
+    cluster.pass_time(1)
+    old = cluster.leader()
+    cluster.entries[old].gate.is_frozen = True
+    cluster.pass_time(5)
+    cluster.entries[old].gate.thaw()
+    cluster.pass_time(8)
+    assert cluster.phase(job_id(1)) is JobPhase.COMPLETED
+    assert not cluster.breaches()
+
+
+def test_a_task_on_a_silent_instance_waits_until_its_lease_has_run_out(cluster):
+    cluster.submit(job_id(1), JobSpec("x", (LONG,)))
+    cluster.pass_time(1)
+    cluster.silent.add("i0")
+    cluster.pass_time(12)
+    assert cluster.phase(job_id(1)) is JobPhase.COMPLETED
+    assert not cluster.breaches()
+
+
+def test_a_task_on_an_instance_that_starts_anew_runs_again(cluster):
+    cluster.submit(job_id(1), JobSpec("x", (LONG,)))
+    cluster.pass_time(1)
+    cluster.crash("i0")
+    cluster.pass_time(10)
+    assert cluster.phase(job_id(1)) is JobPhase.COMPLETED
+    assert not cluster.breaches()
+
+
+def test_a_cancelled_job_is_gone_in_time_also_across_a_takeover(cluster):
+    cluster.submit(job_id(1), WATCH, "watches")
+    cluster.pass_time(1)
+    cluster.cancel(job_id(1))
+    cluster.kill(cluster.leader())
+    cluster.pass_time(6)
+    assert cluster.phase(job_id(1)) is JobPhase.CANCELLED
+    assert not any(m.hold(m.fence, 0, 0).running for m in cluster.machines.values())
+
+
+def test_a_lasting_task_is_restarted_however_it_ends(cluster):
+    cluster.submit(job_id(1), WATCH, "watches")
+    cluster.pass_time(1)
+    cluster.crash("i0")
+    cluster.crash("i1")
+    cluster.pass_time(4)
+    running = [
+        row for m in cluster.machines.values() for row in m.hold(m.fence, 0, 0).running
+    ]
+    assert len(running) == 2 and not cluster.breaches()
+
+
+def test_a_task_that_always_fails_ends_its_job_after_its_attempts(cluster):
+    cluster.failing.add((job_id(1), 1))
+    cluster.submit(job_id(1), TWO_STAGES)
+    cluster.pass_time(4)
+    assert cluster.phase(job_id(1)) is JobPhase.FAILED
+    failed = [e for e in cluster.history if e.event == "failed"]
+    assert len(failed) == 2 and not cluster.breaches()
+
+
+def test_jobs_are_accepted_while_nobody_schedules(cluster):
+    cluster.kill(cluster.leader())
+    cluster.submit(job_id(1), TWO_STAGES)
+    cluster.pass_time(0.2)
+    assert job_id(1) in cluster.accepted
+    cluster.pass_time(8)
+    assert cluster.phase(job_id(1)) is JobPhase.COMPLETED
+
+
+def test_a_write_without_an_answer_is_settled(cluster):
+    cluster.store.lose_answers = 1
+    cluster.submit(job_id(1), TWO_STAGES)
+    cluster.pass_time(4)
+    assert job_id(1) in cluster.accepted
+    assert cluster.phase(job_id(1)) is JobPhase.COMPLETED
+
+
+def test_runs_go_on_while_the_store_is_away(cluster):
+    cluster.submit(job_id(1), JobSpec("x", (LONG,)))
+    cluster.pass_time(1)
+    cluster.store.is_away = True
+    cluster.pass_time(6)
+    cluster.store.is_away = False
+    cluster.pass_time(3)
+    assert cluster.phase(job_id(1)) is JobPhase.COMPLETED
+    starts = [e for e in cluster.history if e.event == "started"]
+    assert len(starts) == 4 and not cluster.breaches()
+
+
+FAULTS = (
+    "kill",
+    "kill all",
+    "cut",
+    "freeze",
+    "silence",
+    "crash",
+    "away",
+    "late",
+    "lose",
+)
+
+
+def strike(cluster, kind):
+    """Begin a fault and return what ends it."""
+    chance = cluster.chance
+    leader = cluster.leader() or cluster.names[0]
+    instance = chance.choice(sorted(cluster.machines))
+    match kind:
+        case "kill":
+            cluster.kill(leader)
+            return lambda: cluster.boot(leader)
+        case "kill all":
+            cluster.kill(*cluster.names)
+            return lambda: [cluster.boot(name) for name in cluster.names]
+        case "cut":
+            cluster.entries[leader].store.is_cut = True
+            return lambda: setattr(cluster.entries[leader].store, "is_cut", False)
+        case "freeze":
+            gate = cluster.entries[leader].gate
+            gate.is_frozen = True
+            return gate.thaw
+        case "silence":
+            cluster.silent.add(instance)
+            return lambda: cluster.silent.discard(instance)
+        case "crash":
+            cluster.crash(instance)
+        case "away":
+            cluster.store.is_away = True
+            return lambda: setattr(cluster.store, "is_away", False)
+        case "late":
+            cluster.late_share = 0.1
+            return lambda: setattr(cluster, "late_share", 0.0)
+        case "lose":
+            cluster.store.lose_answers = 3
+    return lambda: None
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_promises_hold_under_random_faults(seed):
+    cluster = JobCluster(seed)
+    chance = random.Random(seed)
+    for number in range(30):
+        if not cluster.alive():
+            break
+        spec = chance.choice(
+            [TWO_STAGES, JobSpec("x", (LONG,)), JobSpec("y", (SHORT,))]
+        )
+        cluster.submit(job_id(number), spec, chance.choice(["checks", "plans"]))
+        if chance.random() < 0.1 and cluster.accepted:
+            cluster.cancel(chance.choice(sorted(cluster.accepted)))
+        if chance.random() < 0.25:
+            end = strike(cluster, chance.choice(FAULTS))
+            cluster.pass_time(chance.uniform(0.2, 5))
+            end()
+        cluster.pass_time(chance.uniform(0.05, 0.8))
+    cluster.pass_time(45)
+    assert not cluster.breaches()
+    for accepted in cluster.accepted:
+        assert has_ended(cluster.phase(accepted)), accepted
