--- a/src/fighead/cli.py
+++ b/src/fighead/cli.py
@@ -15,8 +15,10 @@
 from .commands import remote as commands
 from .declaration import load_folder, read_register
 from .exceptions import FigheadError, SettingsError
+from .job import MILLICORES, Demand
 from .operator_client import OperatorClient
 from .queries import remote as queries
+from .run import Instance
 from .settings import load_settings, read_address
 from .standins.machine import Interference
 
@@ -65,6 +67,63 @@
         daemon.serve_worker(address, name, slots, memory, rules, guard)
 
 
+class Platform:
+    """An entry on the users' platform, and stand-ins for that platform."""
+
+    def serve(self, settings: str = "") -> None:
+        """Run one entry by the platform's settings file.
+
+        Args:
+            settings: Path of the file; by default the one that the platform names.
+        """
+        # Imported here, since it brings a reactor and fronts of its own.
+        from .platform import daemon as platform_daemon
+
+        platform_daemon.serve(settings)
+
+    def check(self, settings: str) -> None:
+        """Check a platform settings file and name all its faults.
+
+        Args:
+            settings: Path of the file.
+        """
+        from .platform.settings import load_settings as load_platform_settings
+
+        cfg = load_platform_settings(settings)
+        print(f"The settings of entry {cfg.name} have no fault.")
+
+    def store(self, listen: str, seed: int = 0) -> None:
+        """Serve a stand-in for the platform's key-value service.
+
+        Args:
+            listen: IP:port.
+            seed: Seed of the choice of lost answers.
+        """
+        from .platform import standin_daemon
+
+        standin_daemon.serve_store(read_address(listen), seed)
+
+    def instance(
+        self, listen: str, name: str, upstream: str, store: str, cores: int = 64
+    ) -> None:
+        """Serve a stand-in for an instance that registers itself.
+
+        Args:
+            listen: IP:port.
+            name: Id of the instance.
+            upstream: Upstream whose tasks it runs.
+            store: IP:port of the key-value service.
+            cores: Processors; it has 4 GiB of memory for each.
+        """
+        capacity = Demand(cores * MILLICORES, cores * 4096, 0)
+        instance = Instance(
+            name, "", listen, upstream, "demo", capacity, ("a", "rack-1")
+        )
+        from .platform import standin_daemon
+
+        standin_daemon.serve_instance(read_address(listen), instance, store)
+
+
 class Cli:
     """fighead schedules latency-critical and batch work on shared instances.
 
@@ -74,6 +133,7 @@
 
     def __init__(self) -> None:
         self.standin = StandIn()
+        self.platform = Platform()
 
     def serve(self, settings: str) -> None:
         """Run one entry.
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -126,9 +126,9 @@
         @app.route("/", branch=True)
         def ready(request: t.Any) -> bytes:
             if self.is_ready():
-                return b"ready"
+                return b"{}"
             request.setResponseCode(NOT_READY)
-            return b"not ready"
+            return b"{}"
 
         return app
 
--- a/src/fighead/platform/daemon.py
+++ b/src/fighead/platform/daemon.py
@@ -56,12 +56,13 @@
     )
 
 
-def serve() -> None:
+def serve(path: str = "") -> None:
     """Run one entry by the platform's settings until a planned stop.
 
+    :param path: Settings file; by default the one that the platform names.
     :raises SettingsError: If the settings can't be used.
     """
-    path = os.environ.get(PATH_VARIABLE)
+    path = path or os.environ.get(PATH_VARIABLE, "")
     if not path:
         raise SettingsError(
             f"{PATH_VARIABLE} is not set.", "Set it to the path of the settings file."
