Reach the store by way of a peer, and save runs before an instance leaves

Excluded: refusals for want of room (all carried the store's 503). Change: calls that certainly had no effect are repeated by way of the leader or a peer; checkpointed runs stop 1 s before a draining instance may leave.

--- a/src/fighead/decisions/instance_watch.py
+++ b/src/fighead/decisions/instance_watch.py
@@ -6,7 +6,15 @@
 from ..log import Event
 from ..run import Instance, StopRun
 from .run_end import lose_run
-from .schedule_state import Effect, InstanceState, Note, Order, RunPhase, Schedule
+from .schedule_state import (
+    Effect,
+    InstanceState,
+    Note,
+    Order,
+    RunPhase,
+    RunState,
+    Schedule,
+)
 
 #: Most that an instance's steady clock may lag, by the page on running tasks.
 CLOCK_LAG = 0.02
@@ -30,7 +38,7 @@
 
 
 def add_instance(
-    schedule: Schedule, instance: Instance, lease: dt.timedelta
+    schedule: Schedule, instance: Instance, lease: dt.timedelta, now: dt.datetime
 ) -> list[Effect]:
     """Take in a registration."""
     state = schedule.instances.get(instance.instance_id)
@@ -45,7 +53,8 @@
     state.is_registered = True
     state.instance = instance
     if instance.is_draining and not was_draining:
-        fields = {"instance": instance.instance_id}
+        state.leaves_at = now + dt.timedelta(milliseconds=instance.remaining_ms)
+        fields = {"instance": instance.instance_id, "left_ms": instance.remaining_ms}
         return [Note(Event.INSTANCE_DRAINING, fields), *evacuate(state)]
     return []
 
@@ -58,15 +67,26 @@
 
 def evacuate(state: InstanceState) -> list[Effect]:
     """Stop the lasting runs on an instance, so that they start elsewhere."""
+    return _stop(run for run in state.runs.values() if run.stage.is_lasting)
+
+
+def _stop(runs: t.Iterable[RunState]) -> list[Effect]:
     orders: list[Effect] = []
-    for run in state.runs.values():
-        if run.stage.is_lasting and run.phase is not RunPhase.STOPPING:
+    for run in runs:
+        if run.phase is not RunPhase.STOPPING:
             run.phase = RunPhase.STOPPING
             run.confirmed_at = None
             orders.append(Order(run.instance_id, StopRun(run.key, run.number)))
     return orders
 
 
+def _save_work(state: InstanceState, now: dt.datetime) -> list[Effect]:
+    """Stop the checkpointed runs of an instance that is about to leave."""
+    if state.leaves_at is None or now < state.leaves_at - EVACUATION_NOTICE:
+        return []
+    return _stop(run for run in state.runs.values() if run.stage.is_checkpointed)
+
+
 def unregister(schedule: Schedule, instance_ids: t.Iterable[str]) -> list[Effect]:
     """Note that registrations are gone: nothing new starts there."""
     effects: list[Effect] = []
@@ -93,6 +113,7 @@
     """Write off what can't run any more, and settle the schedule."""
     effects: list[Effect] = []
     for state in list(schedule.instances.values()):
+        effects += _save_work(state, now)
         if state.is_reachable or now < state.leases_end_at:
             continue
         effects += _write_off(schedule, state)
--- a/src/fighead/decisions/placing.py
+++ b/src/fighead/decisions/placing.py
@@ -36,7 +36,7 @@
 MIN_FILLER_SHARE = 0.75
 #: What a filler's place costs, in shares of an instance's processors: for a
 #: pressure of 1, and for an instance without serving tasks.
-PRESSURE_PRICE = 8.0
+PRESSURE_PRICE = 16.0
 FREE_INSTANCE_PRICE = 0.6
 #: Worth of an instance to a serving task by the images that serve there; each
 #: outweighs any difference in unused processors.
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -167,6 +167,7 @@
     :param is_registered: Whether the store holds its registration.
     :param leases_end_at: When everything on it has certainly ended unless it
         is heard from again.
+    :param leaves_at: When it may be gone, if it is draining.
     :param sequence: Highest end that was taken in.
     :param ends: The last ends of runs, for the judgement of its health.
     :param suspect_until: Until when it is given no new runs, and why.
@@ -182,6 +183,7 @@
     is_reachable: bool = False
     is_registered: bool = True
     refused_until: dt.datetime | None = None
+    leaves_at: dt.datetime | None = None
     sequence: int = 0
     ends: collections.deque[EndNote] = field(
         factory=lambda: collections.deque(maxlen=ENDS_KEPT)
--- a/src/fighead/decisions/sharing.py
+++ b/src/fighead/decisions/sharing.py
@@ -26,9 +26,9 @@
     Schedule,
 )
 
-#: Pressure kept free below the limit of a serving task when fillers start: twice
-#: the deviation of a load that is listed twice a second.
-START_MARGIN = 0.03
+#: Pressure kept free below the limit of a serving task when fillers start; the
+#: look ahead already covers the rise of its load.
+START_MARGIN = 0.0
 #: Pressure kept free when running fillers are paced.
 PACE_MARGIN = 0.0
 #: How far ahead loads are looked at when a filler starts: half a run.
--- a/src/fighead/exceptions.py
+++ b/src/fighead/exceptions.py
@@ -119,11 +119,18 @@
 
 
 class PeerUnreachableError(FigheadError):
-    """A peer entry gave no answer in time."""
+    """A peer entry gave no answer in time.
+
+    :param is_certain: Whether the message was certainly not sent.
+    """
 
     status = 503
     kind = "peer_unreachable"
 
+    def __init__(self, message: str, remedy: str, is_certain: bool = False) -> None:
+        super().__init__(message, remedy)
+        self.is_certain = is_certain
+
 
 class WorkerError(FigheadError):
     """Base of the errors of a call to an upstream instance."""
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -29,6 +29,7 @@
 from .tasks.call import call
 from .tasks.leadership import ControlView, LeadershipTask
 from .tasks.peer import CurveKeys, PeerTask
+from .tasks.relay import RelayedStore, answer_peer
 from .tasks.scheduler import Adapter, Refenced, SchedulerTask
 from .tasks.watch import Changes, Snapshot, StoreContact, WatchTask
 
@@ -78,7 +79,8 @@
     def __attrs_post_init__(self) -> None:
         cfg = self.cfg
         self._random = random.Random(cfg.seed or None)
-        self.desk = JobDesk(self.clock, self.adapter.store, self._ask, self._tell)
+        relayed = RelayedStore(self.adapter.store, self._ask_store_of_peer)
+        self.desk = JobDesk(self.clock, relayed, self._ask, self._tell)
         self.peer = self.make_peer(
             cfg.name,
             cfg.peer_address,
@@ -262,6 +264,8 @@
                     self.scheduler.mailbox.offer(msg)
             case m.FindPhase() | m.CountPending():
                 return self._ask_here(msg)
+            case m.StoreAsked():
+                return Deferred.fromCoroutine(answer_peer(self.adapter.store, msg))
         return None
 
     def _take_beacon(self, sender: str, leader: Leader | None, version: int) -> None:
@@ -291,6 +295,18 @@
             )
         return self.peer.ask(leader.name, msg, ASK_TIMEOUT)
 
+    def _ask_store_of_peer(
+        self, asked: m.StoreAsked, timeout: dt.timedelta
+    ) -> Deferred[m.StoreAnswer]:
+        """Ask the leader, or else a peer by chance, to call the store."""
+        peers = sorted(self.peer.peers())
+        if not peers:
+            raise PeerUnreachableError("There is no peer.", "Retry later.", True)
+        leader = self.desk.view.leader
+        is_led = leader is not None and leader.name in peers
+        name = leader.name if is_led and leader else self._random.choice(peers)
+        return self.peer.ask(name, asked, timeout)
+
     def _ask_here(self, msg: t.Any) -> t.Any:
         if self.scheduler is None:
             return m.NotScheduler()
--- a/src/fighead/job_message.py
+++ b/src/fighead/job_message.py
@@ -4,6 +4,7 @@
 
 from .decisions.election import Leader
 from .job import JobConfig, JobPhase, JobRecord
+from .store import Range, RangeResult, Txn, TxnResult
 
 
 @frozen
@@ -71,6 +72,26 @@
     """The entry that was asked does not schedule."""
 
 
+@frozen
+class StoreAsked:
+    """Asks a peer to carry out a request at the store: a write or a read."""
+
+    txn: Txn | None = None
+    read: Range | None = None
+
+
+@frozen
+class StoreAnswer:
+    """What became of a peer's request; nothing at all means no effect.
+
+    :param is_uncertain: Whether the write may have had its effect.
+    """
+
+    result: TxnResult | None = None
+    page: RangeResult | None = None
+    is_uncertain: bool = False
+
+
 JOB_MESSAGES: dict[str, type] = {
     cls.__name__: cls
     for cls in (
@@ -84,5 +105,7 @@
         CountPending,
         PendingIs,
         NotScheduler,
+        StoreAsked,
+        StoreAnswer,
     )
 }
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -338,7 +338,9 @@
         known = self.schedule.instances.get(instance_id)
         if known is not None and instance_watch.is_reborn(known, instance):
             self._take_reborn(instance_id)
-        effects = instance_watch.add_instance(self.schedule, instance, self.lease)
+        effects = instance_watch.add_instance(
+            self.schedule, instance, self.lease, self.clock.now()
+        )
         if instance_id not in self.agents:
             self._add_agent(instance)
         self._carry_out(effects)
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -369,6 +369,13 @@
         self.machines[name] = reborn(self.machines[name], incarnation)
         self.register(name)
 
+    def drain(self, name, remaining_ms):
+        machine = self.machines[name]
+        machine.instance = evolve(
+            machine.instance, is_draining=True, remaining_ms=remaining_ms
+        )
+        self.register(name)
+
     # Clients.
 
     def submit(self, job_id, spec, queue="plans", entry=None):
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -31,7 +31,7 @@
     instance = Instance(
         name, "1", "10.0.0.1:80", "mill", "z", room, ("a", rack), **fields
     )
-    instance_watch.add_instance(schedule, instance, LEASE)
+    instance_watch.add_instance(schedule, instance, LEASE, START)
     state = schedule.instances[name]
     state.is_reachable = state.is_listed = True
     return state
