Tell the lives of an instance apart in reports and acknowledgements

Cause: ends were acknowledged by the id of an instance. Excluded: a late order, since each of these starts was answered. Change: reports and acknowledgements carry the identity of the life; what was said of another one is ignored. Seed 290 is kept.

--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -77,7 +77,7 @@
     :param leases_end_at: When everything there ends unless it is heard again.
     """
 
-    instance_id: str
+    identity: str
     listing: Listing
     sent_at: dt.datetime
     leases_end_at: dt.datetime
@@ -90,7 +90,7 @@
     :param leases_end_at: As for :class:`Listed`.
     """
 
-    instance_id: str
+    identity: str
     reason: str
     leases_end_at: dt.datetime
 
@@ -99,21 +99,21 @@
 class Reborn:
     """An instance has started anew under its id."""
 
-    instance_id: str
+    identity: str
 
 
 @frozen
 class Deposed:
     """An instance has seen a higher fence."""
 
-    instance_id: str
+    identity: str
 
 
 @frozen
 class StartAnswered:
     """The answer to a start; ``refusal`` is ``None`` if the run was started."""
 
-    instance_id: str
+    identity: str
     task: TaskKey
     number: int
     refusal: Refusal | None
@@ -123,7 +123,7 @@
 class StartUnanswered:
     """A start may or may not have been carried out, or may be later."""
 
-    instance_id: str
+    identity: str
     task: TaskKey
     number: int
 
@@ -132,7 +132,7 @@
 class StopAnswered:
     """An instance confirmed a stop."""
 
-    instance_id: str
+    identity: str
     task: TaskKey
     number: int
 
@@ -170,9 +170,9 @@
     _fut: t.Any = None
 
     @property
-    def instance_id(self) -> str:
-        """Id of the instance."""
-        return self.client.instance.instance_id
+    def identity(self) -> str:
+        """Name of the life of the instance that is called."""
+        return self.client.instance.identity
 
     def start(self) -> None:
         """Begin to serve the mailbox and to list."""
@@ -242,12 +242,12 @@
 
     def _report_silence(self, reason: str) -> None:
         self._is_answering = False
-        self.report(Silent(self.instance_id, reason, self._bound()))
+        self.report(Silent(self.identity, reason, self._bound()))
 
     def _deliver(self, listing: Listing, sent_at: dt.datetime) -> bool:
         """Report a listing; whether it holds an end that is new."""
         self._clock_ms, self._clock_at = listing.clock_ms, self.clock.now()
-        self.report(Listed(self.instance_id, listing, sent_at, self._bound()))
+        self.report(Listed(self.identity, listing, sent_at, self._bound()))
         last = listing.ended[-1].sequence if listing.ended else 0
         is_news, self._seen = last > self._seen, max(last, self._seen)
         return is_news
@@ -255,10 +255,10 @@
     def _explain(self, exc: WorkerError) -> None:
         if isinstance(exc, WorkerRefusedError):
             if exc.reason == Refusal.FENCED.value:
-                self.report(Deposed(self.instance_id))
+                self.report(Deposed(self.identity))
                 return
             if exc.reason == Refusal.OTHER_INCARNATION.value:
-                self.report(Reborn(self.instance_id))
+                self.report(Reborn(self.identity))
                 return
         self._report_silence(exc.message)
 
@@ -277,14 +277,14 @@
                 await sleep(self.clock, RETRY_PAUSE)
                 continue
             if refusal is Refusal.FENCED:
-                self.report(Deposed(self.instance_id))
+                self.report(Deposed(self.identity))
                 return
             self._report_start(order, refusal)
             return
-        self.report(StartUnanswered(self.instance_id, order.task, order.number))
+        self.report(StartUnanswered(self.identity, order.task, order.number))
 
     def _report_start(self, order: StartRun, refusal: Refusal | None) -> None:
-        answer = StartAnswered(self.instance_id, order.task, order.number, refusal)
+        answer = StartAnswered(self.identity, order.task, order.number, refusal)
         self.report(answer)
 
     async def _stop(self, order: StopRun) -> None:
@@ -297,12 +297,12 @@
                 continue
             except WorkerRefusedError as exc:
                 if exc.reason == Refusal.FENCED.value:
-                    self.report(Deposed(self.instance_id))
+                    self.report(Deposed(self.identity))
                     return
                 if exc.reason == Refusal.UNHEALTHY.value:
                     await sleep(self.clock, RETRY_PAUSE * 2)
                     continue
-            self.report(StopAnswered(self.instance_id, order.task, order.number))
+            self.report(StopAnswered(self.identity, order.task, order.number))
             return
 
     async def _pace(self, order: PaceRun) -> None:
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -389,12 +389,15 @@
     # What instances say.
 
     def _take_report(self, msg: reports.AgentReport, now: dt.datetime) -> None:
-        state = self.schedule.instances.get(msg.instance_id)
-        if state is None:
+        instance_id = msg.identity.rpartition("/")[0]
+        state = self.schedule.instances.get(instance_id)
+        agent = self.agents.get(instance_id)
+        # What was said of an earlier life says nothing of this one.
+        if state is None or agent is None or agent.identity != msg.identity:
             return
         match msg:
             case reports.Listed():
-                self._stashed[msg.instance_id] = msg
+                self._stashed[instance_id] = msg
                 instance_watch.note_contact(state, msg.leases_end_at)
                 self._take_stashed(now)
             case reports.Silent(_, reason, leases_end_at):
@@ -402,13 +405,13 @@
                 if state.is_reachable:
                     state.is_reachable = False
                     log_event(
-                        Event.INSTANCE_SILENT, instance=msg.instance_id, reason=reason
+                        Event.INSTANCE_SILENT, instance=instance_id, reason=reason
                     )
             case reports.Deposed():
-                log_event(Event.SCHEDULER_FENCED, instance=msg.instance_id)
+                log_event(Event.SCHEDULER_FENCED, instance=instance_id)
                 self.depose()
             case reports.Reborn():
-                self._take_reborn(msg.instance_id)
+                self._take_reborn(instance_id)
             case reports.StartAnswered(_, task, number, refusal):
                 self._carry_out(
                     run_end.take_start(self.schedule, task, number, refusal, now)
@@ -432,8 +435,8 @@
         agent = self.agents.pop(instance_id, None)
         if agent is not None:
             agent.stop()
+            self._acknowledged.pop(agent.identity, None)
         self._stashed.pop(instance_id, None)
-        self._acknowledged.pop(instance_id, None)
 
     def _take_stashed(self, now: dt.datetime) -> None:
         """Take in listings, unless a job in one has to be asked for first."""
@@ -515,17 +518,20 @@
         self._recorder.mailbox.offer(Record(self.schedule.fence, writes))
 
     def _new_marks(self) -> dict[str, int]:
-        return {
-            instance_id: state.sequence
-            for instance_id, state in self.schedule.instances.items()
-            if state.sequence > self._acknowledged.get(instance_id, 0)
-        }
+        """Return the highest end taken in from each life of an instance."""
+        marks = {}
+        for instance_id, agent in self.agents.items():
+            state = self.schedule.instances.get(instance_id)
+            known = self._acknowledged.get(agent.identity, 0)
+            if state is not None and state.sequence > known:
+                marks[agent.identity] = state.sequence
+        return marks
 
     def _acknowledge(self, marks: dict[str, int]) -> None:
-        for instance_id, sequence in marks.items():
-            agent = self.agents.get(instance_id)
-            if agent is not None:
-                self._acknowledged[instance_id] = sequence
+        for agent in self.agents.values():
+            sequence = marks.get(agent.identity)
+            if sequence is not None:
+                self._acknowledged[agent.identity] = sequence
                 agent.mailbox.offer(reports.Acknowledge(sequence))
 
     def _take_recorded(self, msg: Recorded) -> None:
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -213,7 +213,12 @@
     return lambda: None
 
 
-@pytest.mark.parametrize("seed", range(24))
+#: Seeds that once broke a promise: 290, an acknowledgement for the last life of
+#: an instance was sent to its next one.
+REGRESSIONS = (290,)
+
+
+@pytest.mark.parametrize("seed", [*range(24), *REGRESSIONS])
 def test_promises_hold_under_random_faults(seed):
     cluster = JobCluster(seed)
     chance = random.Random(seed)
