Serve counters and latency histograms of jobs

Cause: on-call engineers had no figures of the platform's path. Change: OpenTelemetry instruments with bounded labels on port 9464.

--- a/src/fighead/commands/job.py
+++ b/src/fighead/commands/job.py
@@ -60,6 +60,16 @@
 
     The same id again is the same job, whichever entry it arrives at.
     """
+    started_at = desk.clock.now()
+    outcome = await _store_job(desk, queue, job_id, spec, give_up_at)
+    took = desk.clock.now() - started_at
+    desk.metrics.count_request(queue.name, type(outcome).__name__.lower(), took)
+    return outcome
+
+
+async def _store_job(
+    desk: JobDesk, queue: Queue, job_id: str, spec: JobSpec, give_up_at: dt.datetime
+) -> Accepted | NotAccepted | Uncertain:
     accepted_ms = int(desk.clock.now().timestamp() * 1000)
     record = JobRecord(job_id, queue.name, queue.upstream, spec, accepted_ms)
     txn = Txn(
--- a/src/fighead/job_desk.py
+++ b/src/fighead/job_desk.py
@@ -7,6 +7,7 @@
 
 from .clock import Clock
 from .job import JobConfig
+from .job_metric import JobMetrics
 from .tasks.leadership import ControlView
 from .tasks.watch import StoreClient
 
@@ -25,6 +26,7 @@
     store: StoreClient
     ask: t.Callable[[t.Any], Deferred[t.Any]]
     tell: t.Callable[[t.Any], None]
+    metrics: JobMetrics
     config: JobConfig | None = None
     view: ControlView = field(factory=ControlView)
     in_flight: int = 0
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -20,6 +20,7 @@
 from .fronts.site import make_site
 from .job import JobConfig
 from .job_desk import JobDesk
+from .job_metric import JobMetrics, make_metrics_app
 from .job_settings import JobSettings
 from .log import Event, log_event
 from .mailbox import spawn
@@ -67,6 +68,7 @@
     reactor: t.Any
     on_end: t.Callable[[], None]
     make_peer: t.Callable[..., PeerTask] = PeerTask
+    metrics: JobMetrics = field(init=False)
     desk: JobDesk = field(init=False)
     peer: PeerTask = field(init=False)
     leadership: LeadershipTask = field(init=False)
@@ -80,7 +82,8 @@
         cfg = self.cfg
         self._random = random.Random(cfg.seed or None)
         relayed = RelayedStore(self.adapter.store, self._ask_store_of_peer)
-        self.desk = JobDesk(self.clock, relayed, self._ask, self._tell)
+        self.metrics = JobMetrics(cfg.name)
+        self.desk = JobDesk(self.clock, relayed, self._ask, self._tell, self.metrics)
         self.peer = self.make_peer(
             cfg.name,
             cfg.peer_address,
@@ -116,6 +119,8 @@
         front = JobFront(self.desk, self.codec)
         self._listen(self.cfg.client_address, front.app.resource())
         self._listen(self.cfg.ready_address, self._make_ready_app().resource())
+        if self.cfg.metrics_address is not None:
+            self._listen(self.cfg.metrics_address, make_metrics_app().resource())
         log_event(Event.ENTRY_STARTED, availability_zone=self.cfg.zone)
 
     def _listen(self, address: ListenAddress, resource: t.Any) -> None:
@@ -192,6 +197,7 @@
         if known is not None and cfg.version <= known.version:
             return
         self.desk.config = cfg
+        self.metrics.note_version(cfg.version)
         log_event(Event.CONFIG_APPLIED, version=cfg.version, source=source)
         if self.scheduler is not None:
             self.scheduler.mailbox.offer(cfg)
@@ -219,7 +225,9 @@
             self.cfg.lease,
             self._may_act,
             lambda: self.leadership.mailbox.offer(leadership.Fenced()),
+            self.metrics,
         )
+        self.metrics.note_leading(True)
         self.scheduler.start()
         self._tell_peers()
 
@@ -227,6 +235,7 @@
         if self.scheduler is not None:
             self.scheduler.stop()
             self.scheduler = None
+            self.metrics.note_leading(False)
 
     def _may_act(self) -> bool:
         confirmed_at = self.leadership.confirmed_at
--- a/src/fighead/platform/settings.py
+++ b/src/fighead/platform/settings.py
@@ -11,6 +11,9 @@
 #: Variable that holds the path of the settings file.
 PATH_VARIABLE = "FIGHEAD_BOOT"
 
+#: Port on which metrics are served, as deploy/system.toml names it.
+METRICS_PORT = 9464
+
 Json = dict[str, t.Any]
 
 
@@ -43,6 +46,7 @@
         "client_address": _address(listen, "Front", faults),
         "ready_address": _address(listen, "Ready", faults),
         "peer_address": _peer_address(body, faults),
+        "metrics_address": _metrics_address(body),
         "store_address": _take(store, "Address", str, faults),
         # Address of the service that says which instances may run a stage.
         "advice_address": body.get("Advice", ""),
@@ -94,6 +98,11 @@
     return f"tcp://{ip}:{ports[0]}"
 
 
+def _metrics_address(body: Json) -> ListenAddress | None:
+    ip = body.get("Ip")
+    return ListenAddress(ip, METRICS_PORT) if isinstance(ip, str) else None
+
+
 def _milliseconds(body: Json, name: str, faults: list[str]) -> dt.timedelta:
     value = _take(body, name, (int, float), faults)
     return dt.timedelta(milliseconds=value or 0)
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -13,6 +13,7 @@
 from ..decisions.schedule_state import JobState, Note, Order, Schedule
 from ..exceptions import RequestError, StoreError
 from ..job import JobConfig, JobEnding, JobPhase, JobProgress, JobRecord
+from ..job_metric import JobMetrics
 from ..log import Event, log_event
 from ..mailbox import Mailbox, receive, spawn
 from ..run import Instance
@@ -120,6 +121,7 @@
     lease: dt.timedelta
     may_act: t.Callable[[], bool]
     depose: t.Callable[[], None]
+    metrics: JobMetrics
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("scheduler", 65536))
     agents: dict[str, AgentTask] = field(factory=dict)
     _recorder: RecorderTask = field(init=False)
@@ -185,7 +187,7 @@
             try:
                 await self.adapter.store.call(txn, STORE_TIMEOUT)
             except StoreError as exc:
-                log_event(Event.STORE_CALL_FAILED, what="keep", reason=exc.message)
+                self._note_store_failure("keep", exc)
 
     async def _load(self) -> None:
         """Read all jobs once the fence is up at the instances.
@@ -203,7 +205,7 @@
                 progress = await read_all(self.adapter.store, JOB_PROGRESS)
                 learned = await self.adapter.store.call(Range(LEARNED), STORE_TIMEOUT)
             except StoreError as exc:
-                log_event(Event.STORE_CALL_FAILED, what="load", reason=exc.message)
+                self._note_store_failure("load", exc)
                 await sleep(self.clock, TICK)
                 continue
             kept = next(iter(learned.kvs), None)
@@ -219,6 +221,10 @@
         )
         self._futs.append(spawn(watch.run()))
 
+    def _note_store_failure(self, what: str, exc: StoreError) -> None:
+        log_event(Event.STORE_CALL_FAILED, what=what, reason=exc.message)
+        self.metrics.count_store_failure(what)
+
     def _is_fenced(self) -> bool:
         return bool(self.agents) and self._stashed.keys() >= self.agents.keys()
 
@@ -290,6 +296,7 @@
                         agent.mailbox.offer(order)
                 case Note(event, fields):
                     log_event(event, **fields)
+                    self.metrics.count_event(event, fields)
 
     # Jobs and instances as the store holds them.
 
@@ -466,7 +473,8 @@
             try:
                 record = await store.call(Range(JOBS + job_id), STORE_TIMEOUT)
                 progress = await store.call(Range(JOB_PROGRESS + job_id), STORE_TIMEOUT)
-            except StoreError:
+            except StoreError as exc:
+                self._note_store_failure("verify", exc)
                 await sleep(self.clock, TICK)
                 continue
             found = [next(iter(r.kvs), None) for r in (record, progress)]
@@ -541,15 +549,25 @@
             if job is None:
                 continue
             if isinstance(write.value, JobEnding):
-                job.is_recorded = True
-                log_event(
-                    Event.JOB_RECORDED, job=job.job_id, phase=write.value.phase.value
-                )
+                self._note_recorded(job, write.value)
                 job_intake.forget_job(self.schedule, job.job_id)
             else:
                 job.progress_revision = msg.revisions[write.job_id]
         self._acknowledge(self._marks)
 
+    def _note_recorded(self, job: JobState, ending: JobEnding) -> None:
+        job.is_recorded = True
+        took = self.clock.now() - (job.accepted_at or self.clock.now())
+        phase, queue = ending.phase.value, job.record.queue
+        log_event(
+            Event.JOB_RECORDED,
+            job=job.job_id,
+            queue=queue,
+            phase=phase,
+            took_ms=int(took.total_seconds() * 1000),
+        )
+        self.metrics.count_end(queue, phase, took)
+
     def _refence(self, fence: int) -> None:
         self.schedule.fence = fence
         for agent in self.agents.values():
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -52,7 +52,9 @@
 
 def test_every_metric_is_documented():
     text = read("metrics.md")
-    source = (ROOT / "src" / "fighead" / "metric.py").read_text()
+    folder = ROOT / "src" / "fighead"
+    source = (folder / "metric.py").read_text()
+    source += (folder / "job_metric.py").read_text()
     for name in re.findall(r'"(fighead\.[a-z.]+)"', source):
         assert f"`{name}`" in text, name
 
