Repeat a write without an answer by way of a peer

Excluded: a store that was down for all. Also fighead explain, which prints the history of a job from logs.

--- a/src/fighead/cli.py
+++ b/src/fighead/cli.py
@@ -7,6 +7,7 @@
 import sys
 import typing as t
 
+import attrs
 import fire
 import zmq
 
@@ -18,6 +19,7 @@
 from .job import MILLICORES, Demand
 from .operator_client import OperatorClient
 from .queries import remote as queries
+from .queries.explain import explain
 from .run import Instance
 from .settings import load_settings, read_address
 from .standins.machine import Interference
@@ -152,6 +154,23 @@
             inventory = load_folder(declarations)
             print(f"{len(inventory.instances)} instances, no fault.")
 
+    @fire.decorators.SetParseFns(name=str)
+    def explain(self, name: str, *logs: str, json: bool = False) -> None:
+        """Print what the logs of all entries say of a job, task or instance.
+
+        Args:
+            name: Id of the job, name of a task, or id of an instance.
+            logs: Files to read; standard input if there are none.
+            json: Whether to print JSON.
+        """
+        lines = explain(_read_logs(logs), str(name))
+        if json:
+            _print_json([attrs.asdict(line) for line in lines])
+        else:
+            print("\n".join(line.render() for line in lines) or "nothing is logged")
+        if not lines:
+            sys.exit(EXIT_BROKEN)
+
     def register(self, csv: str) -> None:
         """Print declarations of instances from an asset register in CSV."""
         print(read_register(pathlib.Path(csv).read_text(encoding="utf-8")), end="")
@@ -336,6 +355,19 @@
         console.run(main)
 
 
+def _read_logs(paths: t.Sequence[str]) -> t.Iterator[str]:
+    if not paths:
+        yield from sys.stdin
+    for path in paths:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as file:
+                yield from file
+        except OSError as exc:
+            raise SettingsError(
+                f"{path} can't be read: {exc}.", "Give the path of a log file."
+            ) from exc
+
+
 def _client(operator: str) -> OperatorClient:
     token = os.environ.get(TOKEN_VARIABLE, "")
     if not token:
--- a/src/fighead/commands/job.py
+++ b/src/fighead/commands/job.py
@@ -76,7 +76,7 @@
         (Compare(JOBS + job_id, 0), Compare(JOB_ENDINGS + job_id, 0)),
         (Put(JOBS + job_id, to_json(record)),),
     )
-    is_certain, reason = True, ""
+    is_certain, reason = True, "The client waits no longer."
     while desk.clock.now() < give_up_at:
         left = min(STORE_TIMEOUT, give_up_at - desk.clock.now())
         try:
--- a/src/fighead/decisions/instance_health.py
+++ b/src/fighead/decisions/instance_health.py
@@ -188,7 +188,7 @@
         return []
     run.phase = RunPhase.STOPPING
     run.confirmed_at = None
-    fields = {"task": run.key, "run": run.number, "instance": run.instance_id}
+    fields = {"task": str(run.key), "run": run.number, "instance": run.instance_id}
     return [
         Note(Event.RUN_MOVED, fields),
         Order(run.instance_id, StopRun(run.key, run.number)),
--- a/src/fighead/decisions/placing.py
+++ b/src/fighead/decisions/placing.py
@@ -9,7 +9,7 @@
 
 from attrs import define, field
 
-from ..job import Demand, JobPhase, Stage, TaskKey
+from ..job import Demand, JobPhase, Stage
 from ..log import Event
 from ..run import StartRun
 from . import instance_health as health
@@ -164,7 +164,7 @@
         job.phase = JobPhase.RUNNING
     checkpoint = task.checkpoint if stage.spec.is_checkpointed else ""
     order = StartRun(task.key, number, job.record.spec.payload, checkpoint)
-    fields = {"task": _name(task.key), "run": number, "instance": instance_id}
+    fields = {"task": str(task.key), "run": number, "instance": instance_id}
     fields["cpu_room"] = state.room.cpu
     return [Note(Event.RUN_ORDERED, fields), Order(instance_id, order)]
 
@@ -345,7 +345,3 @@
         and (not label or label in state.instance.labels)
         for state in schedule.instances.values()
     )
-
-
-def _name(key: TaskKey) -> str:
-    return f"{key.job_id}.{key.occurrence}.{key.stage}.{key.index}"
--- a/src/fighead/decisions/run_end.py
+++ b/src/fighead/decisions/run_end.py
@@ -85,7 +85,7 @@
     task = job.task(row.task) if job else None
     if job is None or task is None or not _may_adopt(job, task):
         stop = StopRun(row.task, row.number)
-        fields = {"task": _name(row.task), "run": row.number}
+        fields = {"task": str(row.task), "run": row.number}
         fields["instance"] = state.instance.instance_id
         return [
             Note(Event.RUN_UNWANTED, fields),
@@ -126,7 +126,7 @@
     _note_progress(schedule, run, row, now)
     if job.phase is JobPhase.QUEUED:
         job.phase = JobPhase.RUNNING
-    fields = {"task": _name(task.key), "run": row.number, "percent": row.percent}
+    fields = {"task": str(task.key), "run": row.number, "percent": row.percent}
     fields["instance"] = state.instance.instance_id
     return [Note(Event.RUN_ADOPTED, fields)]
 
@@ -173,7 +173,7 @@
         health.note_end(schedule, state, job, run, end.kind, now)
         release_run(schedule, run)
     task.last_number = max(task.last_number, end.number)
-    fields = {"task": _name(end.task), "run": end.number, "kind": end.kind.value}
+    fields = {"task": str(end.task), "run": end.number, "kind": end.kind.value}
     fields |= {"instance": state.instance.instance_id, "sequence": end.sequence}
     return [
         Note(Event.RUN_ENDED, fields),
@@ -202,7 +202,7 @@
         task.avoided.add(state.instance.instance_id)
         schedule.dirty.add(job.job_id)
         if _is_hopeless(job, stage, task):
-            reason = f"task {_name(task.key)} failed in runs {sorted(task.failures)}"
+            reason = f"task {str(task.key)} failed in runs {sorted(task.failures)}"
             return end_job(schedule, job, JobPhase.FAILED, reason)
     if not task.runs:
         stage.waiting.add(task.key.index)
@@ -286,7 +286,7 @@
         is_settled = run.confirmed_at is not None and run.confirmed_at < sent_at
         if identity in listed or not is_settled:
             continue
-        fields = {"task": _name(run.key), "run": run.number}
+        fields = {"task": str(run.key), "run": run.number}
         fields["instance"] = run.instance_id
         effects.append(Note(Event.RUN_MISSING, fields))
         lose_run(schedule, run)
@@ -319,7 +319,7 @@
         # It has been there and has ended; the next listing tells how.
         run.confirmed_at = now
         return []
-    fields = {"task": _name(key), "run": number, "reason": refusal.value}
+    fields = {"task": str(key), "run": number, "reason": refusal.value}
     fields["instance"] = run.instance_id
     lose_run(schedule, run)
     return [Note(Event.START_REFUSED, fields)]
@@ -331,7 +331,7 @@
     if run is None or run.phase is not RunPhase.ORDERED:
         return []
     run.phase = RunPhase.STOPPING
-    fields = {"task": _name(key), "run": number, "instance": run.instance_id}
+    fields = {"task": str(key), "run": number, "instance": run.instance_id}
     return [
         Note(Event.START_UNANSWERED, fields),
         Order(run.instance_id, StopRun(key, number)),
@@ -346,7 +346,3 @@
     if run is not None:
         run.confirmed_at = now
     return []
-
-
-def _name(key: TaskKey) -> str:
-    return f"{key.job_id}.{key.occurrence}.{key.stage}.{key.index}"
--- a/src/fighead/decisions/sharing.py
+++ b/src/fighead/decisions/sharing.py
@@ -267,7 +267,7 @@
     elif percent > CRAWL:
         run.crawling_since = None
     run.pace = percent
-    fields = {"task": run.key, "run": run.number, "percent": percent}
+    fields = {"task": str(run.key), "run": run.number, "percent": percent}
     return [
         Note(Event.RUN_PACED, fields),
         Order(run.instance_id, PaceRun(run.key, run.number, percent)),
@@ -281,7 +281,7 @@
         return []
     run.phase = RunPhase.STOPPING
     run.confirmed_at = None
-    fields = {"task": run.key, "run": run.number, "instance": run.instance_id}
+    fields = {"task": str(run.key), "run": run.number, "instance": run.instance_id}
     return [
         Note(Event.RUN_MOVED, fields),
         Order(run.instance_id, StopRun(run.key, run.number)),
--- a/src/fighead/job.py
+++ b/src/fighead/job.py
@@ -160,6 +160,9 @@
     stage: int
     index: int
 
+    def __str__(self) -> str:
+        return f"{self.job_id}.{self.occurrence}.{self.stage}.{self.index}"
+
 
 @frozen
 class StageProgress:
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -74,6 +74,7 @@
     leadership: LeadershipTask = field(init=False)
     scheduler: SchedulerTask | None = None
     _random: random.Random = field(init=False)
+    _relayed: RelayedStore = field(init=False)
     _heard_at: dt.datetime | None = None
     _is_stopping: bool = False
     _ports: list[t.Any] = field(factory=list)
@@ -81,9 +82,13 @@
     def __attrs_post_init__(self) -> None:
         cfg = self.cfg
         self._random = random.Random(cfg.seed or None)
-        relayed = RelayedStore(self.adapter.store, self._ask_store_of_peer)
+        self._relayed = RelayedStore(
+            self.adapter.store, self.clock, self._ask_store_of_peer
+        )
         self.metrics = JobMetrics(cfg.name)
-        self.desk = JobDesk(self.clock, relayed, self._ask, self._tell, self.metrics)
+        self.desk = JobDesk(
+            self.clock, self._relayed, self._ask, self._tell, self.metrics
+        )
         self.peer = self.make_peer(
             cfg.name,
             cfg.peer_address,
@@ -178,6 +183,7 @@
 
     def _take_config_keys(self, msg: Snapshot | Changes | StoreContact) -> None:
         if isinstance(msg, StoreContact):
+            self._relayed.note_contact(msg.is_reached)
             return
         kvs = (
             msg.kvs
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -18,6 +18,7 @@
 from fighead.commands import job as commands
 from fighead.exceptions import (
     PeerUnreachableError,
+    StoreOutcomeUnknownError,
     StoreUnavailableError,
     WorkerError,
     WorkerUnreachableError,
@@ -112,8 +113,12 @@
     store: MemoryStore
     gate: Gate
     is_cut: bool = False
+    is_reset: bool = False
 
     async def call(self, req, timeout):
+        if self.is_reset:
+            await self.gate.passed(None)
+            raise StoreOutcomeUnknownError("reset", "again")
         return await self._guard(lambda: self.store.call(req, timeout))
 
     async def watch(self, prefix, after, wait):
