Let the store forget ended jobs, and test placing by rule

The leader removes endings after three times the time that they must be known; the scheduler remembers 20,000.

--- a/src/fighead/decisions/job_intake.py
+++ b/src/fighead/decisions/job_intake.py
@@ -17,6 +17,9 @@
     TaskState,
 )
 
+#: Ended jobs that the scheduler remembers; the store tells of older ones.
+ENDINGS_KEPT = 20_000
+
 
 def add_job(
     schedule: Schedule,
@@ -154,5 +157,7 @@
     if job is None or not job.is_recorded or any(True for _ in job.runs()):
         return
     del schedule.jobs[job_id]
+    while len(schedule.endings) >= ENDINGS_KEPT:
+        del schedule.endings[next(iter(schedule.endings))]
     interference.forget(schedule.learned, job_id)
     schedule.endings[job_id] = job.phase
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -232,6 +232,7 @@
             self._may_act,
             lambda fence: self.leadership.mailbox.offer(leadership.Fenced(fence)),
             self.metrics,
+            self.cfg.status_time,
         )
         self.metrics.note_leading(True)
         self.scheduler.start()
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -33,6 +33,7 @@
 from .agent import AgentTask, InstanceClient
 from .call import Call
 from .recorder import JobWrite, LeadershipMissing, Record, Recorded, RecorderTask
+from .sweeper import SweeperTask
 from .watch import (
     STORE_TIMEOUT,
     Changes,
@@ -111,6 +112,7 @@
     """Owns the schedule and the agents of all instances.
 
     :param may_act: Whether the entry may still give orders.
+    :param keep: How long an ended job must be known.
     :param depose: Called with a fence that an instance or the store refused.
     """
 
@@ -122,9 +124,11 @@
     may_act: t.Callable[[], bool]
     depose: t.Callable[[int], None]
     metrics: JobMetrics
+    keep: dt.timedelta
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("scheduler", 65536))
     agents: dict[str, AgentTask] = field(factory=dict)
     _recorder: RecorderTask = field(init=False)
+    _sweeper: SweeperTask = field(init=False)
     _futs: list[t.Any] = field(factory=list)
     _is_loaded: bool = False
     _stashed: dict[str, reports.Listed] = field(factory=dict)
@@ -137,6 +141,9 @@
     _place_call: t.Any = None
 
     def __attrs_post_init__(self) -> None:
+        self._sweeper = SweeperTask(
+            self.adapter.store, self.clock, self.keep, self.schedule.fence
+        )
         self._recorder = RecorderTask(
             self.adapter.store, self.clock, self.mailbox.offer
         )
@@ -158,6 +165,7 @@
             self._load(),
             self._keep_ticking(),
             self._keep_learned(),
+            self._sweeper.run(),
         )
         self._futs.extend(spawn(loop) for loop in loops)
 
@@ -574,7 +582,7 @@
         self.metrics.count_end(queue, phase, took)
 
     def _refence(self, fence: int) -> None:
-        self.schedule.fence = fence
+        self.schedule.fence = self._sweeper.fence = fence
         for agent in self.agents.values():
             agent.mailbox.offer(reports.SetFence(fence))
         # Writes under the old fence may not have been made.
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,271 @@
+"""Tests of where tasks start, and of what fillers do to serving tasks."""
+
+import datetime as dt
+
+from fighead.decisions import instance_health, placing, prospects, run_end, sharing
+from fighead.decisions import interference as learning
+from fighead.decisions.schedule_state import EndNote
+from fighead.job import Demand, JobPhase, JobProgress, Queue, Stage, StageProgress
+from fighead.run import EndKind, PaceRun, StartRun, StopRun
+from job_world import (
+    add_instance,
+    add_job,
+    end,
+    key,
+    listed,
+    make_schedule,
+    orders,
+    row,
+    seconds,
+)
+
+FILLER = Stage(
+    cpu=7000, memory_mb=1, estimate_ms=3000, image="f", is_filler=True,
+    is_checkpointed=True,
+)  # fmt: skip
+SERVING = Stage(cpu=13000, memory_mb=1, is_lasting=True, image="s", target_ms=100)
+
+
+def job_name(number):
+    return f"{number:016x}"
+
+
+def placed(schedule, at=1.0):
+    found = placing.place(schedule, seconds(at))
+    return [
+        (effect.instance_id, effect.order.task)
+        for effect in found
+        if hasattr(effect, "order") and isinstance(effect.order, StartRun)
+    ]
+
+
+def test_nothing_starts_before_all_instances_are_known():
+    schedule = make_schedule()
+    schedule.is_settled = False
+    add_job(schedule)
+    assert not placed(schedule)
+
+
+def test_no_instance_is_given_more_than_it_holds():
+    schedule = make_schedule(("i1", "i2"), capacity=Demand(4000, 1000, 0))
+    add_job(schedule, Stage(count=9, cpu=1500, memory_mb=100))
+    starts = placed(schedule)
+    assert len(starts) == 4
+    assert all(state.room.cpu >= 0 for state in schedule.instances.values())
+
+
+def test_label_and_limit_an_instance_are_kept():
+    schedule = make_schedule(("i1", "i2", "i3"))
+    stage = Stage(count=6, cpu=1, required_label="r1", max_per_instance=2)
+    add_job(schedule, stage)
+    assert [name for name, _ in placed(schedule)] == ["i2", "i2"]
+
+
+def test_a_gang_starts_whole_under_one_number_or_not_at_all():
+    schedule = make_schedule(("i1", "i2"), capacity=Demand(4000, 1000, 0))
+    add_job(schedule, Stage(count=4, cpu=2000, is_gang=True))
+    found = orders(placing.place(schedule, seconds(1)))
+    assert len(found) == 4 and len({order.number for order in found}) == 1
+    add_job(schedule, Stage(count=2, cpu=2000, is_gang=True), job_id=job_name(2))
+    assert not placed(schedule)
+
+
+def test_a_gang_that_needs_one_rack_gets_it():
+    schedule = make_schedule(())
+    for name, rack in (("i1", "r1"), ("i2", "r2"), ("i3", "r2")):
+        add_instance(schedule, name, Demand(4000, 1000, 0), rack)
+    schedule.is_settled = True
+    add_job(schedule, Stage(count=4, cpu=2000, is_gang=True, same_rack=True))
+    assert {name for name, _ in placed(schedule)} == {"i2", "i3"}
+
+
+def test_one_end_of_a_gang_stands_for_all():
+    schedule = make_schedule()
+    job = add_job(schedule, Stage(count=3, cpu=1, is_gang=True))
+    found = orders(placing.place(schedule, seconds(1)))
+    listed(schedule, "i1", ended=[end(1, found[0].task, found[0].number)])
+    assert job.phase is JobPhase.COMPLETED
+
+
+def test_an_occurrence_waits_for_its_time():
+    schedule = make_schedule()
+    due_ms = int(seconds(5).timestamp() * 1000)
+    add_job(schedule, first_due_ms=due_ms, interval_ms=10_000, occurrences=2)
+    assert not placed(schedule, 4.9)
+    assert [task.occurrence for _, task in placed(schedule, 5)] == [0]
+    assert [task.occurrence for _, task in placed(schedule, 15)] == [1]
+
+
+def test_urgent_jobs_go_first():
+    urgent = Queue("checks", "a.example", "/c/", "mill", 0)
+    schedule = make_schedule(capacity=Demand(1000, 1000, 0))
+    add_job(schedule)
+    later = add_job(schedule, job_id=job_name(2))
+    later.queue = urgent
+    assert [task.job_id for _, task in placed(schedule)] == [job_name(2)]
+
+
+def test_in_a_flood_jobs_that_can_be_in_time_go_before_late_ones():
+    schedule = make_schedule(capacity=Demand(1000, 1000, 0))
+    old = add_job(schedule)
+    add_job(schedule, job_id=job_name(2))
+    old.accepted_at = seconds(-3)
+    assert prospects.prospect_of(old, seconds(1)) is prospects.Prospect.LATE
+    assert [task.job_id for _, task in placed(schedule)] == [job_name(2)]
+
+
+def test_a_checkpoint_goes_with_the_next_start():
+    schedule = make_schedule()
+    add_job(schedule, FILLER)
+    (first,) = orders(placing.place(schedule, seconds(1)))
+    stopped = end(1, first.task, first.number, EndKind.STOPPED, "00ff")
+    listed(schedule, "i1", ended=[stopped])
+    (second,) = orders(placing.place(schedule, seconds(2)))
+    assert second.checkpoint == "00ff" and second.number > first.number
+
+
+def test_restored_failures_and_checkpoints_count():
+    progress = JobProgress((StageProgress(0, 0, "1", {1: (1,)}, {1: "0a"}),))
+    schedule = make_schedule(term=2)
+    add_job(schedule, Stage(count=2, cpu=1, is_checkpointed=True), progress=progress)
+    (order,) = orders(placing.place(schedule, seconds(1)))
+    assert order.task == key(1) and order.checkpoint == "0a"
+    failed = end(1, key(1), order.number, EndKind.FAILED)
+    listed(schedule, "i1", ended=[failed])
+    assert next(iter(schedule.jobs.values())).phase is JobPhase.FAILED
+
+
+# Fillers and serving tasks.
+
+
+def with_serving(tail=20.0, load_at=1.0):
+    """A schedule with a serving task whose tail has been listed for a while."""
+    schedule = make_schedule(("i1", "i2"))
+    add_job(schedule, SERVING, job_id=job_name(9))
+    ((name, task),) = placed(schedule)
+    number = next(iter(schedule.instances[name].runs))[1]
+    for step in range(6):
+        at = load_at + step * 0.4
+        listed(schedule, name, running=[row(task, number, 100, tail)], at=at)
+    return schedule, name, task, number
+
+
+def test_the_effect_of_a_pair_of_images_is_learned():
+    learned = learning.Interference()
+    now = seconds(0)
+    stage = (job_name(1), 0, 0)
+    for step in range(200):
+        now = seconds(step * 0.5)
+        weight = float(step % 2)
+        beside = [learning.Beside("f", weight)] if weight else []
+        tail = 20 / (1 - 0.4 - 0.3 * weight)
+        learning.observe(learned, stage, "s", 120, tail, beside, now)
+    assert abs(learning.effect_of(learned, "s", "f").mean - 0.3) < 0.05
+    assert abs(learning.load_of(learned, stage, now).level - 0.4) < 0.1
+
+
+def test_a_filler_goes_where_it_disturbs_least():
+    schedule, serving, _, _ = with_serving()
+    schedule.learned.effects["s", "f"] = learning.Estimate(0.5, 0.001)
+    add_job(schedule, FILLER)
+    ((name, _),) = placed(schedule, 3)
+    assert name != serving
+
+
+def test_a_filler_waits_if_it_would_break_a_target():
+    schedule, _, _, _ = with_serving(tail=60.0)
+    del schedule.instances["i2"]
+    schedule.learned.effects["s", "f"] = learning.Estimate(0.9, 0.001)
+    add_job(schedule, FILLER)
+    assert not placed(schedule, 3)
+
+
+def test_fillers_stand_still_beside_a_task_that_stays_late():
+    schedule, serving, task, number = with_serving()
+    schedule.instances.pop("i2" if serving == "i1" else "i1")
+    schedule.learned.effects["s", "f"] = learning.Estimate(0.05, 0.001)
+    add_job(schedule, FILLER)
+    ((_, filler),) = placed(schedule, 3)
+    rows = [row(task, number, 100, 300), row(filler, 1, 50, 7000)]
+    found = []
+    for step in range(8):
+        found += orders(listed(schedule, serving, running=rows, at=3 + step * 0.4))
+    paces = [o.percent for o in found if isinstance(o, PaceRun)]
+    assert paces and paces[-1] == 0
+
+
+def test_serving_tasks_of_an_image_are_kept_together():
+    schedule = make_schedule(("i1", "i2", "i3"))
+    add_job(schedule, SERVING, job_id=job_name(1))
+    ((first, _),) = placed(schedule)
+    add_job(schedule, SERVING, job_id=job_name(2))
+    ((second, _),) = placed(schedule)
+    assert first == second
+
+
+# Health.
+
+
+def test_an_instance_that_fails_several_jobs_is_given_nothing_new():
+    schedule = make_schedule(("i1", "i2"))
+    state = schedule.instances["i1"]
+    state.ends.extend(EndNote(seconds(1), job_name(n), False) for n in range(3))
+    instance_health.judge(schedule, state, seconds(1.5))
+    assert instance_health.is_suspect(state, seconds(2))
+    add_job(schedule)
+    assert [name for name, _ in placed(schedule, 2)] == ["i2"]
+
+
+def test_runs_that_stand_still_are_moved():
+    schedule = make_schedule(("i1",))
+    stage = Stage(cpu=1000, estimate_ms=2000, is_checkpointed=True)
+    add_job(schedule, stage)
+    ((name, task),) = placed(schedule, 0)
+    found = []
+    for step in range(8):
+        rows = [row(task, 1, 30)]
+        found += orders(listed(schedule, name, running=rows, at=step * 0.4))
+    assert StopRun(task, 1) in found
+
+
+def test_at_most_a_third_of_the_instances_is_suspected():
+    schedule = make_schedule(tuple(f"i{n}" for n in range(6)))
+    for state in schedule.instances.values():
+        state.ends.extend(EndNote(seconds(1), job_name(n), False) for n in range(3))
+        instance_health.judge(schedule, state, seconds(1.5))
+    suspected = [
+        state
+        for state in schedule.instances.values()
+        if instance_health.is_suspect(state, seconds(2))
+    ]
+    assert len(suspected) == 2
+
+
+def test_a_run_that_an_instance_lists_for_an_ended_job_is_stopped():
+    schedule = make_schedule()
+    add_job(schedule)
+    schedule.endings[job_name(7)] = JobPhase.COMPLETED
+    stray = key(job_id=job_name(7))
+    found = orders(listed(schedule, "i1", running=[row(stray, 3)]))
+    assert found == [StopRun(stray, 3)]
+
+
+def test_a_listing_asked_for_before_a_start_was_confirmed_proves_nothing():
+    schedule = make_schedule()
+    add_job(schedule)
+    (order,) = orders(placing.place(schedule, seconds(1)))
+    run_end.take_start(schedule, order.task, order.number, None, seconds(1.1))
+    listed(schedule, "i1", at=1.2, sent=1.0)
+    assert not placed(schedule, 1.3)
+    listed(schedule, "i1", at=1.4, sent=1.3)
+    assert placed(schedule, 1.5)
+
+
+def test_a_filler_is_not_paced_without_serving_tasks():
+    schedule = make_schedule()
+    add_job(schedule, FILLER)
+    ((_, task),) = placed(schedule)
+    state = schedule.instances["i1"]
+    listed(schedule, "i1", running=[row(task, 1, 10, 7000)])
+    assert not sharing.pace(schedule, state, seconds(2))
+    assert dt.timedelta() < sharing.PATIENCE < sharing.LAST_PATIENCE
--- /dev/null
+++ b/tests/test_sweeper.py
@@ -0,0 +1,34 @@
+"""Tests that the store forgets ended jobs, and only old ones."""
+
+import datetime as dt
+
+from twisted.internet.task import Clock
+
+from fighead.clock import ReactorClock
+from fighead.codec import to_json
+from fighead.job import JobEnding, JobPhase
+from fighead.mailbox import spawn
+from fighead.store import JOB_ENDINGS, JOB_LEADER
+from fighead.tasks.sweeper import SweeperTask
+from memory_store import MemoryStore
+
+START = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
+
+
+def test_old_endings_are_removed_by_the_leader_only():
+    reactor = Clock()
+    clock = ReactorClock(reactor, START)
+    store = MemoryStore(clock)
+    fence = store.put(JOB_LEADER, "{}").revision
+    for number in range(40):
+        ended = START - dt.timedelta(seconds=1000 if number % 2 else 0)
+        ending = JobEnding(JobPhase.COMPLETED, "q", int(ended.timestamp() * 1000))
+        store.put(f"{JOB_ENDINGS}{number:016x}", to_json(ending))
+    spawn(SweeperTask(store, clock, dt.timedelta(seconds=120), fence - 1).run())
+    for _ in range(620):
+        reactor.advance(0.1)
+    assert len(store.items) == 41
+    spawn(SweeperTask(store, clock, dt.timedelta(seconds=120), fence).run())
+    for _ in range(620):
+        reactor.advance(0.1)
+    assert len(store.items) == 21
