--- a/src/fighead/decisions/election.py
+++ b/src/fighead/decisions/election.py
@@ -41,11 +41,6 @@
     return STANDING_STEP * ranked.index(me)
 
 
-def keyed_member(prefix: str, key: str) -> str:
-    """Return the name of the entry that a member's key stands for."""
-    return key.removeprefix(prefix)
-
-
 def is_newer(known: Leader | None, heard: Leader) -> bool:
     """Whether ``heard`` was elected after ``known``."""
     return known is None or (heard.term, heard.fence) > (known.term, known.fence)
--- a/src/fighead/decisions/placing.py
+++ b/src/fighead/decisions/placing.py
@@ -9,7 +9,7 @@
 
 from attrs import define, field
 
-from ..job import Demand, JobPhase, Stage
+from ..job import JobPhase, Stage
 from ..log import Event
 from ..run import StartRun
 from . import instance_health as health
@@ -336,12 +336,3 @@
             taken += 1
             room = room - demand
     return seats if len(seats) == len(stage.tasks) else None
-
-
-def is_possible(schedule: Schedule, demand: Demand, label: str) -> bool:
-    """Whether any instance could ever hold a task."""
-    return any(
-        demand.fits(state.instance.capacity)
-        and (not label or label in state.instance.labels)
-        for state in schedule.instances.values()
-    )
