Let a new scheduler settle beside an instance that never answers

Cause: an agent that had never extended a lease reported "silent until now + lease" with each unanswered call, so the time at which everything on the instance has certainly ended moved on for ever. A schedule settles once every instance was listed or written off; with one instance dead or cut off at the time of a takeover, nothing was started any more. Found by reading; the new test fails without the change, also when it waits 40 s.

Excluded: the earlier leader's bound (elected_at + authority + lease) is set once at registration and does not move.

Change: a bound is told only by calls that asked for a lease; else the bound of the earlier leader stands.

--- a/src/fighead/decisions/instance_watch.py
+++ b/src/fighead/decisions/instance_watch.py
@@ -98,15 +98,16 @@
     return effects
 
 
-def note_contact(state: InstanceState, leases_end_at: dt.datetime) -> None:
+def note_contact(state: InstanceState, leases_end_at: dt.datetime | None) -> None:
     """Note that a call was answered, and to when leases now last."""
     state.is_reachable = True
-    state.leases_end_at = max(state.leases_end_at, leases_end_at)
+    note_leases(state, leases_end_at)
 
 
-def note_silence(state: InstanceState, leases_end_at: dt.datetime) -> None:
-    """Note until when leases may last at an instance that does not answer."""
-    state.leases_end_at = max(state.leases_end_at, leases_end_at)
+def note_leases(state: InstanceState, leases_end_at: dt.datetime | None) -> None:
+    """Note until when leases may last that were asked for; ``None``: no news."""
+    if leases_end_at is not None:
+        state.leases_end_at = max(state.leases_end_at, leases_end_at)
 
 
 def check_instances(schedule: Schedule, now: dt.datetime) -> list[Effect]:
--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -74,25 +74,27 @@
 class Listed:
     """An instance answered with its lists.
 
-    :param leases_end_at: When everything there ends unless it is heard again.
+    :param leases_end_at: When everything there ends unless it is heard again,
+        as far as this agent's calls go; ``None`` as for :class:`Silent`.
     """
 
     identity: str
     listing: Listing
     sent_at: dt.datetime
-    leases_end_at: dt.datetime
+    leases_end_at: dt.datetime | None
 
 
 @frozen
 class Silent:
     """A call to an instance was not answered.
 
-    :param leases_end_at: As for :class:`Listed`.
+    :param leases_end_at: As for :class:`Listed`; ``None`` if no call of this
+        agent can have extended a lease there.
     """
 
     identity: str
     reason: str
-    leases_end_at: dt.datetime
+    leases_end_at: dt.datetime | None
 
 
 @frozen
@@ -240,9 +242,11 @@
         lasts = self._extended_at - self._clock_at + self.lease
         return self._clock_ms + int(lasts / dt.timedelta(milliseconds=1))
 
-    def _bound(self) -> dt.datetime:
-        """Return when everything there ends unless it is heard again."""
-        return lease_bound(self._extended_at or self.clock.now(), self.lease)
+    def _bound(self) -> dt.datetime | None:
+        """Return when the last lease that was asked for has certainly run out."""
+        if self._extended_at is None:
+            return None
+        return lease_bound(self._extended_at, self.lease)
 
     def _report_silence(self, reason: str) -> None:
         self._is_answering = False
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -416,7 +416,7 @@
                 instance_watch.note_contact(state, msg.leases_end_at)
                 self._take_stashed(now)
             case reports.Silent(_, reason, leases_end_at):
-                instance_watch.note_silence(state, leases_end_at)
+                instance_watch.note_leases(state, leases_end_at)
                 if state.is_reachable:
                     state.is_reachable = False
                     log_event(
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -183,6 +183,19 @@
     assert not cluster.breaches()
 
 
+def test_an_instance_that_never_answers_holds_up_a_new_scheduler_only_for_a_lease(
+    cluster,
+):
+    cluster.silent.add("i0")
+    cluster.kill(cluster.leader())
+    cluster.submit(job_id(1), TWO_STAGES)
+    # The leader's key lapses after 2 s and its successor stands within 0.4 s; the
+    # earlier one may have acted for 3 s, its leases last 6.3 s; the job takes 1.1 s.
+    cluster.pass_time(13)
+    assert cluster.phase(job_id(1)) is JobPhase.COMPLETED
+    assert not cluster.breaches()
+
+
 FAULTS = (
     "kill",
     "kill all",
