Learn what fillers do by comparing instances at the same time

The learned figures scattered between -0.4 and 4.6 for the same pairs: covariances were left out, so mixtures taught wrong things, a swing of the load was taken for an effect, and a filler that was paced to nothing could never clear its name.

Excluded: want of processors (never the reason while a filler waited), the order of jobs, processor time of the leader (0.17 of 0.43 cores at most).

Change: effects of all fillers on a serving image are learned together by recursive least squares, from the difference between instances that run tasks of one stage at one moment. Fillers leave instances that bear many images to those that need them. A task that is late by its own load does not make harmless fillers stand still. A disturbing filler keeps a margin at its start.

test_fillers_stand_still now shows its filler's progress: one that makes none is moved as stalled, which is another rule.

--- a/src/fighead/decisions/interference.py
+++ b/src/fighead/decisions/interference.py
@@ -2,13 +2,15 @@
 
 The tail latency of a serving task grows as ``base / (1 - pressure)``. The
 pressure is its own load, which swings within seconds, plus the effects of the
-fillers beside it. Effects belong to pairs of images and are learned from all
-instances; a load is common to the tasks of a stage, since the same users call
-them. Both are estimated together by Kalman filters: a load by its level and
-slope, an effect by its mean, the covariances between them left out.
+fillers beside it. A load is common to the tasks of a stage, since the same
+users call them, so a task with fillers beside it is compared with the others
+of its stage at the same time: what differs is the fillers' doing. Effects
+belong to pairs of images and are learned by recursive least squares, all
+fillers of a serving image together, since they usually come mixed.
 """
 
 import datetime as dt
+import math
 import typing as t
 
 from attrs import define, field, frozen
@@ -23,16 +25,25 @@
 #: by half in 10 to 20 s changes by up to 0.15 in a second.
 PRIOR_SLOPE_VARIANCE = 0.01
 #: Variance of the change of a slope within a second: for such swings.
-SLOPE_DRIFT = 0.002
+SLOPE_DRIFT = 0.004
 #: Age at which an observed load says nothing any more.
 LOAD_MAX_AGE = dt.timedelta(seconds=6)
 #: Effect of a pair that was never observed, for a weight of 1.
-PRIOR_EFFECT = 0.12
-PRIOR_EFFECT_VARIANCE = 0.02
+PRIOR_EFFECT = 0.06
+PRIOR_EFFECT_VARIANCE = 0.006
 #: Variance that an effect gains with each observation, since behaviour shifts.
-EFFECT_DRIFT = 5e-6
+EFFECT_DRIFT = 1e-6
+#: Variance from which down an effect counts as known.
+KNOWN_VARIANCE = 0.001
 #: Variance of one observation of a pressure; listings tell rough figures.
-OBSERVATION_VARIANCE = 0.012
+OBSERVATION_VARIANCE = 0.005
+#: Deviations beyond which an observation counts less: other things slow tasks too.
+OUTLIER = 3.0
+#: Least time between two observations of a stage on an instance: tails are told
+#: for the last half second.
+OBSERVATION_PAUSE = dt.timedelta(milliseconds=400)
+#: Age up to which two observations can be compared: listings come once a second.
+SIGHTING_MAX_AGE = dt.timedelta(milliseconds=1200)
 #: Targets are several times the undisturbed tail; the base starts from this
 #: share and falls to the least tail that was seen.
 FIRST_BASE_SHARE = 1 / 6
@@ -40,6 +51,18 @@
 UNIT_SHARE = 0.125
 #: Pressure from which on the tail says only that it is at least as high.
 SATURATED = 0.9
+#: Least and greatest effect that is believed, for a weight of 1.
+EFFECT_BOUNDS = (-0.02, 1.0)
+#: Most images of fillers that are told apart beside one serving image; the
+#: covariances between them grow with the square.
+MAX_FILLER_IMAGES = 32
+#: Effect, for a weight of 1, up to which an image bears a filler at any load: ten
+#: fillers of an eighth of an instance each leave half of it to the serving task.
+TOLERABLE_EFFECT = 0.05
+#: Effects of a filler on two serving images that differ by less are alike, and
+#: the number of fillers that have to be known to compare images by.
+ALIKE_DIFFERENCE = 0.08
+LEAST_COMPARED = 3
 
 
 @define(eq=False)
@@ -110,18 +133,94 @@
         )
 
 
+@define(eq=False)
+class Effects:
+    """Effects of all fillers on one serving image.
+
+    :param means: By image of the filler, for a weight of 1.
+    :param covariances: Rows of the symmetric matrix of their covariances.
+    """
+
+    means: dict[str, float] = field(factory=dict)
+    covariances: dict[str, dict[str, float]] = field(factory=dict)
+
+    def add(self, filler: str, mean: float, variance: float) -> None:
+        """Take in an image of fillers that was not seen before."""
+        if filler in self.means or len(self.means) >= MAX_FILLER_IMAGES:
+            return
+        for row in self.covariances.values():
+            row[filler] = 0.0
+        self.means[filler] = mean
+        self.covariances[filler] = dict.fromkeys(self.means, 0.0)
+        self.covariances[filler][filler] = variance
+
+    def expect(self, weights: dict[str, float]) -> float:
+        """Return the pressure that fillers add."""
+        known = self.means
+        return sum(known.get(f, PRIOR_EFFECT) * w for f, w in weights.items())
+
+    def doubt(self, weights: dict[str, float]) -> float:
+        """Return the variance of the pressure that fillers add."""
+        spread = self._spread(weights)
+        return sum(spread.get(f, 0.0) * w for f, w in weights.items())
+
+    def _spread(self, weights: dict[str, float]) -> dict[str, float]:
+        return {
+            filler: sum(row.get(f, 0.0) * w for f, w in weights.items())
+            for filler, row in self.covariances.items()
+        }
+
+    def learn(self, weights: dict[str, float], seen: float, variance: float) -> None:
+        """Take in the pressure that weights of fillers were seen to add."""
+        for filler in weights:
+            self.add(filler, PRIOR_EFFECT, PRIOR_EFFECT_VARIANCE)
+        spread = self._spread(weights)
+        error = seen - self.expect(weights)
+        total = variance + sum(spread.get(f, 0.0) * w for f, w in weights.items())
+        excess = abs(error) / (OUTLIER * math.sqrt(total))
+        total += variance * max(0.0, excess - 1.0)
+        least, most = EFFECT_BOUNDS
+        for filler, share in spread.items():
+            mean = self.means[filler] + share * error / total
+            self.means[filler] = min(max(mean, least), most)
+            row = self.covariances[filler]
+            for other, its_share in spread.items():
+                row[other] -= share * its_share / total
+        for filler in weights:
+            if filler in self.covariances:
+                self.covariances[filler][filler] += EFFECT_DRIFT
+
+
+@frozen
+class Sighting:
+    """The pressure on the tasks of a stage on one instance.
+
+    :param weights: Weights of the fillers beside them, by image.
+    """
+
+    at: dt.datetime
+    pressure: float
+    weights: dict[str, float]
+
+
 @define(eq=False)
 class Interference:
     """What has been learned.
 
-    :param effects: By image of the serving task and image of the filler.
+    :param effects: By image of the serving task.
     :param bases: Least tail seen, by image and target.
     :param loads: By job and stage.
+    :param sightings: Latest ones, by stage and instance.
     """
 
-    effects: dict[tuple[str, str], Estimate] = field(factory=dict)
+    effects: dict[str, Effects] = field(factory=dict)
     bases: dict[tuple[str, int], float] = field(factory=dict)
     loads: dict[StageId, Load] = field(factory=dict)
+    sightings: dict[StageId, dict[str, Sighting]] = field(factory=dict)
+
+    def filler_images(self) -> set[str]:
+        """Return the images of fillers of which an effect was learned."""
+        return {filler for found in self.effects.values() for filler in found.means}
 
 
 @frozen
@@ -145,8 +244,14 @@
     """Return what is worth keeping."""
     return Learned(
         tuple(
-            LearnedEffect(serving, filler, round(e.mean, 4), round(e.variance, 6))
-            for (serving, filler), e in sorted(learned.effects.items())
+            LearnedEffect(
+                serving,
+                filler,
+                round(mean, 4),
+                round(found.covariances[filler][filler], 6),
+            )
+            for serving, found in sorted(learned.effects.items())
+            for filler, mean in sorted(found.means.items())
         )
     )
 
@@ -154,8 +259,8 @@
 def restore(learned: Interference, kept: Learned) -> None:
     """Take over what an earlier scheduler has learned, where nothing is known."""
     for row in kept.effects:
-        pair = (row.serving, row.filler)
-        learned.effects.setdefault(pair, Estimate(row.mean, row.variance))
+        found = learned.effects.setdefault(row.serving, Effects())
+        found.add(row.filler, row.mean, row.variance)
 
 
 def weigh(cpu: float, capacity_cpu: int) -> float:
@@ -169,8 +274,40 @@
 
 def effect_of(learned: Interference, serving: str, filler: str) -> Estimate:
     """Return the estimated effect of a pair of images."""
-    known = learned.effects.get((serving, filler))
-    return known or Estimate(PRIOR_EFFECT, PRIOR_EFFECT_VARIANCE)
+    found = learned.effects.get(serving)
+    if found is None or filler not in found.means:
+        return Estimate(PRIOR_EFFECT, PRIOR_EFFECT_VARIANCE)
+    return Estimate(found.means[filler], found.covariances[filler][filler])
+
+
+def tolerance(learned: Interference, serving: t.Collection[str]) -> float:
+    """Return the share of the fillers' images that serving images bear together.
+
+    Where nothing serves, or no filler is known, all are borne.
+    """
+    fillers = learned.filler_images()
+    if not serving or not fillers:
+        return 1.0
+    borne = sum(
+        all(effect_of(learned, s, f).mean <= TOLERABLE_EFFECT for s in serving)
+        for f in fillers
+    )
+    return borne / len(fillers)
+
+
+def are_alike(learned: Interference, one: str, other: str) -> bool:
+    """Whether two serving images are known to be disturbed by the same fillers."""
+    if one == other:
+        return True
+    compared = 0
+    for filler in learned.filler_images():
+        a, b = (effect_of(learned, image, filler) for image in (one, other))
+        if max(a.variance, b.variance) > KNOWN_VARIANCE:
+            continue
+        if abs(a.mean - b.mean) > ALIKE_DIFFERENCE:
+            return False
+        compared += 1
+    return compared >= LEAST_COMPARED
 
 
 def load_of(learned: Interference, stage: StageId, now: dt.datetime) -> Load:
@@ -198,31 +335,69 @@
 def observe(
     learned: Interference,
     stage: StageId,
+    instance_id: str,
     image: str,
     target_ms: int,
-    tail_ms: float,
+    tails_ms: t.Sequence[float],
     beside: t.Sequence[Beside],
     now: dt.datetime,
 ) -> None:
-    """Take in the tail of one serving run beside fillers."""
-    if tail_ms <= 0:
+    """Take in the tails of the tasks of a stage on one instance."""
+    sightings = learned.sightings.setdefault(stage, {})
+    last = sightings.get(instance_id)
+    if last is not None and now - last.at < OBSERVATION_PAUSE:
         return
-    pressure = _pressure(learned, image, target_ms, tail_ms)
+    pressures = [_pressure(learned, image, target_ms, tail) for tail in tails_ms]
+    weights: dict[str, float] = {}
+    for each in beside:
+        weights[each.image] = weights.get(each.image, 0.0) + each.weight
+    sighting = Sighting(now, sum(pressures) / len(pressures), weights)
+    effects = learned.effects.setdefault(image, Effects())
     load = load_of(learned, stage, now)
-    effects = [(effect_of(learned, image, each.image), each) for each in beside]
-    expected = load.level + sum(effect.mean * each.weight for effect, each in effects)
-    error = pressure - expected
-    if pressure >= SATURATED and error < 0:
-        error = 0.0
-    total = OBSERVATION_VARIANCE + load.level_variance
-    total += sum(each.weight**2 * effect.variance for effect, each in effects)
-    learned.loads[stage] = load.corrected(error, total)
-    for effect, each in effects:
-        gain = effect.variance * each.weight / total
-        learned.effects[image, each.image] = Estimate(
-            min(max(effect.mean + gain * error, -0.05), 1.0),
-            effect.variance * (1 - gain * each.weight) + EFFECT_DRIFT,
+    others = [
+        each
+        for name, each in sightings.items()
+        if name != instance_id and now - each.at <= SIGHTING_MAX_AGE
+    ]
+    _learn_effects(effects, sighting, others, load)
+    learned.loads[stage] = _learn_load(effects, sighting, load)
+    sightings[instance_id] = sighting
+
+
+def _learn_effects(
+    effects: Effects, sighting: Sighting, others: list[Sighting], load: Load
+) -> None:
+    """Compare a sighting with the rest of its stage, or with the expected load."""
+    if others:
+        count = len(others)
+        usual = sum(
+            each.pressure + load.slope * (sighting.at - each.at).total_seconds()
+            for each in others
         )
+        usual /= count
+        variance = OBSERVATION_VARIANCE * (1 + 1 / count)
+    else:
+        count, usual = 1, load.level
+        variance = OBSERVATION_VARIANCE + load.level_variance
+    difference = dict(sighting.weights)
+    for each in others:
+        for filler, weight in each.weights.items():
+            difference[filler] = difference.get(filler, 0.0) - weight / count
+    difference = {f: w for f, w in difference.items() if w}
+    seen = sighting.pressure - usual
+    error = seen - effects.expect(difference)
+    is_capped = sighting.pressure >= SATURATED and error < 0
+    is_usual_capped = usual >= SATURATED and error > 0
+    if difference and not is_capped and not is_usual_capped:
+        effects.learn(difference, seen, variance)
+
+
+def _learn_load(effects: Effects, sighting: Sighting, load: Load) -> Load:
+    error = sighting.pressure - effects.expect(sighting.weights) - load.level
+    if sighting.pressure >= SATURATED and error < 0:
+        return load
+    doubt = effects.doubt(sighting.weights)
+    return load.corrected(error, OBSERVATION_VARIANCE + doubt + load.level_variance)
 
 
 def _pressure(
@@ -239,5 +414,6 @@
 
 def forget(learned: Interference, job_id: str) -> None:
     """Drop the loads of a job that has ended."""
-    for stage in [stage for stage in learned.loads if stage[0] == job_id]:
-        del learned.loads[stage]
+    for known in (learned.loads, learned.sightings):
+        for stage in [stage for stage in known if stage[0] == job_id]:
+            del known[stage]
--- a/src/fighead/decisions/placing.py
+++ b/src/fighead/decisions/placing.py
@@ -13,7 +13,7 @@
 from ..log import Event
 from ..run import StartRun
 from . import instance_health as health
-from . import prospects, sharing
+from . import interference, prospects, sharing
 from .run_end import add_run
 from .schedule_state import (
     Effect,
@@ -31,17 +31,18 @@
 
 #: Share of its processor demand that a serving task uses on average: its load
 #: swings around half of what it asks for.
-SERVING_USE = 0.6
+SERVING_USE = 0.5
 #: Share of its processor demand that must be unused for a filler to start.
 MIN_FILLER_SHARE = 0.75
 #: What a filler's place costs, in shares of an instance's processors: for a
-#: pressure of 1, and for an instance without serving tasks.
+#: pressure of 1, and for an instance that bears all fillers.
 PRESSURE_PRICE = 16.0
-FREE_INSTANCE_PRICE = 0.6
+TOLERANCE_PRICE = 1.5
 #: Worth of an instance to a serving task by the images that serve there; each
 #: outweighs any difference in unused processors.
 SAME_STAGE = 3.0
 SAME_IMAGE = 6.0
+ALIKE_IMAGES = 5.0
 NO_IMAGE = 4.0
 MIXED_WITH_SAME = 2.0
 LAST_RESORT = -50.0
@@ -72,6 +73,7 @@
     """One round of placing, and what it has looked up.
 
     :param around: Serving tasks by instance, as fillers see them.
+    :param tolerances: Share of the fillers that sets of serving images bear.
     :param hopeless: Images of fillers, with the least demand, that no instance
         takes in this round.
     """
@@ -79,6 +81,7 @@
     schedule: Schedule
     now: dt.datetime
     around: dict[str, Neighbourhood] = field(factory=dict)
+    tolerances: dict[frozenset[str], float] = field(factory=dict)
     hopeless: dict[str, int] = field(factory=dict)
 
     def has_spare_instances(self) -> bool:
@@ -98,6 +101,14 @@
             self.around[instance_id] = sharing.look(learned, state, self.now)
         return self.around[instance_id]
 
+    def tolerance_of(self, state: InstanceState) -> float:
+        """Return the share of the fillers' images that an instance bears."""
+        images = frozenset(run.stage.image for run in sharing.serving_runs(state))
+        if images not in self.tolerances:
+            learned = self.schedule.learned
+            self.tolerances[images] = interference.tolerance(learned, images)
+        return self.tolerances[images]
+
 
 def _waiting_stages(
     schedule: Schedule, now: dt.datetime
@@ -265,12 +276,16 @@
 
 
 def _gentleness(round_: Round, state: InstanceState, stage: StageState) -> float:
-    """Return how little a filler disturbs; instances without serving tasks are
-    left to the fillers that find no other place."""
+    """Return how little a filler disturbs.
+
+    Instances that bear many images of fillers are left to those that find no
+    other place.
+    """
+    price = TOLERANCE_PRICE * round_.tolerance_of(state)
     if not round_.look(state).neighbours:
-        return -FREE_INSTANCE_PRICE
+        return -price
     outlook = _foresee(round_, state, stage)
-    return -PRESSURE_PRICE * outlook.pressure + min(outlook.headroom, 0.0)
+    return -price - PRESSURE_PRICE * outlook.pressure + min(outlook.headroom, 0.0)
 
 
 def _kinship(round_: Round, state: InstanceState, spec: Stage) -> float:
@@ -278,8 +293,9 @@
 
     Tasks of one stage come first, since their loads swing together. Which
     fillers disturb a serving task depends on both images: where all serving
-    tasks are of one image, some fillers do no harm; beside a mixture hardly any
-    does. Some instances are kept free of serving tasks.
+    tasks are of one image, or of images that are disturbed by the same fillers,
+    some fillers do no harm; beside a mixture hardly any does. Some instances are
+    kept free of serving tasks.
     """
     serving = sharing.serving_runs(state)
     images = {run.stage.image for run in serving}
@@ -288,6 +304,9 @@
         return SAME_IMAGE + SAME_STAGE * same / len(serving)
     if not images:
         return NO_IMAGE if round_.has_spare_instances() else LAST_RESORT
+    learned = round_.schedule.learned
+    if all(interference.are_alike(learned, spec.image, image) for image in images):
+        return ALIKE_IMAGES
     return MIXED_WITH_SAME if spec.image in images else -float(len(images))
 
 
--- a/src/fighead/decisions/sharing.py
+++ b/src/fighead/decisions/sharing.py
@@ -26,15 +26,15 @@
     Schedule,
 )
 
-#: Pressure kept free below the limit of a serving task when fillers start; the
-#: look ahead already covers the rise of its load.
-START_MARGIN = 0.0
+#: Pressure kept free below the limit of a serving task when fillers start: the
+#: spread of an expected load a second ahead.
+START_MARGIN = 0.1
 #: Pressure kept free when running fillers are paced.
 PACE_MARGIN = 0.0
 #: How far ahead loads are looked at when a filler starts: half a run.
 START_HORIZON = dt.timedelta(milliseconds=1500)
 #: How far ahead they are looked at for a pace: until the next listing.
-PACE_HORIZON = dt.timedelta(milliseconds=500)
+PACE_HORIZON = dt.timedelta(milliseconds=1000)
 #: Least change of a pace that is worth a call, in percent.
 LEAST_CHANGE = 15
 #: Time over its target after which a serving task has all fillers beside it
@@ -43,7 +43,7 @@
 #: Pressure below which a filler may start whatever the slack is.
 HARMLESS_PRESSURE = 0.03
 #: Effect of a weight of 1 below which a filler counts as harmless.
-HARMLESS_EFFECT = 0.02
+HARMLESS_EFFECT = interference.TOLERABLE_EFFECT
 #: Time over its target after which even those stand still.
 LAST_PATIENCE = dt.timedelta(milliseconds=2200)
 #: Share of its target below which a serving task counts as in time again;
@@ -179,23 +179,28 @@
         for run in filler_runs(state)
         if run.usage > 0
     ]
+    tails: dict[interference.StageId, list[RunState]] = {}
     for run in serving_runs(state):
         if run.percent < 100 or run.usage <= 0:
             run.late_since = None
             continue
+        tails.setdefault(stage_id(run), []).append(run)
+        if run.usage > run.stage.target_ms:
+            run.late_since = run.late_since or now
+        elif run.usage <= RELIEVED_SHARE * run.stage.target_ms:
+            run.late_since = None
+    for stage, runs in tails.items():
+        spec = runs[0].stage
         interference.observe(
             schedule.learned,
-            stage_id(run),
-            run.stage.image,
-            run.stage.target_ms,
-            run.usage,
+            stage,
+            state.instance.instance_id,
+            spec.image,
+            spec.target_ms,
+            [run.usage for run in runs],
             beside,
             now,
         )
-        if run.usage > run.stage.target_ms:
-            run.late_since = run.late_since or now
-        elif run.usage <= RELIEVED_SHARE * run.stage.target_ms:
-            run.late_since = None
 
 
 def pace(schedule: Schedule, state: InstanceState, now: dt.datetime) -> list[Effect]:
@@ -221,7 +226,7 @@
     shares = {(run.key, run.number): 1.0 for run in fillers}
     capacity = state.instance.capacity.cpu
     for serving in serving_runs(state):
-        if serving.percent < 100:
+        if serving.phase is RunPhase.STOPPING:
             continue
         late = now - (serving.late_since or now)
         ahead = (now, now + PACE_HORIZON)
@@ -239,16 +244,24 @@
     room: float,
     late: dt.timedelta,
 ) -> None:
-    """Cut shares, the most disturbing filler first, until one task bears them."""
+    """Cut shares, the most disturbing filler first, until one task bears them.
+
+    A task that its own load alone makes late gains nothing when fillers that
+    hardly disturb it stand still.
+    """
     added: list[tuple[float, RunState]] = []
+    total = 0.0
     for run in fillers:
+        identity = (run.key, run.number)
         effect = max(0.0, interference.effect_of(learned, image, run.stage.image).mean)
         weight = interference.weigh(run.stage.cpu, capacity)
-        if late >= LAST_PATIENCE or (late >= PATIENCE and effect > HARMLESS_EFFECT):
-            shares[run.key, run.number] = 0.0
-        added.append((effect * weight, run))
+        is_harmful = effect > HARMLESS_EFFECT
+        if late >= LAST_PATIENCE or (late >= PATIENCE and is_harmful):
+            shares[identity] = 0.0
+        total += effect * weight * shares[identity]
+        if is_harmful or room > 0:
+            added.append((effect * weight, run))
     added.sort(key=lambda pair: -pair[0])
-    total = sum(full * shares[run.key, run.number] for full, run in added)
     for full, run in added:
         if total <= room or full <= 0:
             return
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -2,6 +2,8 @@
 
 import datetime as dt
 
+from attrs import evolve
+
 from fighead.decisions import instance_health, placing, prospects, run_end, sharing
 from fighead.decisions import interference as learning
 from fighead.decisions.schedule_state import EndNote
@@ -150,6 +152,11 @@
     return schedule, name, task, number
 
 
+def know(schedule, serving, **effects):
+    rows = (learning.LearnedEffect(serving, f, e, 1e-4) for f, e in effects.items())
+    learning.restore(schedule.learned, learning.Learned(tuple(rows)))
+
+
 def test_the_effect_of_a_pair_of_images_is_learned():
     learned = learning.Interference()
     now = seconds(0)
@@ -159,14 +166,14 @@
         weight = float(step % 2)
         beside = [learning.Beside("f", weight)] if weight else []
         tail = 20 / (1 - 0.4 - 0.3 * weight)
-        learning.observe(learned, stage, "s", 120, tail, beside, now)
+        learning.observe(learned, stage, "i1", "s", 120, [tail], beside, now)
     assert abs(learning.effect_of(learned, "s", "f").mean - 0.3) < 0.05
     assert abs(learning.load_of(learned, stage, now).level - 0.4) < 0.1
 
 
 def test_a_filler_goes_where_it_disturbs_least():
     schedule, serving, _, _ = with_serving()
-    schedule.learned.effects["s", "f"] = learning.Estimate(0.5, 0.001)
+    know(schedule, "s", f=0.5)
     add_job(schedule, FILLER)
     ((name, _),) = placed(schedule, 3)
     assert name != serving
@@ -175,7 +182,7 @@
 def test_a_filler_waits_if_it_would_break_a_target():
     schedule, _, _, _ = with_serving(tail=60.0)
     del schedule.instances["i2"]
-    schedule.learned.effects["s", "f"] = learning.Estimate(0.9, 0.001)
+    know(schedule, "s", f=0.9)
     add_job(schedule, FILLER)
     assert not placed(schedule, 3)
 
@@ -183,17 +190,45 @@
 def test_fillers_stand_still_beside_a_task_that_stays_late():
     schedule, serving, task, number = with_serving()
     schedule.instances.pop("i2" if serving == "i1" else "i1")
-    schedule.learned.effects["s", "f"] = learning.Estimate(0.05, 0.001)
+    know(schedule, "s", f=0.05)
     add_job(schedule, FILLER)
     ((_, filler),) = placed(schedule, 3)
-    rows = [row(task, number, 100, 300), row(filler, 1, 50, 7000)]
     found = []
     for step in range(8):
+        rows = [row(task, number, 100, 300), row(filler, 1, 50 + step, 7000)]
         found += orders(listed(schedule, serving, running=rows, at=3 + step * 0.4))
     paces = [o.percent for o in found if isinstance(o, PaceRun)]
     assert paces and paces[-1] == 0
 
 
+def test_harmless_fillers_go_on_beside_a_task_that_is_late_by_its_own_load():
+    schedule, serving, task, number = with_serving(tail=95.0)
+    schedule.instances.pop("i2" if serving == "i1" else "i1")
+    know(schedule, "s", f=0.01)
+    add_job(schedule, FILLER)
+    ((_, filler),) = placed(schedule, 3)
+    rows = [row(task, number, 100, 105), row(filler, 1, 50, 7000)]
+    found = orders(listed(schedule, serving, running=rows, at=3.4))
+    assert not [o for o in found if isinstance(o, PaceRun)]
+
+
+def test_a_filler_leaves_instances_that_bear_all_to_fillers_that_need_them():
+    schedule = make_schedule(("i1", "i2"))
+    know(schedule, "s", f=0.01, g=0.01, h=0.01)
+    know(schedule, "t", f=0.01, g=0.4, h=0.4)
+    for number, image in enumerate("st"):
+        stage = evolve(SERVING, image=image, max_per_instance=1)
+        add_job(schedule, stage, job_id=job_name(number))
+        schedule.instances["i2"].is_reachable = number > 0
+        schedule.instances["i1"].is_reachable = number == 0
+        assert placed(schedule) == [(f"i{number + 1}", key(job_id=job_name(number)))]
+    schedule.instances["i1"].is_reachable = True
+    add_job(schedule, FILLER, job_id=job_name(8))
+    assert placed(schedule, 2) == [("i2", key(job_id=job_name(8)))]
+    add_job(schedule, evolve(FILLER, image="g"), job_id=job_name(9))
+    assert placed(schedule, 2) == [("i1", key(job_id=job_name(9)))]
+
+
 def test_serving_tasks_of_an_image_are_kept_together():
     schedule = make_schedule(("i1", "i2", "i3"))
     add_job(schedule, SERVING, job_id=job_name(1))
