Bring serving tasks together that the same fillers disturb

Cause: while nothing is known of images, serving tasks of all images are mixed in the first burst of jobs.

Change: while fillers wait for over a second, one serving task at a time, whose stage is otherwise at work, is moved to an instance with tasks of its kind. Images that bear nearly all fillers may open instances that are kept free for fillers, which stay as useful to them.

--- a/src/fighead/decisions/interference.py
+++ b/src/fighead/decisions/interference.py
@@ -56,9 +56,11 @@
 #: Most images of fillers that are told apart beside one serving image; the
 #: covariances between them grow with the square.
 MAX_FILLER_IMAGES = 32
-#: Effect, for a weight of 1, up to which an image bears a filler at any load: ten
-#: fillers of an eighth of an instance each leave half of it to the serving task.
-TOLERABLE_EFFECT = 0.05
+#: Effect, for a weight of 1, up to which an image bears a filler: fillers on half
+#: of an instance then add a third of the usual distance to a target.
+TOLERABLE_EFFECT = 0.075
+#: Share of the fillers' images that a robust image bears.
+ROBUST_SHARE = 0.85
 #: Effects of a filler on two serving images that differ by less are alike, and
 #: the number of fillers that have to be known to compare images by.
 ALIKE_DIFFERENCE = 0.08
@@ -295,6 +297,25 @@
     return borne / len(fillers)
 
 
+def is_known(learned: Interference, serving: str) -> bool:
+    """Whether the effects of several fillers on a serving image are known."""
+    found = learned.effects.get(serving)
+    if found is None:
+        return False
+    known = sum(found.covariances[f][f] <= KNOWN_VARIANCE for f in found.means)
+    return known >= LEAST_COMPARED
+
+
+def is_robust(learned: Interference, serving: str) -> bool:
+    """Whether a serving image is known to bear nearly all fillers."""
+    return is_known(learned, serving) and tolerance(learned, (serving,)) >= ROBUST_SHARE
+
+
+def is_sensitive(learned: Interference, serving: str) -> bool:
+    """Whether a serving image is known to be disturbed by some fillers."""
+    return is_known(learned, serving) and tolerance(learned, (serving,)) < ROBUST_SHARE
+
+
 def are_alike(learned: Interference, one: str, other: str) -> bool:
     """Whether two serving images are known to be disturbed by the same fillers."""
     if one == other:
--- a/src/fighead/decisions/placing.py
+++ b/src/fighead/decisions/placing.py
@@ -49,8 +49,8 @@
 #: How long a serving task is kept from them: half of the 6 s after which one
 #: that could run counts as lost.
 HOLD_BACK_TIME = dt.timedelta(seconds=3)
-#: Share of the instances that is kept free of serving tasks while they fit
-#: elsewhere.
+#: Share of the instances that is kept free of serving tasks that some fillers
+#: disturb, while those tasks fit elsewhere.
 FREE_SHARE = 0.1
 
 
@@ -85,10 +85,11 @@
     hopeless: dict[str, int] = field(factory=dict)
 
     def has_spare_instances(self) -> bool:
-        """Whether more instances serve nothing than are kept for fillers."""
+        """Whether more instances bear all fillers than are kept for them."""
         states = self.schedule.instances.values()
         free = sum(
-            accepts_runs(state, self.now) and not sharing.serving_runs(state)
+            accepts_runs(state, self.now)
+            and self.tolerance_of(state) >= interference.ROBUST_SHARE
             for state in states
         )
         return free > len(states) * FREE_SHARE
@@ -203,6 +204,8 @@
     """
     if not stage.spec.target_ms or round_.has_spare_instances():
         return False
+    if interference.is_robust(round_.schedule.learned, stage.spec.image):
+        return False
     since = task.waiting_since
     return since is None or round_.now - since < HOLD_BACK_TIME
 
@@ -211,7 +214,7 @@
     usable = [
         state
         for state in round_.schedule.instances.values()
-        if _is_usable(state, job, stage, round_.now)
+        if is_usable(state, job, stage, round_.now)
     ]
     if not stage.spec.is_filler:
         return usable
@@ -224,9 +227,10 @@
     return sharing.foresee(round_.schedule.learned, around, stage.spec, capacity)
 
 
-def _is_usable(
+def is_usable(
     state: InstanceState, job: JobState, stage: StageState, now: dt.datetime
 ) -> bool:
+    """Whether a task of a stage may start on an instance now."""
     spec, instance = stage.spec, state.instance
     return (
         accepts_runs(state, now)
@@ -302,9 +306,10 @@
     if images == {spec.image}:
         same = sum(run.stage is spec for run in serving)
         return SAME_IMAGE + SAME_STAGE * same / len(serving)
-    if not images:
-        return NO_IMAGE if round_.has_spare_instances() else LAST_RESORT
     learned = round_.schedule.learned
+    if not images:
+        is_robust = interference.is_robust(learned, spec.image)
+        return NO_IMAGE if is_robust or round_.has_spare_instances() else LAST_RESORT
     if all(interference.are_alike(learned, spec.image, image) for image in images):
         return ALIKE_IMAGES
     return MIXED_WITH_SAME if spec.image in images else -float(len(images))
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -248,6 +248,8 @@
     learned: Interference = field(factory=Interference)
     #: Usual ratio of run time to its estimate, as a logarithm, by queue.
     usual_pace: dict[str, float] = field(factory=dict)
+    #: When a serving task was last moved for the sake of fillers.
+    regrouped_at: dt.datetime | None = None
 
     @property
     def first_number(self) -> int:
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -9,7 +9,14 @@
 from .. import job_message as m
 from ..clock import Clock, sleep
 from ..codec import from_json, to_json
-from ..decisions import instance_watch, interference, job_intake, placing, run_end
+from ..decisions import (
+    instance_watch,
+    interference,
+    job_intake,
+    placing,
+    regrouping,
+    run_end,
+)
 from ..decisions.schedule_state import JobState, Note, Order, Schedule
 from ..exceptions import RequestError, StoreError
 from ..job import JobConfig, JobEnding, JobPhase, JobProgress, JobRecord
@@ -506,6 +513,8 @@
 
     def _tick(self, now: dt.datetime) -> None:
         self._carry_out(instance_watch.check_instances(self.schedule, now))
+        if self.may_act():
+            self._carry_out(regrouping.regroup(self.schedule, now))
         for instance_id in sorted(self.agents.keys() - self.schedule.instances.keys()):
             self._drop_agent(instance_id)
         for job_id in [j.job_id for j in self.schedule.jobs.values() if j.is_recorded]:
