Foresee loads through their turning points, and group all alike images

The load was foreseen by its slope alone, which errs by 0.1 a second and a half ahead at its turning points: fillers started at the top of their room and were paced or moved.

Change: loads are taken to swing around their mean like a pendulum; the period is learned from the times between rises, 10 s until then. Loads are looked at over the whole run of a filler. Serving tasks are grouped by whether known effects on them are alike; the smaller group of an instance is moved to one where its own kind is the larger. The parts have modules of their own: swing.py, effects.py.

--- a/src/fighead/decisions/interference.py
+++ b/src/fighead/decisions/interference.py
@@ -10,35 +10,20 @@
 """
 
 import datetime as dt
-import math
 import typing as t
 
 from attrs import define, field, frozen
 
+from .effects import PRIOR_EFFECT, PRIOR_EFFECT_VARIANCE, Effects
+from .swing import Load, Loads
+
 #: Names a stage: job, occurrence and number.
 StageId = tuple[str, int, int]
 
-#: Load assumed of a stage that was never observed, and its variance.
-PRIOR_LOAD = 0.5
-PRIOR_LOAD_VARIANCE = 0.03
-#: Variance assumed of the slope of a load, in 1/s squared: a load that swings
-#: by half in 10 to 20 s changes by up to 0.15 in a second.
-PRIOR_SLOPE_VARIANCE = 0.01
-#: Variance of the change of a slope within a second: for such swings.
-SLOPE_DRIFT = 0.004
-#: Age at which an observed load says nothing any more.
-LOAD_MAX_AGE = dt.timedelta(seconds=6)
-#: Effect of a pair that was never observed, for a weight of 1.
-PRIOR_EFFECT = 0.06
-PRIOR_EFFECT_VARIANCE = 0.006
-#: Variance that an effect gains with each observation, since behaviour shifts.
-EFFECT_DRIFT = 1e-6
 #: Variance from which down an effect counts as known.
 KNOWN_VARIANCE = 0.001
 #: Variance of one observation of a pressure; listings tell rough figures.
 OBSERVATION_VARIANCE = 0.005
-#: Deviations beyond which an observation counts less: other things slow tasks too.
-OUTLIER = 3.0
 #: Least time between two observations of a stage on an instance: tails are told
 #: for the last half second.
 OBSERVATION_PAUSE = dt.timedelta(milliseconds=400)
@@ -51,15 +36,10 @@
 UNIT_SHARE = 0.125
 #: Pressure from which on the tail says only that it is at least as high.
 SATURATED = 0.9
-#: Least and greatest effect that is believed, for a weight of 1.
-EFFECT_BOUNDS = (-0.02, 1.0)
-#: Most images of fillers that are told apart beside one serving image; the
-#: covariances between them grow with the square.
-MAX_FILLER_IMAGES = 32
 #: Effect, for a weight of 1, up to which an image bears a filler: fillers on half
 #: of an instance then add a third of the usual distance to a target.
 TOLERABLE_EFFECT = 0.075
-#: Share of the fillers' images that a robust image bears.
+#: Share of the fillers' images from which on an image bears nearly all.
 ROBUST_SHARE = 0.85
 #: Effects of a filler on two serving images that differ by less are alike, and
 #: the number of fillers that have to be known to compare images by.
@@ -86,113 +66,6 @@
     weight: float
 
 
-@frozen
-class Load:
-    """Own load of the tasks of a stage: level and slope with covariances.
-
-    :param slope: Change in a second.
-    """
-
-    observed_at: dt.datetime
-    level: float = PRIOR_LOAD
-    slope: float = 0.0
-    level_variance: float = PRIOR_LOAD_VARIANCE
-    covariance: float = 0.0
-    slope_variance: float = PRIOR_SLOPE_VARIANCE
-
-    def at(self, now: dt.datetime) -> "Load":
-        """Return the load as it is expected at another time."""
-        if abs(now - self.observed_at) > LOAD_MAX_AGE:
-            return Load(now)
-        s = (now - self.observed_at).total_seconds()
-        drift = SLOPE_DRIFT * abs(s)
-        return Load(
-            now,
-            min(max(self.level + self.slope * s, 0.0), 1.0),
-            self.slope,
-            self.level_variance
-            + 2 * s * self.covariance
-            + s * s * (self.slope_variance + drift / 3),
-            self.covariance + s * (self.slope_variance + drift / 2),
-            self.slope_variance + drift,
-        )
-
-    def corrected(self, error: float, total: float) -> "Load":
-        """Return the load after an observation.
-
-        :param error: Observed less expected pressure.
-        :param total: Variance of that difference.
-        """
-        gain = self.level_variance / total
-        slope_gain = self.covariance / total
-        return Load(
-            self.observed_at,
-            min(max(self.level + gain * error, 0.0), 1.0),
-            self.slope + slope_gain * error,
-            self.level_variance * (1 - gain),
-            self.covariance * (1 - gain),
-            self.slope_variance - slope_gain * self.covariance,
-        )
-
-
-@define(eq=False)
-class Effects:
-    """Effects of all fillers on one serving image.
-
-    :param means: By image of the filler, for a weight of 1.
-    :param covariances: Rows of the symmetric matrix of their covariances.
-    """
-
-    means: dict[str, float] = field(factory=dict)
-    covariances: dict[str, dict[str, float]] = field(factory=dict)
-
-    def add(self, filler: str, mean: float, variance: float) -> None:
-        """Take in an image of fillers that was not seen before."""
-        if filler in self.means or len(self.means) >= MAX_FILLER_IMAGES:
-            return
-        for row in self.covariances.values():
-            row[filler] = 0.0
-        self.means[filler] = mean
-        self.covariances[filler] = dict.fromkeys(self.means, 0.0)
-        self.covariances[filler][filler] = variance
-
-    def expect(self, weights: dict[str, float]) -> float:
-        """Return the pressure that fillers add."""
-        known = self.means
-        return sum(known.get(f, PRIOR_EFFECT) * w for f, w in weights.items())
-
-    def doubt(self, weights: dict[str, float]) -> float:
-        """Return the variance of the pressure that fillers add."""
-        spread = self._spread(weights)
-        return sum(spread.get(f, 0.0) * w for f, w in weights.items())
-
-    def _spread(self, weights: dict[str, float]) -> dict[str, float]:
-        return {
-            filler: sum(row.get(f, 0.0) * w for f, w in weights.items())
-            for filler, row in self.covariances.items()
-        }
-
-    def learn(self, weights: dict[str, float], seen: float, variance: float) -> None:
-        """Take in the pressure that weights of fillers were seen to add."""
-        for filler in weights:
-            self.add(filler, PRIOR_EFFECT, PRIOR_EFFECT_VARIANCE)
-        spread = self._spread(weights)
-        error = seen - self.expect(weights)
-        total = variance + sum(spread.get(f, 0.0) * w for f, w in weights.items())
-        excess = abs(error) / (OUTLIER * math.sqrt(total))
-        total += variance * max(0.0, excess - 1.0)
-        least, most = EFFECT_BOUNDS
-        for filler, share in spread.items():
-            mean = self.means[filler] + share * error / total
-            self.means[filler] = min(max(mean, least), most)
-            row = self.covariances[filler]
-            for other, its_share in spread.items():
-                row[other] -= share * its_share / total
-        for filler in weights:
-            if filler in self.covariances:
-                self.covariances[filler][filler] += EFFECT_DRIFT
-
-
 @frozen
 class Sighting:
     """The pressure on the tasks of a stage on one instance.
@@ -217,7 +90,7 @@
 
     effects: dict[str, Effects] = field(factory=dict)
     bases: dict[tuple[str, int], float] = field(factory=dict)
-    loads: dict[StageId, Load] = field(factory=dict)
+    loads: Loads = field(factory=Loads)
     sightings: dict[StageId, dict[str, Sighting]] = field(factory=dict)
 
     def filler_images(self) -> set[str]:
@@ -306,16 +179,11 @@
     return known >= LEAST_COMPARED
 
 
-def is_robust(learned: Interference, serving: str) -> bool:
+def bears_most(learned: Interference, serving: str) -> bool:
     """Whether a serving image is known to bear nearly all fillers."""
     return is_known(learned, serving) and tolerance(learned, (serving,)) >= ROBUST_SHARE
 
 
-def is_sensitive(learned: Interference, serving: str) -> bool:
-    """Whether a serving image is known to be disturbed by some fillers."""
-    return is_known(learned, serving) and tolerance(learned, (serving,)) < ROBUST_SHARE
-
-
 def are_alike(learned: Interference, one: str, other: str) -> bool:
     """Whether two serving images are known to be disturbed by the same fillers."""
     if one == other:
@@ -333,8 +201,7 @@
 
 def load_of(learned: Interference, stage: StageId, now: dt.datetime) -> Load:
     """Return the load of a stage as it is expected at ``now``."""
-    known = learned.loads.get(stage)
-    return known.at(now) if known is not None else Load(now)
+    return learned.loads.expect(stage, now)
 
 
 def added_pressure(
@@ -381,7 +248,7 @@
         if name != instance_id and now - each.at <= SIGHTING_MAX_AGE
     ]
     _learn_effects(effects, sighting, others, load)
-    learned.loads[stage] = _learn_load(effects, sighting, load)
+    learned.loads.learn(stage, _learn_load(effects, sighting, load))
     sightings[instance_id] = sighting
 
 
@@ -435,6 +302,6 @@
 
 def forget(learned: Interference, job_id: str) -> None:
     """Drop the loads of a job that has ended."""
-    for known in (learned.loads, learned.sightings):
-        for stage in [stage for stage in known if stage[0] == job_id]:
-            del known[stage]
+    for stage in [stage for stage in learned.sightings if stage[0] == job_id]:
+        del learned.sightings[stage]
+        learned.loads.forget(stage)
--- a/src/fighead/decisions/placing.py
+++ b/src/fighead/decisions/placing.py
@@ -73,6 +73,7 @@
     """One round of placing, and what it has looked up.
 
     :param around: Serving tasks by instance, as fillers see them.
+    :param peaks: Highest loads expected of stages.
     :param tolerances: Share of the fillers that sets of serving images bear.
     :param hopeless: Images of fillers, with the least demand, that no instance
         takes in this round.
@@ -81,6 +82,7 @@
     schedule: Schedule
     now: dt.datetime
     around: dict[str, Neighbourhood] = field(factory=dict)
+    peaks: dict[interference.StageId, float] = field(factory=dict)
     tolerances: dict[frozenset[str], float] = field(factory=dict)
     hopeless: dict[str, int] = field(factory=dict)
 
@@ -99,9 +101,17 @@
         instance_id = state.instance.instance_id
         if instance_id not in self.around:
             learned = self.schedule.learned
-            self.around[instance_id] = sharing.look(learned, state, self.now)
+            self.around[instance_id] = sharing.look(learned, state, self.peak_of)
         return self.around[instance_id]
 
+    def peak_of(self, stage: interference.StageId) -> float:
+        """Return the highest load expected of a stage during a filler's run."""
+        if stage not in self.peaks:
+            self.peaks[stage] = sharing.peak_of(
+                self.schedule.learned, stage, self.now, sharing.START_HORIZONS
+            )
+        return self.peaks[stage]
+
     def tolerance_of(self, state: InstanceState) -> float:
         """Return the share of the fillers' images that an instance bears."""
         images = frozenset(run.stage.image for run in sharing.serving_runs(state))
@@ -204,7 +214,7 @@
     """
     if not stage.spec.target_ms or round_.has_spare_instances():
         return False
-    if interference.is_robust(round_.schedule.learned, stage.spec.image):
+    if interference.bears_most(round_.schedule.learned, stage.spec.image):
         return False
     since = task.waiting_since
     return since is None or round_.now - since < HOLD_BACK_TIME
@@ -308,8 +318,9 @@
         return SAME_IMAGE + SAME_STAGE * same / len(serving)
     learned = round_.schedule.learned
     if not images:
-        is_robust = interference.is_robust(learned, spec.image)
-        return NO_IMAGE if is_robust or round_.has_spare_instances() else LAST_RESORT
+        if interference.bears_most(learned, spec.image):
+            return NO_IMAGE
+        return NO_IMAGE if round_.has_spare_instances() else LAST_RESORT
     if all(interference.are_alike(learned, spec.image, image) for image in images):
         return ALIKE_IMAGES
     return MIXED_WITH_SAME if spec.image in images else -float(len(images))
--- a/src/fighead/decisions/regrouping.py
+++ b/src/fighead/decisions/regrouping.py
@@ -2,8 +2,8 @@
 
 The load this answers: fillers that disturb some images of serving tasks and
 not others. While nothing is known of an image its tasks are mixed with others,
-and a mixture bears hardly any filler. Once the images are known, tasks that
-bear all fillers are brought together, away from those that don't.
+and a mixture bears hardly any filler. Once the images are known, tasks that are
+disturbed by the same fillers are brought together.
 """
 
 import datetime as dt
@@ -14,7 +14,6 @@
 from . import interference, placing, sharing
 from .schedule_state import (
     Effect,
-    InstanceState,
     JobState,
     Note,
     Order,
@@ -40,10 +39,10 @@
         return []
     if not _fillers_wait(schedule, now):
         return []
+    schedule.regrouped_at = now
     for run, job, stage in _misplaced(schedule, now):
         if not _has_place(schedule, run, job, stage, now):
             continue
-        schedule.regrouped_at = now
         run.phase = RunPhase.STOPPING
         run.confirmed_at = None
         fields = {"task": str(run.key), "run": run.number, "instance": run.instance_id}
@@ -67,24 +66,36 @@
 def _misplaced(
     schedule: Schedule, now: dt.datetime
 ) -> t.Iterator[tuple[RunState, JobState, StageState]]:
-    """Yield the runs that mix robust and sensitive images on an instance."""
+    """Yield the runs that are fewest of their kind on an instance of several."""
     learned = schedule.learned
     for state in schedule.instances.values():
-        serving = sharing.serving_runs(state)
-        robust = [r for r in serving if interference.is_robust(learned, r.stage.image)]
-        sensitive = [
-            r for r in serving if interference.is_sensitive(learned, r.stage.image)
-        ]
-        if not robust or not sensitive:
+        groups = _group(learned, sharing.serving_runs(state))
+        if len(groups) < 2:
             continue
-        few, many = sorted((robust, sensitive), key=_cpu_of)
-        for run in (*few, *(many if many is robust else ())):
+        for run in min(groups, key=_cpu_of):
             job = schedule.jobs[run.key.job_id]
             stage = job.stages[run.key.occurrence, run.key.stage]
-            if _may_move(run, stage, now):
+            if interference.is_known(learned, run.stage.image) and _may_move(
+                run, stage, now
+            ):
                 yield run, job, stage
 
 
+def _group(
+    learned: interference.Interference, serving: list[RunState]
+) -> list[list[RunState]]:
+    """Group runs by images that are disturbed by the same fillers."""
+    groups: list[list[RunState]] = []
+    for run in serving:
+        for group in groups:
+            if interference.are_alike(learned, group[0].stage.image, run.stage.image):
+                group.append(run)
+                break
+        else:
+            groups.append([run])
+    return groups
+
+
 def _cpu_of(runs: list[RunState]) -> int:
     return sum(run.stage.cpu for run in runs)
 
@@ -109,21 +120,20 @@
     stage: StageState,
     now: dt.datetime,
 ) -> bool:
-    """Whether another instance has room for a task among tasks of its kind."""
-    learned = schedule.learned
-    robust = interference.is_robust(learned, run.stage.image)
-    return any(
-        state.instance.instance_id != run.instance_id
-        and _is_kin(learned, state, robust)
-        and placing.is_usable(state, job, stage, now)
-        for state in schedule.instances.values()
-    )
-
-
-def _is_kin(
-    learned: interference.Interference, state: InstanceState, robust: bool
-) -> bool:
-    images = {run.stage.image for run in sharing.serving_runs(state)}
-    if robust:
-        return all(interference.is_robust(learned, image) for image in images)
-    return any(interference.is_sensitive(learned, image) for image in images)
+    """Whether another instance has room for a task, and mostly tasks of its kind."""
+    learned, image = schedule.learned, run.stage.image
+    opens_instances = interference.bears_most(learned, image)
+    for state in schedule.instances.values():
+        groups = _group(learned, sharing.serving_runs(state))
+        if groups:
+            most = max(groups, key=_cpu_of)[0].stage.image
+            is_kin = interference.are_alike(learned, image, most)
+        else:
+            is_kin = opens_instances
+        if (
+            is_kin
+            and state.instance.instance_id != run.instance_id
+            and placing.is_usable(state, job, stage, now)
+        ):
+            return True
+    return False
--- a/src/fighead/decisions/sharing.py
+++ b/src/fighead/decisions/sharing.py
@@ -28,13 +28,13 @@
 
 #: Pressure kept free below the limit of a serving task when fillers start: the
 #: spread of an expected load a second ahead.
-START_MARGIN = 0.1
+START_MARGIN = 0.05
 #: Pressure kept free when running fillers are paced.
 PACE_MARGIN = 0.0
-#: How far ahead loads are looked at when a filler starts: half a run.
-START_HORIZON = dt.timedelta(milliseconds=1500)
+#: How far ahead loads are looked at when a filler starts: the mean run of one.
+START_HORIZONS = tuple(dt.timedelta(seconds=s) for s in (0.0, 0.9, 1.8, 2.7))
 #: How far ahead they are looked at for a pace: until the next listing.
-PACE_HORIZON = dt.timedelta(milliseconds=1000)
+PACE_HORIZONS = tuple(dt.timedelta(seconds=s) for s in (0.0, 0.5, 1.0))
 #: Least change of a pace that is worth a call, in percent.
 LEAST_CHANGE = 15
 #: Time over its target after which a serving task has all fillers beside it
@@ -72,16 +72,20 @@
 
 
 def look(
-    learned: Interference, state: InstanceState, now: dt.datetime
+    learned: Interference,
+    state: InstanceState,
+    peak_of: t.Callable[[interference.StageId], float],
 ) -> Neighbourhood:
-    """Return how much more the serving tasks of an instance bear for a while."""
+    """Return how much more the serving tasks of an instance bear for a while.
+
+    :param peak_of: Returns the highest load expected of a stage until then.
+    """
     beside = _planned(state)
-    horizon = now + START_HORIZON
     return Neighbourhood(
         [
             Neighbour(
                 run.stage.image,
-                min(_slack(learned, run, beside, at) for at in (now, horizon)),
+                _slack(learned, run, beside, peak_of(stage_id(run))),
                 run.late_since is not None,
             )
             for run in serving_runs(state)
@@ -89,6 +93,18 @@
     )
 
 
+def peak_of(
+    learned: Interference,
+    stage: interference.StageId,
+    now: dt.datetime,
+    horizons: t.Sequence[dt.timedelta],
+) -> float:
+    """Return the highest load that is expected of a stage within horizons."""
+    return max(
+        interference.load_of(learned, stage, now + ahead).level for ahead in horizons
+    )
+
+
 def stage_id(run: RunState) -> interference.StageId:
     """Return the stage that a run belongs to."""
     return (run.key.job_id, run.key.occurrence, run.key.stage)
@@ -118,10 +134,9 @@
 
 
 def _slack(
-    learned: Interference, run: RunState, beside: list[Beside], now: dt.datetime
+    learned: Interference, run: RunState, beside: list[Beside], load: float
 ) -> float:
     image, target_ms = run.stage.image, run.stage.target_ms
-    load = interference.load_of(learned, stage_id(run), now).level
     added = interference.added_pressure(learned, image, beside)
     return interference.limit_of(learned, image, target_ms) - load - added
 
@@ -229,8 +244,8 @@
         if serving.phase is RunPhase.STOPPING:
             continue
         late = now - (serving.late_since or now)
-        ahead = (now, now + PACE_HORIZON)
-        room = min(_slack(learned, serving, [], at) for at in ahead) - PACE_MARGIN
+        load = peak_of(learned, stage_id(serving), now, PACE_HORIZONS)
+        room = _slack(learned, serving, [], load) - PACE_MARGIN
         _fit(learned, serving.stage.image, fillers, shares, capacity, room, late)
     return {identity: round(100 * share) for identity, share in shares.items()}
 
