Free the slots of checks that can't run any more

Cause of the stuck plan in KNOWN-RED.txt: the plan was pending at its owner, whose two slots were held by checks. Their calls had never ended in the world, their instance had started anew three times since, and their leases were five minutes old; a slot was given back only for a check whose call had ended without an answer.

Excluded: the line (the plan was assigned and its start repeated), the claim and the boot in the assignment (the owner took the start on).

Change: a listing that was made after the end of a check's lease and does not show it frees its slot, whatever its call does; a new life of the instance frees all slots of checks, since it holds nothing and refuses earlier orders.

--- a/src/fighead/decisions/instance_report.py
+++ b/src/fighead/decisions/instance_report.py
@@ -4,7 +4,7 @@
 import typing as t
 
 from attrs import evolve
-from pyrsistent import PMap
+from pyrsistent import PMap, pmap
 
 from .. import message as m
 from ..model import Category, Ending, InstanceReport, TaskStatus
@@ -47,6 +47,9 @@
     tasks, lost = _match_tasks(state, listed, was_restarted, effects)
     tasks = _adopt(state, tasks, listed, effects, now)
     state = evolve(state, tasks=tasks, handled=state.handled.update(lost))
+    if was_restarted:
+        # The new life holds nothing of the last one, and refuses its orders.
+        state = evolve(state, checks=pmap())
     return Step(evolve(state, checks=_match_checks(state, listed)), tuple(effects))
 
 
@@ -136,10 +139,15 @@
 
 
 def _match_checks(state: InstanceState, listed: t.Mapping[str, TaskStatus]) -> PMap:
+    """Free the slots of checks that can't run any more, and hold found ones.
+
+    That also holds for a check whose call has not ended: past its lease it is
+    neither started nor gone on with.
+    """
     checks = state.checks
     for request_id, held in state.checks.items():
         is_over = state.clock_at_report > held.lease_until
-        if held.hold is Hold.UNCERTAIN and is_over and request_id not in listed:
+        if is_over and request_id not in listed:
             checks = checks.remove(request_id)
     for task_id, status in listed.items():
         if task_id not in checks and _is_check(state, status):
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -55,6 +55,11 @@
     return instance.decide(state, m.OfferCheck("i0", request), NOW)
 
 
+def lost_check(number):
+    outcome = m.Unknown("no answer")
+    return m.CheckEnded(f"c{number}", outcome, SECOND, False)
+
+
 def effects_of(step, kind):
     return [effect for effect in step.effects if isinstance(effect, kind)]
 
@@ -109,6 +114,24 @@
     assert states.used_slots(state) == 0
 
 
+def test_a_slot_is_free_once_its_lease_is_over_though_its_call_has_not_ended():
+    state = offer(make_state(), 1).state
+    assert states.used_slots(state) == 1
+    report = InstanceReport("boot", SECOND * 103, 5)
+    later = m.ReportReceived(report, NOW + 3 * SECOND)
+    state = instance.decide(state, later, NOW + 3 * SECOND).state
+    assert states.used_slots(state) == 0
+
+
+def test_the_slots_of_checks_are_free_once_their_instance_has_started_anew():
+    state = offer(make_state(), 1).state
+    state = instance.decide(state, lost_check(1), NOW).state
+    report = InstanceReport("next boot", SECOND, 5)
+    later = m.ReportReceived(report, NOW + SECOND)
+    state = instance.decide(state, later, NOW + SECOND).state
+    assert states.used_slots(state) == 0
+
+
 def test_a_refusal_is_repeated_when_the_start_is():
     # Regression: a refusal that got lost left the work assigned for ever.
     step = start_plans(make_state(), 9)
