Keep a relayed write without an answer unknown

Cause, found by reading: an entry that the store turns away sends a write by way of a peer first. If the peer gave no answer, the write was tried directly; when that was refused too, the client was told 503, which promises that the job never runs, although the peer's try may have taken effect or still may.

Excluded: a certain refusal by the peer, which stays one.

Change: the first try's doubt outlives later tries that do nothing; only a try with an answer settles it. Three tests, one of which fails without the change.

--- a/src/fighead/tasks/relay.py
+++ b/src/fighead/tasks/relay.py
@@ -1,6 +1,5 @@
 """Calls to the store by way of a peer, while it turns this entry away."""
 
-import contextlib
 import datetime as dt
 import typing as t
 
@@ -46,9 +45,21 @@
 
     async def call(self, req: t.Any, timeout: dt.timedelta) -> t.Any:
         """Carry out one request; raises as the store does."""
-        if self._is_avoided():
-            with contextlib.suppress(StoreError):
-                return await self._relay(req)
+        if not self._is_avoided():
+            return await self._try(req, timeout)
+        try:
+            return await self._relay(req)
+        except StoreOutcomeUnknownError as unknown:
+            try:
+                return await self._try(req, timeout)
+            except StoreUnavailableError:
+                # That this try did nothing says nothing of the one before it.
+                raise unknown from None
+        except StoreError:
+            return await self._try(req, timeout)
+
+    async def _try(self, req: t.Any, timeout: dt.timedelta) -> t.Any:
+        """Call the store, and a peer if the store certainly did nothing."""
         try:
             return await self.store.call(req, timeout)
         except StoreUnavailableError:
