Start a filler in the end that no instance bears

A filler that disturbs the serving tasks of every instance was never placed, however long it waited and however empty the instances were; with the effects learned wrongly, as they were then, that could hit any filler.

Change: a job of which nothing runs starts one task where it fits after 2 s, while the instances are less than half full; pacing then protects the tasks beside it.

Tests: one that fails without the change, and one that it does not happen while the instances are more than half full, where waiting is right.

--- a/src/fighead/decisions/placing.py
+++ b/src/fighead/decisions/placing.py
@@ -49,6 +49,10 @@
 #: How long a serving task is kept from them: half of the 6 s after which one
 #: that could run counts as lost.
 HOLD_BACK_TIME = dt.timedelta(seconds=3)
+#: Time that a job waits for a place where it disturbs nobody while the instances
+#: are less than half full: one that could run for 3 s and does not counts as lost.
+STARVED_TIME = dt.timedelta(seconds=2)
+HALF_FULL = 0.5
 #: Share of the instances that is kept free of serving tasks that some fillers
 #: disturb, while those tasks fit elsewhere.
 FREE_SHARE = 0.1
@@ -155,7 +159,8 @@
 
 def _place_tasks(round_: Round, job: JobState, stage: StageState) -> list[Effect]:
     spec = stage.spec
-    if spec.is_filler and spec.cpu >= round_.hopeless.get(spec.image, spec.cpu + 1):
+    is_hopeless = spec.cpu >= round_.hopeless.get(spec.image, spec.cpu + 1)
+    if spec.is_filler and is_hopeless and not _is_starved(round_, job, stage):
         return []
     effects: list[Effect] = []
     for index in sorted(stage.waiting):
@@ -233,7 +238,24 @@
     ]
     if not stage.spec.is_filler:
         return usable
-    return [s for s in usable if _foresee(round_, s, stage).is_bearable]
+    bearable = [s for s in usable if _foresee(round_, s, stage).is_bearable]
+    if not bearable and _is_starved(round_, job, stage):
+        return usable
+    return bearable
+
+
+def _is_starved(round_: Round, job: JobState, stage: StageState) -> bool:
+    """Whether a job has to be given a start although it will disturb others.
+
+    Nothing of it runs while the instances are half empty; its filler is paced.
+    """
+    since = (stage.tasks[index].waiting_since for index in stage.waiting)
+    earliest = min((at for at in since if at is not None), default=round_.now)
+    if round_.now - earliest < STARVED_TIME or any(True for _ in job.runs()):
+        return False
+    states = round_.schedule.instances.values()
+    used = sum(state.used.cpu for state in states)
+    return used < HALF_FULL * sum(state.instance.capacity.cpu for state in states)
 
 
 def _foresee(round_: Round, state: InstanceState, stage: StageState) -> Outlook:
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -187,6 +187,25 @@
     assert not placed(schedule, 3)
 
 
+def test_a_filler_that_nothing_bears_starts_in_the_end_if_instances_are_half_empty():
+    schedule, _, _, _ = with_serving(tail=60.0)
+    del schedule.instances["i2"]
+    know(schedule, "s", f=0.9)
+    add_job(schedule, FILLER)
+    assert not placed(schedule, 3) and not placed(schedule, 4.8)
+    assert len(placed(schedule, 5.1)) == 1
+
+
+def test_a_filler_that_nothing_bears_waits_while_instances_are_more_than_half_full():
+    schedule, _, _, _ = with_serving(tail=60.0)
+    del schedule.instances["i2"]
+    know(schedule, "s", f=0.9)
+    add_job(schedule, Stage(cpu=24000), job_id=job_name(3))
+    assert len(placed(schedule, 3)) == 1
+    add_job(schedule, FILLER)
+    assert not placed(schedule, 3) and not placed(schedule, 8)
+
+
 def test_fillers_stand_still_beside_a_task_that_stays_late():
     schedule, serving, task, number = with_serving()
     schedule.instances.pop("i2" if serving == "i1" else "i1")
