Tell the lives of an instance apart by fence

Cause: a start that was sent to one life of an instance, and is carried out late by the next life under the same id, was not guarded against: the header names only the id. The scheduler had given the run up with the first life and placed the task elsewhere, so a task could run twice, or again after its end.

Excluded: asking the store before each start (65 reads a second); waiting out the longest delay after each crash (12 s without the instance).

Change: the fence carries the number of the life, so the next life refuses what was meant for the last one once it has been called. Runs are kept over a rebirth until the new life was listed, and then adopted or given up; a stop that a new life does not know is repeated.

The test stand-in now lets late orders reach the next life, as the platform may.

--- a/src/fighead/decisions/instance_watch.py
+++ b/src/fighead/decisions/instance_watch.py
@@ -3,6 +3,8 @@
 import datetime as dt
 import typing as t
 
+from attrs import evolve
+
 from ..log import Event
 from ..run import Instance, StopRun
 from .run_end import lose_run
@@ -66,6 +68,27 @@
     return bool(instance.incarnation and known and instance.incarnation != known)
 
 
+def begin_life(state: InstanceState, lease: dt.timedelta, now: dt.datetime) -> None:
+    """Note that an instance has started anew under its id.
+
+    What it ran has ended, but a start that was on its way may reach the next
+    life. The runs are kept until that life has been listed under a fence of its
+    own, or any lease there has run out.
+    """
+    state.life += 1
+    state.instance = evolve(state.instance, is_draining=False)
+    state.is_reachable = state.is_listed = False
+    state.sequence = 0
+    state.leaves_at = state.refused_until = state.suspect_until = None
+    state.suspicion = ""
+    state.ends.clear()
+    state.leases_end_at = max(state.leases_end_at, lease_bound(now, lease))
+    for run in state.runs.values():
+        run.confirmed_at = run.progressed_at = now
+        run.percent = run.first_percent = 0
+        run.first_at = None
+
+
 def evacuate(state: InstanceState) -> list[Effect]:
     """Stop the lasting runs on an instance, so that they start elsewhere."""
     return _stop(run for run in state.runs.values() if run.stage.is_lasting)
--- a/src/fighead/decisions/run_end.py
+++ b/src/fighead/decisions/run_end.py
@@ -23,6 +23,9 @@
 
 #: Ends that an instance returns at once, by the page on running tasks.
 MAX_ENDS_LISTED = 500
+#: Time after an answered stop at which the run has ended: instances take up to
+#: 0.9 s for one.
+STOP_PATIENCE = dt.timedelta(milliseconds=1200)
 #: Pause after a refusal before an instance is given new runs.
 REFUSAL_PAUSE = dt.timedelta(milliseconds=500)
 
@@ -80,7 +83,7 @@
     run = find_run(schedule, row.task, row.number)
     if run is not None and run.instance_id == state.instance.instance_id:
         _note_progress(schedule, run, row, now)
-        return []
+        return _repeat_stop(run, now)
     job = schedule.jobs.get(row.task.job_id)
     task = job.task(row.task) if job else None
     if job is None or task is None or not _may_adopt(job, task):
@@ -94,6 +97,17 @@
     return _adopt(schedule, state, job, task, row, now)
 
 
+def _repeat_stop(run: RunState, now: dt.datetime) -> list[Effect]:
+    """Stop a run again that goes on: its instance may have started anew."""
+    settled_at = run.confirmed_at
+    if run.phase is not RunPhase.STOPPING or settled_at is None:
+        return []
+    if now - settled_at < STOP_PATIENCE:
+        return []
+    run.confirmed_at = None
+    return [Order(run.instance_id, StopRun(run.key, run.number))]
+
+
 def _may_adopt(job: JobState, task: TaskState) -> bool:
     stage = job.stages[task.key.occurrence, task.key.stage].spec
     return (
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -15,6 +15,9 @@
 #: Run numbers that one term may give to a task.
 RUNS_PER_TERM = 10_000
 
+#: Lives of an instance that the fences of one term tell apart.
+LIVES_PER_TERM = 1000
+
 #: Ends of runs that are remembered of an instance.
 ENDS_KEPT = 16
 
@@ -163,7 +166,8 @@
     :param fillers_cpu: Processor demand of the fillers on it.
     :param serving: Its runs that have a target.
     :param serving_cpu: Processor demand of the serving tasks on it.
-    :param is_listed: Whether it has been listed under the present fence.
+    :param life: How often it has started anew in this term.
+    :param is_listed: Whether its present life has been listed under this term.
     :param is_reachable: Whether its last call was answered.
     :param is_registered: Whether the store holds its registration.
     :param is_recorded: Whether it is written as one that may run something.
@@ -182,6 +186,7 @@
     serving_cpu: int = 0
     runs: dict[tuple[TaskKey, int], RunState] = field(factory=dict)
     serving: dict[tuple[TaskKey, int], RunState] = field(factory=dict)
+    life: int = 0
     is_listed: bool = False
     is_reachable: bool = False
     is_registered: bool = True
@@ -266,6 +271,14 @@
     #: When a serving task was last moved for the sake of fillers.
     regrouped_at: dt.datetime | None = None
 
+    def fence_for(self, state: InstanceState) -> int:
+        """Return what orders to an instance carry.
+
+        A later life refuses what was meant for an earlier one, once it has seen
+        an order of its own; a later term outdoes all lives of this one.
+        """
+        return self.fence * LIVES_PER_TERM + min(state.life, LIVES_PER_TERM - 1)
+
     def may_start(self, job: JobState) -> bool:
         """Whether no unknown run of a job can exist."""
         is_fresh = self.fresh_after is not None and job.revision > self.fresh_after
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -18,7 +18,7 @@
     run_end,
 )
 from ..decisions.instance_watch import AUTHORITY, TIMER_SLACK
-from ..decisions.schedule_state import JobState, Note, Order, Schedule
+from ..decisions.schedule_state import LIVES_PER_TERM, JobState, Note, Order, Schedule
 from ..exceptions import RequestError, StoreError
 from ..job import JobConfig, JobEnding, JobPhase, JobProgress, JobRecord
 from ..job_metric import JobMetrics
@@ -414,7 +414,7 @@
             self.adapter.make_client(instance),
             self.clock,
             self.lease,
-            self.schedule.fence,
+            self.schedule.fence_for(self.schedule.instances[instance.instance_id]),
             self.may_act,
             self.mailbox.offer,
         )
@@ -476,7 +476,7 @@
                     )
             case reports.Deposed(_, fence):
                 log_event(Event.SCHEDULER_FENCED, instance=instance_id, fence=fence)
-                self._ask_to_depose(fence)
+                self._ask_to_depose(fence // LIVES_PER_TERM)
             case reports.Reborn():
                 self._take_reborn(instance_id)
             case reports.StartAnswered(_, task, number, refusal):
@@ -494,13 +494,11 @@
         self.clock.call_later(dt.timedelta(), lambda: self.depose(fence))
 
     def _take_reborn(self, instance_id: str) -> None:
-        """Drop a life that has ended; its registration brings the new one."""
-        state = self.schedule.instances[instance_id]
-        state.is_reachable = False
+        """Leave a life that has ended; its registration brings the next one."""
+        instance_watch.begin_life(
+            self.schedule.instances[instance_id], self.lease, self.clock.now()
+        )
         self._drop_agent(instance_id)
-        for run in list(state.runs.values()):
-            run_end.lose_run(self.schedule, run)
-        del self.schedule.instances[instance_id]
         log_event(Event.INSTANCE_REBORN, instance=instance_id)
 
     def _drop_agent(self, instance_id: str) -> None:
@@ -647,8 +645,10 @@
 
     def _refence(self, fence: int) -> None:
         self.schedule.fence = self._sweeper.fence = fence
-        for agent in self.agents.values():
-            agent.mailbox.offer(reports.SetFence(fence))
+        for instance_id, agent in self.agents.items():
+            state = self.schedule.instances.get(instance_id)
+            if state is not None:
+                agent.mailbox.offer(reports.SetFence(self.schedule.fence_for(state)))
         # Writes under the old fence may not have been made.
         self.schedule.dirty.update(
             job.job_id for job in self.schedule.jobs.values() if not job.is_recorded
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -21,6 +21,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
     WorkerError,
+    WorkerRefusedError,
     WorkerUnreachableError,
 )
 from fighead.fronts.job import JobCodec
@@ -29,7 +30,7 @@
 from fighead.job_settings import JobSettings
 from fighead.mailbox import Mailbox, spawn
 from fighead.queries import job as queries
-from fighead.run import Instance
+from fighead.run import Instance, Refusal
 from fighead.settings import ListenAddress
 from fighead.standins.job_machine import JobMachine, reborn
 from fighead.tasks.scheduler import Adapter
@@ -188,10 +189,13 @@
         return await self.gate.passed(result)
 
     def _machine(self, act):
+        # A later life under the same id carries out what was meant for the last.
         machine = self.cluster.machines[self.instance.instance_id]
+        result = act(machine)
         if machine.instance.incarnation != self.instance.incarnation:
-            raise WorkerUnreachableError("another life", "again")
-        return act(machine)
+            reason = Refusal.OTHER_INCARNATION.value
+            raise WorkerRefusedError("another life", "list it", reason)
+        return result
 
     def _apply_late(self, act):
         # A late order may be refused like any other.
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from attrs import evolve
 
 from fighead.job import JobPhase, JobSpec, Stage
 from job_cluster import JobCluster, has_ended
@@ -255,6 +256,27 @@
     assert job_id(1) not in cluster.accepted
 
 
+def test_a_late_start_that_meets_the_next_life_of_its_instance_runs_nowhere_else(
+    cluster,
+):
+    cluster.pass_time(2)
+    for name in ("i1", "i2", "i3"):
+        cluster.drain(name, 60_000)
+    cluster.pass_time(0.5)
+    cluster.late_share = 1.0
+    cluster.submit(job_id(1), JobSpec("x", (Stage(cpu=1000, estimate_ms=8000),)))
+    cluster.pass_time(0.3)
+    for name in ("i1", "i2", "i3"):
+        machine = cluster.machines[name]
+        machine.instance = evolve(machine.instance, is_draining=False)
+        cluster.register(name)
+    cluster.crash("i0")
+    cluster.late_share = 0.0
+    cluster.pass_time(25)
+    assert cluster.phase(job_id(1)) is JobPhase.COMPLETED
+    assert not cluster.breaches()
+
+
 FAULTS = (
     "kill",
     "kill all",
