--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -228,6 +228,20 @@
     assert used and "i9" not in used
 
 
+def test_a_start_without_an_answer_is_settled_before_its_task_starts_elsewhere():
+    cluster = JobCluster(instance_count=2)
+    cluster.pass_time(2)
+    wide = Stage(count=12, cpu=500, memory_mb=1, estimate_ms=7000)
+    cluster.late_share = 1.0
+    cluster.submit(job_id(1), JobSpec("x", (wide,)))
+    # Both tries of a start get no answer, and are carried out 2 to 12 s later.
+    cluster.pass_time(1.9)
+    cluster.late_share = 0.0
+    cluster.pass_time(30)
+    assert cluster.phase(job_id(1)) is JobPhase.COMPLETED
+    assert not cluster.breaches()
+
+
 def test_new_jobs_do_not_wait_for_an_instance_that_never_answers(cluster):
     cluster.submit(job_id(1), JobSpec("x", (LONG,)))
     cluster.pass_time(2)
