Don't let an ended fence hold up the record of the fleet

Cause, found in review: a write of the fleet under a fence that had ended was repeated for ever, so after a second election in one reign no instance that came later was ever recorded, and none of these was given a run.

Change: a write that is refused for its fence is dropped; the scheduler orders it anew under the next one. Only writes without an answer are repeated.

Two tests, one of which fails without the change.

--- a/src/fighead/tasks/fleet.py
+++ b/src/fighead/tasks/fleet.py
@@ -10,7 +10,7 @@
 from ..exceptions import StoreError
 from ..log import Event, log_event
 from ..mailbox import Mailbox
-from ..store import FLEET, JOB_LEADER, Compare, Put, Txn
+from ..store import FLEET, JOB_LEADER, Compare, Put, Txn, TxnResult
 from .watch import STORE_TIMEOUT, StoreClient
 
 RETRY_PAUSE = dt.timedelta(milliseconds=200)
@@ -55,16 +55,21 @@
         """Serve the mailbox until cancelled."""
         while True:
             msg = await self.mailbox.get()
-            while not await self._write(msg):
-                await sleep(self.clock, RETRY_PAUSE)
-            self.report(FleetRecorded(msg.fleet))
+            if await self._write(msg):
+                self.report(FleetRecorded(msg.fleet))
 
     async def _write(self, msg: RecordFleet) -> bool:
-        """Write once; whether the record is certainly there."""
+        """Write until answered; whether the record is there.
+
+        It is not if the entry leads no more under that fence: it then stops, or
+        orders the write anew under the next one.
+        """
         txn = Txn((Compare(JOB_LEADER, msg.fence),), (Put(FLEET, to_json(msg.fleet)),))
-        try:
-            result = await self.store.call(txn, STORE_TIMEOUT)
-        except StoreError as exc:
-            log_event(Event.STORE_CALL_FAILED, what="fleet", reason=exc.message)
-            return False
-        return result.succeeded
+        while True:
+            try:
+                result: TxnResult = await self.store.call(txn, STORE_TIMEOUT)
+            except StoreError as exc:
+                log_event(Event.STORE_CALL_FAILED, what="fleet", reason=exc.message)
+                await sleep(self.clock, RETRY_PAUSE)
+                continue
+            return result.succeeded
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,47 @@
+"""Tests of the task that writes which instances may run anything."""
+
+import datetime as dt
+
+from twisted.internet.task import Clock
+
+from fighead.clock import ReactorClock
+from fighead.mailbox import spawn
+from fighead.store import FLEET, JOB_LEADER, KeyValue
+from fighead.tasks.fleet import Fleet, FleetRecorded, FleetTask, RecordFleet
+from memory_store import MemoryStore
+
+START = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
+FLEETS = (Fleet(("i1",)), Fleet(("i1", "i2")))
+
+
+def run(store, clock, reactor, *orders):
+    reports = []
+    fleet = FleetTask(store, clock, reports.append)
+    spawn(fleet.run())
+    for order in orders:
+        fleet.mailbox.offer(order)
+    reactor.pump([0.01] * 200)
+    return reports
+
+
+def make_store():
+    reactor = Clock()
+    clock = ReactorClock(reactor, START)
+    store = MemoryStore(clock)
+    store.items[JOB_LEADER] = KeyValue(JOB_LEADER, "", 5, 5)
+    return store, clock, reactor
+
+
+def test_an_order_under_an_ended_fence_does_not_hold_up_the_next_one():
+    """The entry was elected again while the first write was on its way."""
+    orders = (RecordFleet(4, FLEETS[0]), RecordFleet(5, FLEETS[1]))
+    store, *rest = make_store()
+    assert run(store, *rest, *orders) == [FleetRecorded(FLEETS[1])]
+    assert "i2" in store.items[FLEET].value
+
+
+def test_a_write_without_an_answer_is_repeated():
+    store, *rest = make_store()
+    store.lose_answers = 2
+    order = RecordFleet(5, FLEETS[0])
+    assert run(store, *rest, order) == [FleetRecorded(FLEETS[0])]
