Stop and move runs in one place

Six modules set a run's phase, forgot its confirmation and ordered the stop, each in its own words. decisions/stopping.py does that for all; moves tell their reason in the log (5209).

--- a/src/fighead/decisions/instance_health.py
+++ b/src/fighead/decisions/instance_health.py
@@ -9,18 +9,18 @@
 
 from ..job import Stage
 from ..log import Event
-from ..run import EndKind, StopRun
+from ..run import EndKind
 from .schedule_state import (
     Effect,
     EndNote,
     InstanceState,
     JobState,
     Note,
-    Order,
     RunPhase,
     RunState,
     Schedule,
 )
+from .stopping import move_run
 
 #: Time without any progress after which a run stands still: at least two
 #: listings, which come once a second or more often.
@@ -103,7 +103,7 @@
         effects.append(Note(Event.INSTANCE_SUSPECTED, fields))
     state.suspect_until, state.suspicion = now + SUSPICION_TIME, reason
     if reason != FAILING:
-        effects += [effect for run in judged for effect in _move(run)]
+        effects += [effect for run in judged for effect in _move(run, reason)]
     return effects
 
 
@@ -182,14 +182,8 @@
     return [Note(Event.INSTANCE_TRUSTED, fields)]
 
 
-def _move(run: RunState) -> list[Effect]:
+def _move(run: RunState, reason: str) -> list[Effect]:
     """Stop a run so that it goes on elsewhere, if little work is lost."""
     if not run.stage.is_checkpointed and run.percent > LEFT_TO_END:
         return []
-    run.phase = RunPhase.STOPPING
-    run.confirmed_at = None
-    fields = {"task": str(run.key), "run": run.number, "instance": run.instance_id}
-    return [
-        Note(Event.RUN_MOVED, fields),
-        Order(run.instance_id, StopRun(run.key, run.number)),
-    ]
+    return move_run(run, reason)
--- a/src/fighead/decisions/instance_watch.py
+++ b/src/fighead/decisions/instance_watch.py
@@ -6,17 +6,10 @@
 from attrs import evolve
 
 from ..log import Event
-from ..run import Instance, StopRun
+from ..run import Instance
 from .run_end import lose_run
-from .schedule_state import (
-    Effect,
-    InstanceState,
-    Note,
-    Order,
-    RunPhase,
-    RunState,
-    Schedule,
-)
+from .schedule_state import Effect, InstanceState, Note, Schedule
+from .stopping import stop_runs
 
 #: Most that an instance's steady clock may lag, by the page on running tasks.
 CLOCK_LAG = 0.02
@@ -91,24 +84,14 @@
 
 def evacuate(state: InstanceState) -> list[Effect]:
     """Stop the lasting runs on an instance, so that they start elsewhere."""
-    return _stop(run for run in state.runs.values() if run.stage.is_lasting)
-
-
-def _stop(runs: t.Iterable[RunState]) -> list[Effect]:
-    orders: list[Effect] = []
-    for run in runs:
-        if run.phase is not RunPhase.STOPPING:
-            run.phase = RunPhase.STOPPING
-            run.confirmed_at = None
-            orders.append(Order(run.instance_id, StopRun(run.key, run.number)))
-    return orders
+    return stop_runs(run for run in state.runs.values() if run.stage.is_lasting)
 
 
 def _save_work(state: InstanceState, now: dt.datetime) -> list[Effect]:
     """Stop the checkpointed runs of an instance that is about to leave."""
     if state.leaves_at is None or now < state.leaves_at - EVACUATION_NOTICE:
         return []
-    return _stop(run for run in state.runs.values() if run.stage.is_checkpointed)
+    return stop_runs(run for run in state.runs.values() if run.stage.is_checkpointed)
 
 
 def unregister(schedule: Schedule, instance_ids: t.Iterable[str]) -> list[Effect]:
--- a/src/fighead/decisions/job_intake.py
+++ b/src/fighead/decisions/job_intake.py
@@ -4,18 +4,9 @@
 
 from ..job import JobPhase, JobProgress, JobRecord, Queue, StageProgress, TaskKey
 from ..log import Event
-from ..run import StopRun
 from . import interference
-from .schedule_state import (
-    Effect,
-    JobState,
-    Note,
-    Order,
-    RunPhase,
-    Schedule,
-    StageState,
-    TaskState,
-)
+from .schedule_state import Effect, JobState, Note, Schedule, StageState, TaskState
+from .stopping import stop_runs
 
 #: Ended jobs that the scheduler remembers; the store tells of older ones.
 ENDINGS_KEPT = 20_000
@@ -137,18 +128,7 @@
     note = Note(
         Event.JOB_ENDED, {"job": job.job_id, "phase": phase.value, "reason": reason}
     )
-    return [note, *stop_runs(job)]
-
-
-def stop_runs(job: JobState) -> list[Effect]:
-    """Return the orders that stop all runs of a job."""
-    orders: list[Effect] = []
-    for run in job.runs():
-        if run.phase is not RunPhase.STOPPING:
-            run.phase = RunPhase.STOPPING
-            run.confirmed_at = None
-            orders.append(Order(run.instance_id, StopRun(run.key, run.number)))
-    return orders
+    return [note, *stop_runs(job.runs())]
 
 
 def forget_job(schedule: Schedule, job_id: str) -> None:
--- a/src/fighead/decisions/regrouping.py
+++ b/src/fighead/decisions/regrouping.py
@@ -9,19 +9,9 @@
 import datetime as dt
 import typing as t
 
-from ..log import Event
-from ..run import StopRun
 from . import interference, placing, sharing
-from .schedule_state import (
-    Effect,
-    JobState,
-    Note,
-    Order,
-    RunPhase,
-    RunState,
-    Schedule,
-    StageState,
-)
+from .schedule_state import Effect, JobState, RunPhase, RunState, Schedule, StageState
+from .stopping import move_run
 
 #: Least time between two moves: each one takes a task away for about a second.
 MOVE_PAUSE = dt.timedelta(milliseconds=300)
@@ -30,6 +20,8 @@
 #: Time for which a task stays where it is before it is moved.
 SETTLED_TIME = dt.timedelta(seconds=3)
 AT_WORK_PERCENT = 100
+#: What the log says of a move.
+REASON = "serving tasks that the same fillers disturb are brought together"
 
 
 def regroup(schedule: Schedule, now: dt.datetime) -> list[Effect]:
@@ -43,13 +35,7 @@
     for run, job, stage in _misplaced(schedule, now):
         if not _has_place(schedule, run, job, stage, now):
             continue
-        run.phase = RunPhase.STOPPING
-        run.confirmed_at = None
-        fields = {"task": str(run.key), "run": run.number, "instance": run.instance_id}
-        return [
-            Note(Event.RUN_MOVED, fields),
-            Order(run.instance_id, StopRun(run.key, run.number)),
-        ]
+        return move_run(run, REASON)
     return []
 
 
--- a/src/fighead/decisions/run_end.py
+++ b/src/fighead/decisions/run_end.py
@@ -20,6 +20,7 @@
     StageState,
     TaskState,
 )
+from .stopping import stop_runs
 
 #: Ends that an instance returns at once, by the page on running tasks.
 MAX_ENDS_LISTED = 500
@@ -242,7 +243,7 @@
         member.is_done = True
         stage.done_count += 1
         stage.waiting.discard(member.key.index)
-        effects += _stop_copies(member)
+        effects += stop_runs(member.runs)
     schedule.dirty.add(job.job_id)
     if stage.is_done:
         open_stages(job)
@@ -251,16 +252,6 @@
     return effects
 
 
-def _stop_copies(task: TaskState) -> list[Effect]:
-    orders: list[Effect] = []
-    for run in task.runs:
-        if run.phase is not RunPhase.STOPPING:
-            run.phase = RunPhase.STOPPING
-            run.confirmed_at = None
-            orders.append(Order(run.instance_id, StopRun(run.key, run.number)))
-    return orders
-
-
 def release_run(schedule: Schedule, run: RunState) -> None:
     """Stop counting a run that is certainly gone."""
     job = schedule.jobs.get(run.key.job_id)
--- a/src/fighead/decisions/sharing.py
+++ b/src/fighead/decisions/sharing.py
@@ -13,7 +13,7 @@
 
 from ..job import Stage
 from ..log import Event
-from ..run import PaceRun, StopRun
+from ..run import PaceRun
 from . import interference
 from .interference import Beside, Interference
 from .schedule_state import (
@@ -25,6 +25,7 @@
     RunState,
     Schedule,
 )
+from .stopping import move_run
 
 #: Pressure kept free below the limit of a serving task when fillers start: the
 #: spread of an expected load a second ahead.
@@ -307,10 +308,4 @@
         return []
     if now - run.crawling_since < CRAWL_TIME:
         return []
-    run.phase = RunPhase.STOPPING
-    run.confirmed_at = None
-    fields = {"task": str(run.key), "run": run.number, "instance": run.instance_id}
-    return [
-        Note(Event.RUN_MOVED, fields),
-        Order(run.instance_id, StopRun(run.key, run.number)),
-    ]
+    return move_run(run, "its pace is too low")
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -65,7 +65,7 @@
     START_REFUSED = (5206, "warning", "An instance refused to start a run.")
     START_UNANSWERED = (5207, "warning", "A start without an answer is stopped.")
     RUN_PACED = (5208, "info", "A filler's speed is changed for what it disturbs.")
-    RUN_MOVED = (5209, "info", "A run that hardly works is moved.")
+    RUN_MOVED = (5209, "info", "A run is stopped to go on elsewhere.")
     INSTANCE_FOUND = (5301, "info", "An instance has registered.")
     INSTANCE_UNREGISTERED = (5302, "warning", "A registration is gone.")
     INSTANCE_DRAINING = (5303, "info", "An instance is draining.")
