--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -25,12 +25,12 @@
     WorkerUnreachableError,
 )
 from fighead.fronts.job import JobCodec
-from fighead.job import Demand, JobConfig, JobPhase, JobSpec, Queue
+from fighead.job import Demand, JobConfig, JobPhase, JobSpec, Queue, TaskKey
 from fighead.job_entry import JobEntry
 from fighead.job_settings import JobSettings
 from fighead.mailbox import Mailbox, spawn
 from fighead.queries import job as queries
-from fighead.run import RefusalReason, RegisteredInstance
+from fighead.run import EndKind, RefusalReason, RegisteredInstance, RunEnd
 from fighead.settings import ListenAddress
 from fighead.standins.simulated_job_instance import SimulatedJobInstance, restart
 from fighead.tasks.scheduler import PlatformAdapter
@@ -438,6 +438,15 @@
         self.instances[name] = restart(self.instances[name], incarnation)
         self.register_instance(name)
 
+    def add_removed_jobs(self, name, count):
+        """Let an instance list the ends of jobs that the store no longer has."""
+        simulated = self.instances[name]
+        for number in range(count):
+            simulated._sequence += 1
+            task = TaskKey(f"removed{number:09}", 0, 0, 0)
+            end = RunEnd(simulated._sequence, task, 1, EndKind.DONE)
+            simulated._ends.append(end)
+
     def drain_instance(self, name, remaining_ms):
         """Register an instance as draining, with the time it has left."""
         simulated = self.instances[name]
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -39,6 +39,11 @@
         takes n times as long.
     :param is_unavailable: Whether all calls and watches fail as unavailable.
     :param lose_answers: Number of the next transactions whose answer is lost.
+    :param page_items: Maximum number of items in a page; 0 for no limit.
+    :param fails_second_pages: Whether every second read of a page under a prefix
+        fails.
+    :param reads: All reads so far.
+    :param most_key_reads: Most reads of a single key that were open at once.
     """
 
     clock: object
@@ -46,6 +51,11 @@
     grant_delay: dt.timedelta = dt.timedelta()
     is_unavailable: bool = False
     lose_answers: int = 0
+    page_items: int = 0
+    fails_second_pages: bool = False
+    reads: list = field(factory=list)
+    open_key_reads: int = 0
+    most_key_reads: int = 0
     revision: int = 1
     items: dict = field(factory=dict)
     leases: dict = field(factory=dict)
@@ -65,9 +75,24 @@
         self.refused_leader = leader
         self.refused_lease = self.lease_of[JOB_LEADER_KEY]
 
+    def count_reads(self, prefix):
+        """Return how often a page under exactly this prefix was read."""
+        return sum(read.is_prefix and read.key == prefix for read in self.reads)
+
     async def call(self, req, timeout):
         self.calls += 1
-        await sleep(self.clock, self.delay)
+        is_key_read = isinstance(req, Range) and not req.is_prefix
+        self.open_key_reads += is_key_read
+        self.most_key_reads = max(self.most_key_reads, self.open_key_reads)
+        try:
+            await sleep(self.clock, self.delay)
+        finally:
+            self.open_key_reads -= is_key_read
+        if isinstance(req, Range):
+            self.reads.append(req)
+            is_second = req.is_prefix and self.count_reads(req.key) % 2 == 0
+            if is_second and self.fails_second_pages:
+                raise StoreUnavailableError("the page is lost", "read it again")
         if isinstance(req, LeaseGrant):
             self.grants += 1
             await sleep(self.clock, self.grant_delay * self.grants)
@@ -102,7 +127,8 @@
             case Range():
                 kvs = [kv for k, kv in sorted(self.items.items()) if k > req.start]
                 kvs = [kv for kv in kvs if kv.key.startswith(req.key)]
-                return RangeResult(self.revision, tuple(kvs))
+                page = kvs[: self.page_items or None]
+                return RangeResult(self.revision, tuple(page), len(kvs) > len(page))
             case Txn():
                 return self._commit(req)
             case LeaseGrant(ttl_s):
