Limit large reads by silence instead of by their whole time

Cause: a page has up to 1 MB of values, 1.33 MB on the wire, and the timeout of 1 s covered the whole call. At 5 Mbit/s the transfer takes 2.1 s, so that each attempt fails the same way, however often it is repeated.

HttpPool.request takes an idle timeout: once data arrive, only the time between two arrivals is limited. Reads of a prefix and watches use it; reads of one key and writes keep the limit on the whole call. There is no limit on the total besides the size of the response, which the store bounds.

--- a/src/fighead/clock.py
+++ b/src/fighead/clock.py
@@ -65,25 +65,53 @@
     return deferred
 
 
-def with_timeout(clock: Clock, deferred: Deferred, timeout: dt.timedelta) -> Deferred:
-    """Return ``deferred``, cancelled if it has not fired within ``timeout``.
+class Timeout:
+    """A time limit on a deferred, which can be restarted while it waits.
 
-    After a cancellation it fails with :exc:`TimeoutError`.
+    Created with one second, applied to a deferred and restarted half a second later,
+    it cancels the deferred one and a half seconds after the start.
+
+    .. versionadded:: 0.1
     """
-    expired = False
 
-    def expire() -> None:
-        nonlocal expired
-        expired = True
-        deferred.cancel()
+    def __init__(self, clock: Clock, duration: dt.timedelta) -> None:
+        self._clock = clock
+        self._duration = duration
+        self._call: IDelayedCall | None = None
+        self._is_expired = False
+
+    def apply(self, deferred: Deferred) -> Deferred:
+        """Return ``deferred``, cancelled when the time has passed.
+
+        After a cancellation it fails with :exc:`TimeoutError`.
+        """
+
+        def expire() -> None:
+            self._is_expired = True
+            deferred.cancel()
+
+        self._call = self._clock.call_later(self._duration, expire)
+        return deferred.addBoth(self._finish)
+
+    def restart(self, duration: dt.timedelta) -> None:
+        """Let the time start again from now; does nothing after its end."""
+        if self._call is not None and self._call.active():
+            self._duration = duration
+            self._call.reset(duration.total_seconds())
+
+    def _finish(self, result: t.Any) -> t.Any:
+        if self._call is not None and self._call.active():
+            self._call.cancel()
+        if self._is_expired:
+            raise TimeoutError(
+                f"No result within {self._duration.total_seconds():g} s."
+            )
+        return result
 
-    call = clock.call_later(timeout, expire)
 
-    def finish(result: t.Any) -> t.Any:
-        if call.active():
-            call.cancel()
-        if expired:
-            raise TimeoutError(f"No result within {timeout.total_seconds():g} s.")
-        return result
+def with_timeout(clock: Clock, deferred: Deferred, timeout: dt.timedelta) -> Deferred:
+    """Return ``deferred``, cancelled if it has not fired within ``timeout``.
 
-    return deferred.addBoth(finish)
+    After a cancellation it fails with :exc:`TimeoutError`.
+    """
+    return Timeout(clock, timeout).apply(deferred)
--- a/src/fighead/http_client.py
+++ b/src/fighead/http_client.py
@@ -15,7 +15,7 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.protocol import Protocol, connectionDone
 
-from .clock import Clock, with_timeout
+from .clock import Clock, Timeout
 
 #: Limit on establishing a connection: several times the latency of the slowest
 #: link between two availability zones.
@@ -67,6 +67,7 @@
         self._release = release
         self._h11 = h11.Connection(our_role=h11.CLIENT)
         self._pending: Deferred[HttpResponse] | None = None
+        self._on_data: t.Callable[[], None] = _ignore_data
         self._status = 0
         self._chunks: list[bytes] = []
         self.is_open = False
@@ -75,9 +76,15 @@
         self.is_open = True
         self.transport.setTcpNoDelay(True)
 
-    def send(self, req: HttpRequest) -> Deferred[HttpResponse]:
-        """Send a request; cancelling the deferred aborts the connection."""
+    def send(
+        self, req: HttpRequest, on_data: t.Callable[[], None]
+    ) -> Deferred[HttpResponse]:
+        """Send a request; cancelling the deferred aborts the connection.
+
+        :param on_data: Called whenever a part of the response arrives.
+        """
         self._pending = Deferred(lambda _: self.transport.abortConnection())
+        self._on_data = on_data
         headers = [
             ("Host", self._host),
             ("Content-Length", str(len(req.body))),
@@ -94,6 +101,7 @@
         return self._pending
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._on_data()
         try:
             self._h11.receive_data(data)
             self._read_events()
@@ -119,6 +127,7 @@
         response = HttpResponse(self._status, b"".join(self._chunks))
         self._chunks = []
         pending, self._pending = self._pending, None
+        self._on_data = _ignore_data
         if self._h11.our_state is h11.DONE and (self._h11.their_state is h11.DONE):
             self._h11.start_next_cycle()
             self._release(self)
@@ -139,6 +148,10 @@
             pending.errback(exc)
 
 
+def _ignore_data() -> None:
+    """Do nothing when data arrive without a pending call."""
+
+
 @define(eq=False)
 class _AddressPool:
     """Connections to one address.
@@ -169,20 +182,38 @@
     _pools: dict[str, _AddressPool] = field(factory=dict)
 
     def request(
-        self, address: str, req: HttpRequest, timeout: dt.timedelta
+        self,
+        address: str,
+        req: HttpRequest,
+        timeout: dt.timedelta,
+        idle_timeout: dt.timedelta | None = None,
     ) -> Deferred[HttpResponse]:
         """Send ``req`` to ``address`` and return the response.
 
+        The time that a large response takes depends on its size and on the link, so
+        a limit on the whole call would make it fail each time it is repeated. With
+        ``idle_timeout`` the call only fails when nothing arrives for too long. Its
+        total time has no limit other than the size of the response.
+
         :param address: Written as ``IP:port``.
-        :param timeout: Limit on the whole call, with the wait for a connection.
+        :param timeout: Limit on the whole call, with the wait for a connection; with
+            ``idle_timeout``, limit on the time until the first data arrive.
+        :param idle_timeout: Limit on the time between two arrivals of data.
         :raises HttpNotSentError: If the call failed before anything was sent.
         :raises HttpLostError: If the call failed later, so that the request may
             have reached the server.
         """
+        limit = Timeout(self.clock, timeout)
+
+        def restart_limit() -> None:
+            if idle_timeout is not None:
+                limit.restart(idle_timeout)
+
         progress = _Progress()
-        pending = Deferred.fromCoroutine(self._exchange(address, req, progress))
-        limited = with_timeout(self.clock, pending, timeout)
-        return limited.addErrback(progress.raise_typed_error)
+        pending = Deferred.fromCoroutine(
+            self._exchange(address, req, progress, restart_limit)
+        )
+        return limit.apply(pending).addErrback(progress.raise_typed_error)
 
     def close_connections(self, address: str) -> None:
         """Close the idle connections to an address, and busy ones after their call."""
@@ -191,7 +222,11 @@
             conn.transport.loseConnection()
 
     async def _exchange(
-        self, address: str, req: HttpRequest, progress: "_Progress"
+        self,
+        address: str,
+        req: HttpRequest,
+        progress: "_Progress",
+        on_data: t.Callable[[], None],
     ) -> HttpResponse:
         pool = self._pools.setdefault(address, _AddressPool())
         while not pool.idle and pool.open_count >= self.max_per_address:
@@ -201,7 +236,7 @@
         conn = pool.idle.pop() if pool.idle else await self._connect(address, pool)
         self.calls += 1
         progress.is_sent = True
-        return await conn.send(req)
+        return await conn.send(req, on_data)
 
     async def _connect(self, address: str, pool: _AddressPool) -> _Connection:
         pool.open_count += 1
--- a/src/fighead/platform/store.py
+++ b/src/fighead/platform/store.py
@@ -48,7 +48,8 @@
 NOT_FOUND = 404
 GONE = 410
 PRECONDITION_FAILED = 412
-#: Time beyond the wait of a watch after which its call times out.
+#: Time beyond the wait of a watch, and between two arrivals of its data, after which
+#: its call times out.
 WATCH_TIMEOUT_MARGIN = dt.timedelta(seconds=1)
 
 
@@ -67,12 +68,17 @@
     async def call(self, req: StoreRequest, timeout: dt.timedelta) -> StoreResult:
         """Send one request and return its result.
 
+        :param timeout: Limit on the whole call; for a read of a prefix, whose result
+            may be large, limit on the time in which nothing arrives.
         :raises StoreUnavailableError: If the request certainly had no effect.
         :raises StoreOutcomeUnknownError: If a write may have taken effect or
             may still take effect.
         :raises LeaseLostError: If a write names a lease that has ended.
         """
-        response = await self._send(_encode_request(req), timeout, is_write(req))
+        is_large = isinstance(req, Range) and req.is_prefix
+        response = await self._send(
+            _encode_request(req), timeout, timeout if is_large else None, is_write(req)
+        )
         return _decode_result(req, response)
 
     async def watch(self, prefix: str, after: int, wait: dt.timedelta) -> WatchBatch:
@@ -87,17 +93,22 @@
         wait_ms = int(wait.total_seconds() * 1000)
         query = {"Prefix": prefix, "After": after, "WaitMs": wait_ms}
         req = HttpRequest("GET", _make_target("kv-watch", query))
-        body = _decode_response(
-            await self._send(req, wait + WATCH_TIMEOUT_MARGIN, False)
+        response = await self._send(
+            req, wait + WATCH_TIMEOUT_MARGIN, WATCH_TIMEOUT_MARGIN, False
         )
+        body = _decode_response(response)
         events = tuple(_decode_event(event) for event in body["events"])
         return WatchBatch(int(body["AtRev"]), events)
 
     async def _send(
-        self, req: HttpRequest, timeout: dt.timedelta, may_write: bool
+        self,
+        req: HttpRequest,
+        timeout: dt.timedelta,
+        idle_timeout: dt.timedelta | None,
+        may_write: bool,
     ) -> HttpResponse:
         try:
-            return await self.pool.request(self.address, req, timeout)
+            return await self.pool.request(self.address, req, timeout, idle_timeout)
         except HttpNotSentError as exc:
             raise _unavailable(str(exc)) from exc
         except HttpLostError as exc:
--- a/src/fighead/tasks/watch.py
+++ b/src/fighead/tasks/watch.py
@@ -10,7 +10,7 @@
 from ..exceptions import HistoryLostError, StoreError
 from ..store import KeyValue, Range, RangeResult, WatchBatch, WatchEvent
 
-#: Timeout of a call to the store.
+#: Timeout of a call to the store; see :meth:`StoreClient.call`.
 STORE_TIMEOUT = dt.timedelta(seconds=1)
 #: Mean pause before a failed watch is retried.
 RETRY_PAUSE = dt.timedelta(milliseconds=250)
@@ -20,7 +20,12 @@
     """Client of the key-value service."""
 
     async def call(self, req: t.Any, timeout: dt.timedelta) -> t.Any:
-        """Send one request and return its result; raises :exc:`.StoreError`."""
+        """Send one request and return its result.
+
+        :param timeout: Limit on the whole call; for a read of a prefix, whose result
+            may be large, limit on the time in which nothing arrives.
+        :raises StoreError: If the call failed.
+        """
         ...
 
     async def watch(self, prefix: str, after: int, wait: dt.timedelta) -> WatchBatch:
