Repeat a failed page alone when all keys are read

With more pages the chance that all of them arrive in a row falls, and with every second read failing it is nil.

read_all takes a function that it calls after a failed read; if it returns, the page is read again and the pages before it are kept.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -43,6 +43,7 @@
     KeyValue,
     Put,
     Range,
+    RangeResult,
     Txn,
 )
 from . import agent as agent_messages
@@ -250,18 +251,12 @@
         while not self._has_fenced_all_instances() and waited < MAX_FENCING_WAIT:
             await sleep(self.clock, PLACEMENT_DELAY * 2)
             waited += PLACEMENT_DELAY * 2
-        while True:
-            try:
-                jobs = await read_all(self.adapter.store, JOBS_PREFIX)
-                progress = await read_all(self.adapter.store, JOB_PROGRESS_PREFIX)
-                learned = await self._read_key(LEARNED_EFFECTS_KEY)
-                fleet = await self._read_key(FLEET_KEY)
-            except StoreError as exc:
-                self._record_store_failure("load", exc)
-                await sleep(self.clock, TICK_INTERVAL)
-                continue
-            self.mailbox.offer(StateLoaded(jobs, progress, learned, fleet))
-            break
+        store = self.adapter.store
+        jobs = await read_all(store, JOBS_PREFIX, self._pause_load)
+        progress = await read_all(store, JOB_PROGRESS_PREFIX, self._pause_load)
+        learned = await self._read_key(LEARNED_EFFECTS_KEY, "load")
+        fleet = await self._read_key(FLEET_KEY, "load")
+        self.mailbox.offer(StateLoaded(jobs, progress, learned, fleet))
         watch = WatchTask(
             self.adapter.store,
             JOBS_PREFIX,
@@ -278,21 +273,27 @@
         A prefix is read because the answer for a missing key has no revision.
         """
         await sleep(self.clock, AUTHORITY_TIMEOUT + TIMER_SLACK)
+        found = await self._read(Range(JOB_CONTROL_PREFIX, is_prefix=True), "revision")
+        self.mailbox.offer(InheritedRunsBound(found.revision))
+
+    async def _read_key(self, key: str, what: str) -> KeyValue | None:
+        result = await self._read(Range(key), what)
+        return next(iter(result.kvs), None)
+
+    async def _read(self, req: Range, what: str) -> RangeResult:
+        """Read from the store, with retries; ``what`` names the read in the log."""
         while True:
             try:
-                found = await self.adapter.store.call(
-                    Range(JOB_CONTROL_PREFIX, is_prefix=True), STORE_TIMEOUT
-                )
+                return await self.adapter.store.call(req, STORE_TIMEOUT)
             except StoreError as exc:
-                self._record_store_failure("revision", exc)
-                await sleep(self.clock, TICK_INTERVAL)
-                continue
-            self.mailbox.offer(InheritedRunsBound(found.revision))
-            return
+                await self._pause_after_failure(what, exc)
 
-    async def _read_key(self, key: str) -> KeyValue | None:
-        result = await self.adapter.store.call(Range(key), STORE_TIMEOUT)
-        return next(iter(result.kvs), None)
+    async def _pause_load(self, exc: StoreError) -> None:
+        await self._pause_after_failure("load", exc)
+
+    async def _pause_after_failure(self, what: str, exc: StoreError) -> None:
+        self._record_store_failure(what, exc)
+        await sleep(self.clock, TICK_INTERVAL)
 
     def _record_store_failure(self, what: str, exc: StoreError) -> None:
         log_event(Event.STORE_CALL_FAILED, what=what, reason=exc.message)
--- a/src/fighead/tasks/watch.py
+++ b/src/fighead/tasks/watch.py
@@ -41,11 +41,17 @@
 
 @frozen
 class Snapshot:
-    """All keys under a prefix, read at ``revision`` or later."""
+    """All keys under a prefix, read at ``revision`` or later.
+
+    :param pages: Number of pages read.
+    :param failed_reads: Number of reads of a page that failed and were repeated.
+    """
 
     prefix: str
     revision: int
     kvs: tuple[KeyValue, ...]
+    pages: int = 1
+    failed_reads: int = 0
 
 
 @frozen
@@ -65,23 +71,41 @@
     is_reached: bool
 
 
-async def read_all(store: StoreClient, prefix: str) -> Snapshot:
+async def raise_failure(exc: StoreError) -> None:
+    """Give up a read that has failed."""
+    raise exc
+
+
+async def read_all(
+    store: StoreClient,
+    prefix: str,
+    on_failure: t.Callable[[StoreError], t.Awaitable[None]] = raise_failure,
+) -> Snapshot:
     """Read all keys under a prefix in pages.
 
     The snapshot has the revision of the first page, so that a watch from there
-    misses no change made while the other pages were read.
+    misses no change made while the other pages were read. This also holds if pages
+    are repeated after failures: pages that were read before are kept.
 
-    :raises StoreError: If a page could not be read.
+    :param on_failure: Called when a page could not be read. The page is read again
+        when it returns; by default, it raises the error.
+    :raises StoreError: If ``on_failure`` raises it.
     """
     kvs: list[KeyValue] = []
-    start, revision = "", 0
+    start, revision, pages, failed_reads = "", 0, 0, 0
     while True:
         req = Range(prefix, is_prefix=True, start=start)
-        page: RangeResult = await store.call(req, STORE_TIMEOUT)
+        try:
+            page: RangeResult = await store.call(req, STORE_TIMEOUT)
+        except StoreError as exc:
+            failed_reads += 1
+            await on_failure(exc)
+            continue
+        pages += 1
         revision = revision or page.revision
         kvs.extend(page.kvs)
         if not page.more or not page.kvs:
-            return Snapshot(prefix, revision, tuple(kvs))
+            return Snapshot(prefix, revision, tuple(kvs), pages, failed_reads)
         start = page.kvs[-1].key
 
 
@@ -108,16 +132,13 @@
     async def run(self) -> None:
         """Watch the prefix until cancelled, with retries after failures."""
         while True:
+            snapshot = await read_all(self.store, self.prefix, self._handle_failure)
+            self.deliver(snapshot)
+            self.deliver(StoreContact(self.prefix, True))
             try:
-                snapshot = await read_all(self.store, self.prefix)
-                self.deliver(snapshot)
-                self.deliver(StoreContact(self.prefix, True))
                 await self._watch_changes(snapshot.revision)
             except HistoryLostError:
                 continue
-            except StoreError:
-                self.deliver(StoreContact(self.prefix, False))
-                await self._back_off()
 
     async def _watch_changes(self, revision: int) -> None:
         while True:
@@ -125,9 +146,8 @@
                 batch = await self.store.watch(self.prefix, revision, self.wait)
             except HistoryLostError:
                 raise
-            except StoreError:
-                self.deliver(StoreContact(self.prefix, False))
-                await self._back_off()
+            except StoreError as exc:
+                await self._handle_failure(exc)
                 continue
             self.deliver(StoreContact(self.prefix, True))
             revision = max(revision, batch.revision)
@@ -135,5 +155,6 @@
                 self.deliver(Changes(self.prefix, batch.revision, batch.events))
                 await sleep(self.clock, self.pause)
 
-    async def _back_off(self) -> None:
+    async def _handle_failure(self, _exc: StoreError) -> None:
+        self.deliver(StoreContact(self.prefix, False))
         await sleep(self.clock, RETRY_PAUSE * (0.5 + self.random.random()))
