Watch jobs from the revision at which they were loaded

Callers saw that a new leader with a slow link was late a second time: after the load its job watch read all jobs once more before it reported the first change, and held the link meanwhile.

It now takes a revision at which its receiver has read all keys, and starts there. If the history is lost, the watch lists all keys as before.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -264,6 +264,7 @@
             self.random,
             self.mailbox.offer,
             pause=MIN_WATCH_INTERVAL,
+            revision=jobs.revision,
         )
         self._deferreds.append(spawn(watch.run()))
 
--- a/src/fighead/tasks/watch.py
+++ b/src/fighead/tasks/watch.py
@@ -119,6 +119,8 @@
         connection is noticed after this time.
     :param pause: Delay between a batch of changes and the next watch call, since
         the platform charges for each call.
+    :param revision: Revision at which the receiver has read all keys; the watch
+        starts there without a snapshot. ``None`` to start with a snapshot.
     """
 
     store: StoreClient
@@ -128,17 +130,24 @@
     deliver: t.Callable[[Snapshot | Changes | StoreContact], None]
     wait: dt.timedelta = dt.timedelta(seconds=4)
     pause: dt.timedelta = dt.timedelta()
+    revision: int | None = None
 
     async def run(self) -> None:
         """Watch the prefix until cancelled, with retries after failures."""
+        revision = self.revision
         while True:
-            snapshot = await read_all(self.store, self.prefix, self._handle_failure)
-            self.deliver(snapshot)
-            self.deliver(StoreContact(self.prefix, True))
+            if revision is None:
+                revision = await self._deliver_snapshot()
             try:
-                await self._watch_changes(snapshot.revision)
+                await self._watch_changes(revision)
             except HistoryLostError:
-                continue
+                revision = None
+
+    async def _deliver_snapshot(self) -> int:
+        snapshot = await read_all(self.store, self.prefix, self._handle_failure)
+        self.deliver(snapshot)
+        self.deliver(StoreContact(self.prefix, True))
+        return snapshot.revision
 
     async def _watch_changes(self, revision: int) -> None:
         while True:
