Log what a new leader has read when it has loaded

`schedule_loaded` only had the number of jobs, so that a slow load could not be told from a failing one. It now carries took_ms, pages, items, chars (characters of the values) and failed_reads (reads of pages that failed and were repeated). Each failed read is still logged as `store_call_failed`.

The docstring of the load says why jobs and progress are still read one after the other: reading both at once would be consistent, but share a slow link with the renewals of the lease.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -110,6 +110,7 @@
 class StateLoaded:
     """All jobs have been read from the store.
 
+    :param took: Time that the reads took.
     :param learned: Learned interference; ``None`` if none is stored.
     :param fleet: Fleet record of an earlier scheduler; ``None`` if none is stored.
     """
@@ -118,6 +119,7 @@
     progress: Snapshot
     learned: KeyValue | None
     fleet: KeyValue | None
+    took: dt.timedelta
 
 
 @frozen
@@ -246,17 +248,23 @@
 
         Every run started by an earlier scheduler then belongs to a job that is read
         here. The wait is limited to ``MAX_FENCING_WAIT``.
+
+        Jobs and progress are read one after the other. Reading both at once would be
+        safe, since only the leader writes progress and ends jobs, and this one does
+        neither before it has loaded. It would take as long on a slow link, though,
+        and leave less of it to the renewals of the leader's lease.
         """
         waited = dt.timedelta()
         while not self._has_fenced_all_instances() and waited < MAX_FENCING_WAIT:
             await sleep(self.clock, PLACEMENT_DELAY * 2)
             waited += PLACEMENT_DELAY * 2
-        store = self.adapter.store
+        store, started_at = self.adapter.store, self.clock.now()
         jobs = await read_all(store, JOBS_PREFIX, self._pause_load)
         progress = await read_all(store, JOB_PROGRESS_PREFIX, self._pause_load)
         learned = await self._read_key(LEARNED_EFFECTS_KEY, "load")
         fleet = await self._read_key(FLEET_KEY, "load")
-        self.mailbox.offer(StateLoaded(jobs, progress, learned, fleet))
+        took = self.clock.now() - started_at
+        self.mailbox.offer(StateLoaded(jobs, progress, learned, fleet, took))
         watch = WatchTask(
             self.adapter.store,
             JOBS_PREFIX,
@@ -471,7 +479,9 @@
         if fleet is not None:
             instance_tracking.set_inherited_fleet(self.schedule, fleet.instances)
         self._is_loaded = True
-        log_event(Event.SCHEDULE_LOADED, jobs=len(self.schedule.jobs))
+        log_event(
+            Event.SCHEDULE_LOADED, jobs=len(self.schedule.jobs), **_describe_load(msg)
+        )
         self._apply_pending_listings(now)
 
     def _restore_job(
@@ -720,6 +730,18 @@
         self._requested_fleet = None
 
 
+def _describe_load(msg: StateLoaded) -> dict[str, int]:
+    """Return the fields of the log that tell what a load read and how long it took."""
+    kvs = (*msg.jobs.kvs, *msg.progress.kvs)
+    return {
+        "took_ms": int(msg.took.total_seconds() * 1000),
+        "pages": msg.jobs.pages + msg.progress.pages,
+        "items": len(kvs),
+        "chars": sum(len(kv.value) for kv in kvs),
+        "failed_reads": msg.jobs.failed_reads + msg.progress.failed_reads,
+    }
+
+
 def _make_write(job: JobState, now: dt.datetime) -> JobWrite:
     value: JobProgress | JobEnding
     if job.is_ended:
--- a/tests/test_job_load.py
+++ b/tests/test_job_load.py
@@ -5,6 +5,7 @@
 
 import pytest
 from attrs import define, field
+from structlog.testing import capture_logs
 from twisted.internet.task import Clock
 
 from fighead.clock import ReactorClock
@@ -89,6 +90,25 @@
     assert job_id(1) not in running_jobs(cluster)
 
 
+def test_the_log_tells_what_a_load_read(cluster):
+    cluster.store.page_items = 2
+    cluster.store.fails_second_pages = True
+    cluster.store.reads.clear()
+    cluster.kill_entries(cluster.leader())
+    with capture_logs() as logs:
+        cluster.advance(7)
+    (load,) = [log for log in logs if log["event_name"] == "schedule_loaded"]
+    jobs = [
+        kv for key, kv in cluster.store.items.items() if key.startswith(JOBS_PREFIX)
+    ]
+    assert load["jobs"] == load["items"] == JOB_COUNT
+    assert load["chars"] == sum(len(kv.value) for kv in jobs)
+    # Three pages of jobs and an empty one of progress; two reads failed, each followed
+    # by a pause of 100 ms.
+    assert (load["pages"], load["failed_reads"]) == (4, 2)
+    assert 200 <= load["took_ms"] <= 400
+
+
 def test_removed_jobs_are_looked_up_a_few_at_a_time_with_one_read_each(cluster):
     cluster.add_removed_jobs("i0", REMOVED_JOBS)
     cluster.store.reads.clear()
