Look up unknown jobs a few at a time

Callers saw a new leader that had loaded and then reached neither its store nor its instances in time: each listed job that the schedule does not know was looked up at once, by two reads.

JobLookupTask looks up four jobs at a time, of the twelve connections to the store, and reads the progress only of a job whose record exists. Look-ups end with their scheduler; before, they went on after it was deposed. The guarantee is unchanged: a listing is applied only when each of its jobs is known or was read as absent after the listing arrived.

Before: 100 removed jobs cost 200 reads, all at once (tests/test_job_load.py::test_removed_jobs_are_looked_up_a_few_at_a_time_with_one_read_each). It passes now, with 100 reads.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -50,6 +50,7 @@
 from .agent import AgentTask, InstanceClient
 from .call import Call
 from .fleet import Fleet, FleetRecorded, FleetTask, RecordFleet
+from .job_lookup import JobLookedUp, JobLookupTask, LookUpJobs
 from .recorder import JobsRecorded, JobWrite, LeadershipLost, RecorderTask, RecordJobs
 from .sweeper import SweeperTask
 from .watch import (
@@ -122,15 +123,6 @@
     took: dt.timedelta
 
 
-@frozen
-class JobLookedUp:
-    """A listed job was looked up; a record that is not stored is ``None``."""
-
-    job_id: str
-    record: KeyValue | None
-    progress: KeyValue | None
-
-
 @frozen
 class InheritedRunsBound:
     """Jobs accepted after ``revision`` have no runs from an earlier scheduler."""
@@ -171,6 +163,7 @@
     _recorder: RecorderTask = field(init=False)
     _sweeper: SweeperTask = field(init=False)
     _fleet: FleetTask = field(init=False)
+    _lookup: JobLookupTask = field(init=False)
     _requested_fleet: Fleet | None = None
     _deferreds: list[t.Any] = field(factory=list)
     _is_loaded: bool = False
@@ -190,6 +183,12 @@
             self.adapter.store, self.clock, self.mailbox.offer
         )
         self._fleet = FleetTask(self.adapter.store, self.clock, self.mailbox.offer)
+        self._lookup = JobLookupTask(
+            self.adapter.store,
+            self.clock,
+            self.mailbox.offer,
+            lambda exc: self._record_store_failure("verify", exc),
+        )
 
     def start(self) -> None:
         """Start the tasks that watch, schedule and write."""
@@ -206,6 +205,7 @@
             instances.run(),
             self._recorder.run(),
             self._fleet.run(),
+            self._lookup.run(),
             self._load_state(),
             self._find_inherited_runs_bound(),
             self._tick_periodically(),
@@ -584,25 +584,10 @@
                 self._apply_effects(effects)
 
     def _look_up_jobs(self, job_ids: set[str]) -> None:
-        for job_id in sorted(job_ids - self._job_ids_in_lookup):
-            self._job_ids_in_lookup.add(job_id)
-            spawn(self._look_up_job(job_id))
-
-    async def _look_up_job(self, job_id: str) -> None:
-        store = self.adapter.store
-        while True:
-            try:
-                record = await store.call(Range(JOBS_PREFIX + job_id), STORE_TIMEOUT)
-                progress = await store.call(
-                    Range(JOB_PROGRESS_PREFIX + job_id), STORE_TIMEOUT
-                )
-            except StoreError as exc:
-                self._record_store_failure("verify", exc)
-                await sleep(self.clock, TICK_INTERVAL)
-                continue
-            found = [next(iter(r.kvs), None) for r in (record, progress)]
-            self.mailbox.offer(JobLookedUp(job_id, *found))
-            return
+        new_ids = job_ids - self._job_ids_in_lookup
+        if new_ids:
+            self._job_ids_in_lookup |= new_ids
+            self._lookup.mailbox.offer(LookUpJobs(tuple(sorted(new_ids))))
 
     def _handle_looked_up_job(self, msg: JobLookedUp, now: dt.datetime) -> None:
         self._job_ids_in_lookup.discard(msg.job_id)
