--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -43,12 +43,14 @@
     KeyValue,
     Put,
     Range,
+    RangeResult,
     Txn,
 )
 from . import agent as agent_messages
 from .agent import AgentTask, InstanceClient
 from .call import Call
 from .fleet import Fleet, FleetRecorded, FleetTask, RecordFleet
+from .job_lookup import JobLookupTask, JobsLookedUp, LookUpJobs
 from .recorder import JobsRecorded, JobWrite, LeadershipLost, RecorderTask, RecordJobs
 from .sweeper import SweeperTask
 from .watch import (
@@ -109,6 +111,7 @@
 class StateLoaded:
     """All jobs have been read from the store.
 
+    :param took: Time that the reads took.
     :param learned: Learned interference; ``None`` if none is stored.
     :param fleet: Fleet record of an earlier scheduler; ``None`` if none is stored.
     """
@@ -117,15 +120,7 @@
     progress: Snapshot
     learned: KeyValue | None
     fleet: KeyValue | None
-
-
-@frozen
-class JobLookedUp:
-    """A listed job was looked up; a record that is not stored is ``None``."""
-
-    job_id: str
-    record: KeyValue | None
-    progress: KeyValue | None
+    took: dt.timedelta
 
 
 @frozen
@@ -168,11 +163,14 @@
     _recorder: RecorderTask = field(init=False)
     _sweeper: SweeperTask = field(init=False)
     _fleet: FleetTask = field(init=False)
+    _lookup: JobLookupTask = field(init=False)
     _requested_fleet: Fleet | None = None
     _deferreds: list[t.Any] = field(factory=list)
     _is_loaded: bool = False
     _pending_listings: dict[str, agent_messages.ListingReceived] = field(factory=dict)
-    _job_ids_in_lookup: set[str] = field(factory=set)
+    # All changes of jobs up to this revision have been applied.
+    _jobs_revision: int = 0
+    _is_looking_up: bool = False
     _absent_job_ids: set[str] = field(factory=set)
     _acknowledged_sequences: dict[str, int] = field(factory=dict)
     _is_writing: bool = False
@@ -187,6 +185,12 @@
             self.adapter.store, self.clock, self.mailbox.offer
         )
         self._fleet = FleetTask(self.adapter.store, self.clock, self.mailbox.offer)
+        self._lookup = JobLookupTask(
+            self.adapter.store,
+            self.clock,
+            self.mailbox.offer,
+            lambda exc: self._record_store_failure("verify", exc),
+        )
 
     def start(self) -> None:
         """Start the tasks that watch, schedule and write."""
@@ -203,6 +207,7 @@
             instances.run(),
             self._recorder.run(),
             self._fleet.run(),
+            self._lookup.run(),
             self._load_state(),
             self._find_inherited_runs_bound(),
             self._tick_periodically(),
@@ -245,23 +250,23 @@
 
         Every run started by an earlier scheduler then belongs to a job that is read
         here. The wait is limited to ``MAX_FENCING_WAIT``.
+
+        Jobs and progress are read one after the other. Reading both at once would be
+        safe, since only the leader writes progress and ends jobs, and this one does
+        neither before it has loaded. It would take as long on a slow link, though,
+        and leave less of it to the renewals of the leader's lease.
         """
         waited = dt.timedelta()
         while not self._has_fenced_all_instances() and waited < MAX_FENCING_WAIT:
             await sleep(self.clock, PLACEMENT_DELAY * 2)
             waited += PLACEMENT_DELAY * 2
-        while True:
-            try:
-                jobs = await read_all(self.adapter.store, JOBS_PREFIX)
-                progress = await read_all(self.adapter.store, JOB_PROGRESS_PREFIX)
-                learned = await self._read_key(LEARNED_EFFECTS_KEY)
-                fleet = await self._read_key(FLEET_KEY)
-            except StoreError as exc:
-                self._record_store_failure("load", exc)
-                await sleep(self.clock, TICK_INTERVAL)
-                continue
-            self.mailbox.offer(StateLoaded(jobs, progress, learned, fleet))
-            break
+        store, started_at = self.adapter.store, self.clock.now()
+        jobs = await read_all(store, JOBS_PREFIX, self._pause_load)
+        progress = await read_all(store, JOB_PROGRESS_PREFIX, self._pause_load)
+        learned = await self._read_key(LEARNED_EFFECTS_KEY, "load")
+        fleet = await self._read_key(FLEET_KEY, "load")
+        took = self.clock.now() - started_at
+        self.mailbox.offer(StateLoaded(jobs, progress, learned, fleet, took))
         watch = WatchTask(
             self.adapter.store,
             JOBS_PREFIX,
@@ -269,6 +274,7 @@
             self.random,
             self.mailbox.offer,
             pause=MIN_WATCH_INTERVAL,
+            revision=jobs.revision,
         )
         self._deferreds.append(spawn(watch.run()))
 
@@ -278,21 +284,27 @@
         A prefix is read because the answer for a missing key has no revision.
         """
         await sleep(self.clock, AUTHORITY_TIMEOUT + TIMER_SLACK)
+        found = await self._read(Range(JOB_CONTROL_PREFIX, is_prefix=True), "revision")
+        self.mailbox.offer(InheritedRunsBound(found.revision))
+
+    async def _read_key(self, key: str, what: str) -> KeyValue | None:
+        result = await self._read(Range(key), what)
+        return next(iter(result.kvs), None)
+
+    async def _read(self, req: Range, what: str) -> RangeResult:
+        """Read from the store, with retries; ``what`` names the read in the log."""
         while True:
             try:
-                found = await self.adapter.store.call(
-                    Range(JOB_CONTROL_PREFIX, is_prefix=True), STORE_TIMEOUT
-                )
+                return await self.adapter.store.call(req, STORE_TIMEOUT)
             except StoreError as exc:
-                self._record_store_failure("revision", exc)
-                await sleep(self.clock, TICK_INTERVAL)
-                continue
-            self.mailbox.offer(InheritedRunsBound(found.revision))
-            return
+                await self._pause_after_failure(what, exc)
 
-    async def _read_key(self, key: str) -> KeyValue | None:
-        result = await self.adapter.store.call(Range(key), STORE_TIMEOUT)
-        return next(iter(result.kvs), None)
+    async def _pause_load(self, exc: StoreError) -> None:
+        await self._pause_after_failure("load", exc)
+
+    async def _pause_after_failure(self, what: str, exc: StoreError) -> None:
+        self._record_store_failure(what, exc)
+        await sleep(self.clock, TICK_INTERVAL)
 
     def _record_store_failure(self, what: str, exc: StoreError) -> None:
         log_event(Event.STORE_CALL_FAILED, what=what, reason=exc.message)
@@ -319,8 +331,8 @@
                 self._apply_effects(job_lifecycle.cancel_job(self.schedule, job_id))
             case StateLoaded():
                 self._handle_loaded_state(msg, now)
-            case JobLookedUp():
-                self._handle_looked_up_job(msg, now)
+            case JobsLookedUp():
+                self._handle_looked_up_jobs(msg, now)
             case Snapshot() | Changes():
                 self._handle_store_keys(msg, now)
             case JobsRecorded():
@@ -392,6 +404,7 @@
             for kv, is_deleted in rows:
                 if not is_deleted:
                     self._handle_job_key(kv, now)
+            self._jobs_revision = max(self._jobs_revision, msg.revision)
             return
         for kv, is_deleted in rows:
             self._handle_registration(kv, is_deleted)
@@ -468,8 +481,11 @@
         fleet = _decode_record(msg.fleet, Fleet) if msg.fleet else None
         if fleet is not None:
             instance_tracking.set_inherited_fleet(self.schedule, fleet.instances)
+        self._jobs_revision = msg.jobs.revision
         self._is_loaded = True
-        log_event(Event.SCHEDULE_LOADED, jobs=len(self.schedule.jobs))
+        log_event(
+            Event.SCHEDULE_LOADED, jobs=len(self.schedule.jobs), **_describe_load(msg)
+        )
         self._apply_pending_listings(now)
 
     def _restore_job(
@@ -548,20 +564,24 @@
             self._acknowledged_sequences.pop(agent.identity, None)
         self._pending_listings.pop(instance_id, None)
 
-    def _apply_pending_listings(self, now: dt.datetime) -> None:
+    def _apply_pending_listings(
+        self, now: dt.datetime, absent_job_ids: frozenset[str] = frozenset()
+    ) -> None:
         """Apply the pending listings whose jobs are all known or absent.
 
         Other jobs are looked up in the store first.
+
+        :param absent_job_ids: Absent jobs besides the remembered ones.
         """
         if not self._is_loaded:
             return
+        unknown_job_ids: set[str] = set()
         for instance_id, msg in list(self._pending_listings.items()):
-            unknown = (
-                run_updates.find_unknown_jobs(self.schedule, msg.listing)
-                - self._absent_job_ids
-            )
+            unknown = run_updates.find_unknown_jobs(self.schedule, msg.listing)
+            unknown -= self._absent_job_ids
+            unknown -= absent_job_ids
             if unknown:
-                self._look_up_jobs(unknown)
+                unknown_job_ids |= unknown
                 continue
             del self._pending_listings[instance_id]
             state = self.schedule.instances.get(instance_id)
@@ -570,35 +590,20 @@
                     self.schedule, state, msg.listing, msg.sent_at, now
                 )
                 self._apply_effects(effects)
+        if unknown_job_ids and not self._is_looking_up:
+            self._is_looking_up = True
+            self._lookup.mailbox.offer(
+                LookUpJobs(frozenset(unknown_job_ids), self._jobs_revision)
+            )
 
-    def _look_up_jobs(self, job_ids: set[str]) -> None:
-        for job_id in sorted(job_ids - self._job_ids_in_lookup):
-            self._job_ids_in_lookup.add(job_id)
-            spawn(self._look_up_job(job_id))
-
-    async def _look_up_job(self, job_id: str) -> None:
-        store = self.adapter.store
-        while True:
-            try:
-                record = await store.call(Range(JOBS_PREFIX + job_id), STORE_TIMEOUT)
-                progress = await store.call(
-                    Range(JOB_PROGRESS_PREFIX + job_id), STORE_TIMEOUT
-                )
-            except StoreError as exc:
-                self._record_store_failure("verify", exc)
-                await sleep(self.clock, TICK_INTERVAL)
-                continue
-            found = [next(iter(r.kvs), None) for r in (record, progress)]
-            self.mailbox.offer(JobLookedUp(job_id, *found))
-            return
-
-    def _handle_looked_up_job(self, msg: JobLookedUp, now: dt.datetime) -> None:
-        self._job_ids_in_lookup.discard(msg.job_id)
-        if msg.record is not None:
-            self._restore_job(msg.record, msg.progress, now)
-        elif len(self._absent_job_ids) < MAX_ABSENT_JOBS:
-            self._absent_job_ids.add(msg.job_id)
-        self._apply_pending_listings(now)
+    def _handle_looked_up_jobs(self, msg: JobsLookedUp, now: dt.datetime) -> None:
+        self._is_looking_up = False
+        absent = (
+            msg.job_ids - self.schedule.jobs.keys() - self.schedule.ended_phases.keys()
+        )
+        if len(self._absent_job_ids) + len(absent) <= MAX_ABSENT_JOBS:
+            self._absent_job_ids |= absent
+        self._apply_pending_listings(now, absent)
 
     # Orders and writes.
 
@@ -718,6 +723,18 @@
         self._requested_fleet = None
 
 
+def _describe_load(msg: StateLoaded) -> dict[str, int]:
+    """Return the fields of the log that tell what a load read and how long it took."""
+    kvs = (*msg.jobs.kvs, *msg.progress.kvs)
+    return {
+        "took_ms": int(msg.took.total_seconds() * 1000),
+        "pages": msg.jobs.pages + msg.progress.pages,
+        "items": len(kvs),
+        "chars": sum(len(kv.value) for kv in kvs),
+        "failed_reads": msg.jobs.failed_reads + msg.progress.failed_reads,
+    }
+
+
 def _make_write(job: JobState, now: dt.datetime) -> JobWrite:
     value: JobProgress | JobEnding
     if job.is_ended:
--- a/src/fighead/tasks/watch.py
+++ b/src/fighead/tasks/watch.py
@@ -10,7 +10,7 @@
 from ..exceptions import HistoryLostError, StoreError
 from ..store import KeyValue, Range, RangeResult, WatchBatch, WatchEvent
 
-#: Timeout of a call to the store.
+#: Timeout of a call to the store; see :meth:`StoreClient.call`.
 STORE_TIMEOUT = dt.timedelta(seconds=1)
 #: Mean pause before a failed watch is retried.
 RETRY_PAUSE = dt.timedelta(milliseconds=250)
@@ -20,7 +20,12 @@
     """Client of the key-value service."""
 
     async def call(self, req: t.Any, timeout: dt.timedelta) -> t.Any:
-        """Send one request and return its result; raises :exc:`.StoreError`."""
+        """Send one request and return its result.
+
+        :param timeout: Limit on the whole call; for a read of a prefix, whose result
+            may be large, limit on the time in which nothing arrives.
+        :raises StoreError: If the call failed.
+        """
         ...
 
     async def watch(self, prefix: str, after: int, wait: dt.timedelta) -> WatchBatch:
@@ -36,11 +41,17 @@
 
 @frozen
 class Snapshot:
-    """All keys under a prefix, read at ``revision`` or later."""
+    """All keys under a prefix, read at ``revision`` or later.
+
+    :param pages: Number of pages read.
+    :param failed_reads: Number of reads of a page that failed and were repeated.
+    """
 
     prefix: str
     revision: int
     kvs: tuple[KeyValue, ...]
+    pages: int = 1
+    failed_reads: int = 0
 
 
 @frozen
@@ -60,23 +71,41 @@
     is_reached: bool
 
 
-async def read_all(store: StoreClient, prefix: str) -> Snapshot:
+async def raise_failure(exc: StoreError) -> None:
+    """Give up a read that has failed."""
+    raise exc
+
+
+async def read_all(
+    store: StoreClient,
+    prefix: str,
+    on_failure: t.Callable[[StoreError], t.Awaitable[None]] = raise_failure,
+) -> Snapshot:
     """Read all keys under a prefix in pages.
 
     The snapshot has the revision of the first page, so that a watch from there
-    misses no change made while the other pages were read.
+    misses no change made while the other pages were read. This also holds if pages
+    are repeated after failures: pages that were read before are kept.
 
-    :raises StoreError: If a page could not be read.
+    :param on_failure: Called when a page could not be read. The page is read again
+        when it returns; by default, it raises the error.
+    :raises StoreError: If ``on_failure`` raises it.
     """
     kvs: list[KeyValue] = []
-    start, revision = "", 0
+    start, revision, pages, failed_reads = "", 0, 0, 0
     while True:
         req = Range(prefix, is_prefix=True, start=start)
-        page: RangeResult = await store.call(req, STORE_TIMEOUT)
+        try:
+            page: RangeResult = await store.call(req, STORE_TIMEOUT)
+        except StoreError as exc:
+            failed_reads += 1
+            await on_failure(exc)
+            continue
+        pages += 1
         revision = revision or page.revision
         kvs.extend(page.kvs)
         if not page.more or not page.kvs:
-            return Snapshot(prefix, revision, tuple(kvs))
+            return Snapshot(prefix, revision, tuple(kvs), pages, failed_reads)
         start = page.kvs[-1].key
 
 
@@ -90,6 +119,8 @@
         connection is noticed after this time.
     :param pause: Delay between a batch of changes and the next watch call, since
         the platform charges for each call.
+    :param revision: Revision at which the receiver has read all keys; the watch
+        starts there without a snapshot. ``None`` to start with a snapshot.
     """
 
     store: StoreClient
@@ -99,20 +130,24 @@
     deliver: t.Callable[[Snapshot | Changes | StoreContact], None]
     wait: dt.timedelta = dt.timedelta(seconds=4)
     pause: dt.timedelta = dt.timedelta()
+    revision: int | None = None
 
     async def run(self) -> None:
         """Watch the prefix until cancelled, with retries after failures."""
+        revision = self.revision
         while True:
+            if revision is None:
+                revision = await self._deliver_snapshot()
             try:
-                snapshot = await read_all(self.store, self.prefix)
-                self.deliver(snapshot)
-                self.deliver(StoreContact(self.prefix, True))
-                await self._watch_changes(snapshot.revision)
+                await self._watch_changes(revision)
             except HistoryLostError:
-                continue
-            except StoreError:
-                self.deliver(StoreContact(self.prefix, False))
-                await self._back_off()
+                revision = None
+
+    async def _deliver_snapshot(self) -> int:
+        snapshot = await read_all(self.store, self.prefix, self._handle_failure)
+        self.deliver(snapshot)
+        self.deliver(StoreContact(self.prefix, True))
+        return snapshot.revision
 
     async def _watch_changes(self, revision: int) -> None:
         while True:
@@ -120,9 +155,8 @@
                 batch = await self.store.watch(self.prefix, revision, self.wait)
             except HistoryLostError:
                 raise
-            except StoreError:
-                self.deliver(StoreContact(self.prefix, False))
-                await self._back_off()
+            except StoreError as exc:
+                await self._handle_failure(exc)
                 continue
             self.deliver(StoreContact(self.prefix, True))
             revision = max(revision, batch.revision)
@@ -130,5 +164,6 @@
                 self.deliver(Changes(self.prefix, batch.revision, batch.events))
                 await sleep(self.clock, self.pause)
 
-    async def _back_off(self) -> None:
+    async def _handle_failure(self, _exc: StoreError) -> None:
+        self.deliver(StoreContact(self.prefix, False))
         await sleep(self.clock, RETRY_PAUSE * (0.5 + self.random.random()))
