Look up unknown jobs by their keys again

A store that drops its history may let a watch hear nothing while changes are made, so an empty answer of a watch doesn't show that a job is not stored: ends of a job accepted a moment ago could be discarded and its tasks run a second time. Reads of single keys are linearizable. They stay bounded to a few at a time, with one read for a job that is not stored. Left open: beyond MAX_ABSENT_JOBS remembered jobs, a listing that names further removed jobs is not applied.

--- a/src/fighead/tasks/job_lookup.py
+++ b/src/fighead/tasks/job_lookup.py
@@ -1,94 +1,93 @@
-"""The task that finds out whether listed jobs are stored."""
+"""The task that looks up listed jobs that the schedule does not know."""
 
 import datetime as dt
 import typing as t
 
 from attrs import define, field, frozen
+from twisted.internet.defer import Deferred, DeferredSemaphore
 
 from ..clock import Clock, sleep
-from ..exceptions import HistoryLostError, StoreError
-from ..mailbox import Mailbox
-from ..store import JOB_CONTROL_PREFIX, JOBS_PREFIX, Range
-from .watch import STORE_TIMEOUT, Changes, Snapshot, StoreClient, read_all
-
-#: Wait of a watch that only asks for changes made before.
-MIN_WATCH_WAIT = dt.timedelta(milliseconds=1)
+from ..exceptions import StoreError
+from ..mailbox import Mailbox, spawn
+from ..store import JOB_PROGRESS_PREFIX, JOBS_PREFIX, KeyValue, Range
+from .watch import STORE_TIMEOUT, StoreClient
+
+#: Maximum number of look-ups at once. The other connections to the store remain free
+#: for watches, renewals and writes.
+MAX_LOOKUPS = 4
 #: Delay before a failed read is repeated.
 RETRY_PAUSE = dt.timedelta(milliseconds=100)
 
 
 @frozen
 class LookUpJobs:
-    """Asks whether jobs are stored.
-
-    The answer is all changes of jobs since ``revision``, as :class:`.Changes` or as a
-    :class:`.Snapshot`, followed by one :class:`JobsLookedUp`.
-
-    :param revision: Revision up to which the sender has all changes of jobs.
-    """
+    """Requests look-ups; each is answered with a :class:`JobLookedUp`."""
 
-    job_ids: frozenset[str]
-    revision: int
+    job_ids: tuple[str, ...]
 
 
 @frozen
-class JobsLookedUp:
-    """Each of the jobs is not stored unless it has been reported."""
+class JobLookedUp:
+    """A listed job was looked up; a record that is not stored is ``None``."""
 
-    job_ids: frozenset[str]
+    job_id: str
+    record: KeyValue | None
+    progress: KeyValue | None
 
 
 @define(eq=False)
 class JobLookupTask:
-    """Reads the changes of jobs that the schedule may lack.
+    """Reads jobs from the store, at most ``MAX_LOOKUPS`` at a time.
 
-    A scheduler that has all changes of jobs up to the present knows that any other job
-    is not stored. So one read answers for any number of jobs. After an election there
-    may be thousands, since instances list ends of jobs that an earlier leader removed.
+    A new leader gets the listings of all instances within a second, and each may hold
+    hundreds of ends of jobs that an earlier leader has removed. Without a limit, their
+    look-ups would delay the renewals and writes of the entry until these fail.
 
-    :param report: Called with the answers.
     :param on_failure: Called with each failure of a read, which is then repeated.
     """
 
     store: StoreClient
     clock: Clock
-    report: t.Callable[[Changes | Snapshot | JobsLookedUp], None]
+    report: t.Callable[[JobLookedUp], None]
     on_failure: t.Callable[[StoreError], None]
-    mailbox: Mailbox[LookUpJobs] = field(factory=lambda: Mailbox("job lookup"))
+    mailbox: Mailbox[LookUpJobs] = field(factory=lambda: Mailbox("job lookup", 65536))
+    _lookups: set[Deferred] = field(factory=set)
 
     async def run(self) -> None:
-        """Answer requests one after the other until cancelled."""
+        """Look up requested jobs, in order, until cancelled."""
+        slots = DeferredSemaphore(MAX_LOOKUPS)
+        try:
+            while True:
+                request = await self.mailbox.get()
+                for job_id in request.job_ids:
+                    await slots.acquire()
+                    self._start(job_id, slots)
+        finally:
+            for lookup in tuple(self._lookups):
+                lookup.cancel()
+
+    def _start(self, job_id: str, slots: DeferredSemaphore) -> None:
+        lookup = spawn(self._look_up(job_id))
+        self._lookups.add(lookup)
+
+        def finish(_: t.Any) -> None:
+            self._lookups.discard(lookup)
+            slots.release()
+
+        lookup.addBoth(finish)
+
+    async def _look_up(self, job_id: str) -> None:
+        record = await self._read(JOBS_PREFIX + job_id)
+        # Only the leader writes progress, and only of a job that has a record.
+        progress = await self._read(JOB_PROGRESS_PREFIX + job_id) if record else None
+        self.report(JobLookedUp(job_id, record, progress))
+
+    async def _read(self, key: str) -> KeyValue | None:
         while True:
-            request = await self.mailbox.get()
-            await self._report_changes(request.revision)
-            self.report(JobsLookedUp(request.job_ids))
-
-    async def _report_changes(self, revision: int) -> None:
-        """Report changes since a revision, at least up to that of the store now."""
-        current_revision = await self._read_revision()
-        while revision < current_revision:
             try:
-                batch = await self.store.watch(JOBS_PREFIX, revision, MIN_WATCH_WAIT)
-            except HistoryLostError:
-                self.report(await read_all(self.store, JOBS_PREFIX, self._pause))
-                return
+                found = await self.store.call(Range(key), STORE_TIMEOUT)
             except StoreError as exc:
-                await self._pause(exc)
+                self.on_failure(exc)
+                await sleep(self.clock, RETRY_PAUSE)
                 continue
-            if not batch.events:
-                return
-            self.report(Changes(JOBS_PREFIX, batch.revision, batch.events))
-            revision = batch.revision
-
-    async def _read_revision(self) -> int:
-        # The answer for a missing key has no revision, that for a prefix always does.
-        req = Range(JOB_CONTROL_PREFIX, is_prefix=True)
-        while True:
-            try:
-                return (await self.store.call(req, STORE_TIMEOUT)).revision
-            except StoreError as exc:
-                await self._pause(exc)
-
-    async def _pause(self, exc: StoreError) -> None:
-        self.on_failure(exc)
-        await sleep(self.clock, RETRY_PAUSE)
+            return next(iter(found.kvs), None)
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -50,7 +50,7 @@
 from .agent import AgentTask, InstanceClient
 from .call import Call
 from .fleet import Fleet, FleetRecorded, FleetTask, RecordFleet
-from .job_lookup import JobLookupTask, JobsLookedUp, LookUpJobs
+from .job_lookup import JobLookedUp, JobLookupTask, LookUpJobs
 from .recorder import JobsRecorded, JobWrite, LeadershipLost, RecorderTask, RecordJobs
 from .sweeper import SweeperTask
 from .watch import (
@@ -168,9 +168,7 @@
     _deferreds: list[t.Any] = field(factory=list)
     _is_loaded: bool = False
     _pending_listings: dict[str, agent_messages.ListingReceived] = field(factory=dict)
-    # All changes of jobs up to this revision have been applied.
-    _jobs_revision: int = 0
-    _is_looking_up: bool = False
+    _job_ids_in_lookup: set[str] = field(factory=set)
     _absent_job_ids: set[str] = field(factory=set)
     _acknowledged_sequences: dict[str, int] = field(factory=dict)
     _is_writing: bool = False
@@ -331,8 +329,8 @@
                 self._apply_effects(job_lifecycle.cancel_job(self.schedule, job_id))
             case StateLoaded():
                 self._handle_loaded_state(msg, now)
-            case JobsLookedUp():
-                self._handle_looked_up_jobs(msg, now)
+            case JobLookedUp():
+                self._handle_looked_up_job(msg, now)
             case Snapshot() | Changes():
                 self._handle_store_keys(msg, now)
             case JobsRecorded():
@@ -404,7 +402,6 @@
             for kv, is_deleted in rows:
                 if not is_deleted:
                     self._handle_job_key(kv, now)
-            self._jobs_revision = max(self._jobs_revision, msg.revision)
             return
         for kv, is_deleted in rows:
             self._handle_registration(kv, is_deleted)
@@ -481,7 +478,6 @@
         fleet = _decode_record(msg.fleet, Fleet) if msg.fleet else None
         if fleet is not None:
             instance_tracking.set_inherited_fleet(self.schedule, fleet.instances)
-        self._jobs_revision = msg.jobs.revision
         self._is_loaded = True
         log_event(
             Event.SCHEDULE_LOADED, jobs=len(self.schedule.jobs), **_describe_load(msg)
@@ -564,24 +560,20 @@
             self._acknowledged_sequences.pop(agent.identity, None)
         self._pending_listings.pop(instance_id, None)
 
-    def _apply_pending_listings(
-        self, now: dt.datetime, absent_job_ids: frozenset[str] = frozenset()
-    ) -> None:
+    def _apply_pending_listings(self, now: dt.datetime) -> None:
         """Apply the pending listings whose jobs are all known or absent.
 
         Other jobs are looked up in the store first.
-
-        :param absent_job_ids: Absent jobs besides the remembered ones.
         """
         if not self._is_loaded:
             return
-        unknown_job_ids: set[str] = set()
         for instance_id, msg in list(self._pending_listings.items()):
-            unknown = run_updates.find_unknown_jobs(self.schedule, msg.listing)
-            unknown -= self._absent_job_ids
-            unknown -= absent_job_ids
+            unknown = (
+                run_updates.find_unknown_jobs(self.schedule, msg.listing)
+                - self._absent_job_ids
+            )
             if unknown:
-                unknown_job_ids |= unknown
+                self._look_up_jobs(unknown)
                 continue
             del self._pending_listings[instance_id]
             state = self.schedule.instances.get(instance_id)
@@ -590,20 +582,20 @@
                     self.schedule, state, msg.listing, msg.sent_at, now
                 )
                 self._apply_effects(effects)
-        if unknown_job_ids and not self._is_looking_up:
-            self._is_looking_up = True
-            self._lookup.mailbox.offer(
-                LookUpJobs(frozenset(unknown_job_ids), self._jobs_revision)
-            )
 
-    def _handle_looked_up_jobs(self, msg: JobsLookedUp, now: dt.datetime) -> None:
-        self._is_looking_up = False
-        absent = (
-            msg.job_ids - self.schedule.jobs.keys() - self.schedule.ended_phases.keys()
-        )
-        if len(self._absent_job_ids) + len(absent) <= MAX_ABSENT_JOBS:
-            self._absent_job_ids |= absent
-        self._apply_pending_listings(now, absent)
+    def _look_up_jobs(self, job_ids: set[str]) -> None:
+        new_ids = job_ids - self._job_ids_in_lookup
+        if new_ids:
+            self._job_ids_in_lookup |= new_ids
+            self._lookup.mailbox.offer(LookUpJobs(tuple(sorted(new_ids))))
+
+    def _handle_looked_up_job(self, msg: JobLookedUp, now: dt.datetime) -> None:
+        self._job_ids_in_lookup.discard(msg.job_id)
+        if msg.record is not None:
+            self._restore_job(msg.record, msg.progress, now)
+        elif len(self._absent_job_ids) < MAX_ABSENT_JOBS:
+            self._absent_job_ids.add(msg.job_id)
+        self._apply_pending_listings(now)
 
     # Orders and writes.
 
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -443,7 +443,7 @@
         simulated = self.instances[name]
         for number in range(count):
             simulated._sequence += 1
-            task = TaskKey(f"removed{name}{number:07}", 0, 0, 0)
+            task = TaskKey(f"removed{number:09}", 0, 0, 0)
             end = RunEnd(simulated._sequence, task, 1, EndKind.DONE)
             simulated._ends.append(end)
 
