Evaluate instances once for a kind of task in a round

Rounds of placement of 112 ms kept the leader from all other work.

Cause: every task that was placed, or could not be, evaluated every instance.

Why it works: within a round, the score of an instance for a task depends only on the kind of the task and on what has started on the instance. Tasks of a kind share a ranking, from which a start moves one instance. Instances only lose room within a round, so one without room is not evaluated again. Slack is kept by image, as the effect of a filler depends on no more.

--- a/src/fighead/decisions/filler_control.py
+++ b/src/fighead/decisions/filler_control.py
@@ -60,12 +60,13 @@
 
 
 @define(eq=False)
-class TaskSlack:
-    """How much more pressure a serving task tolerates.
+class ImageSlack:
+    """How much more pressure the serving tasks of one image tolerate.
 
-    :param image: Image of the serving task.
-    :param slack: Pressure left below the task's limit; negative if that is exceeded.
-    :param is_late: Whether the task is missing its target.
+    :param image: Image of the serving tasks.
+    :param slack: Lowest pressure left below a task's limit; negative if one is
+        exceeded.
+    :param is_late: Whether one of the tasks is missing its target.
     """
 
     image: str
@@ -75,31 +76,45 @@
 
 @define(eq=False)
 class InstanceSlack:
-    """Slack of each serving task on an instance during one placement round."""
+    """Slack of the serving tasks on an instance during one placement round.
 
-    tasks: list[TaskSlack] = field(factory=list)
+    :param images: One entry for each image, since a filler's effect depends on it.
+    """
+
+    images: list[ImageSlack] = field(factory=list)
 
 
 def measure_slack(
     learned: Interference,
     state: InstanceState,
-    peak_load_of: t.Callable[[interference.StageId], float],
+    free_pressure_of: t.Callable[[RunState], float],
 ) -> InstanceSlack:
     """Return the slack that the fillers on an instance leave its serving tasks.
 
-    :param peak_load_of: Returns the peak load to allow for, by stage.
+    :param free_pressure_of: Returns the pressure left below the limit of a serving
+        run if no filler is running.
     """
-    filler_use = _paced_use(state)
-    return InstanceSlack(
-        [
-            TaskSlack(
-                run.stage.image,
-                _slack(learned, run, filler_use, peak_load_of(stage_id(run))),
-                run.over_target_since is not None,
-            )
-            for run in serving_runs(state)
-        ]
-    )
+    slacks: dict[str, ImageSlack] = {}
+    for run in state.serving.values():
+        image, slack = run.stage.image, free_pressure_of(run)
+        found = slacks.get(image)
+        if found is None:
+            found = slacks[image] = ImageSlack(image, slack)
+        elif slack < found.slack:
+            found.slack = slack
+        if run.over_target_since is not None:
+            found.is_late = True
+    filler_use = _paced_use(state) if slacks else []
+    if filler_use:
+        for image, found in slacks.items():
+            found.slack -= interference.added_pressure(learned, image, filler_use)
+    return InstanceSlack(list(slacks.values()))
+
+
+def free_pressure(learned: Interference, run: RunState, load: float) -> float:
+    """Return the pressure left below a serving run's limit at a load."""
+    image, target_ms = run.stage.image, run.stage.target_ms
+    return interference.pressure_limit_of(learned, image, target_ms) - load
 
 
 def peak_load(
@@ -114,11 +129,6 @@
     )
 
 
-def stage_id(run: RunState) -> interference.StageId:
-    """Return the ID of a run's stage: job ID, occurrence and stage number."""
-    return (run.key.job_id, run.key.occurrence, run.key.stage)
-
-
 def serving_runs(state: InstanceState) -> list[RunState]:
     """Return the runs on an instance that have a latency target."""
     return list(state.serving.values())
@@ -142,14 +152,6 @@
     ]
 
 
-def _slack(
-    learned: Interference, run: RunState, filler_use: list[FillerUse], load: float
-) -> float:
-    image, target_ms = run.stage.image, run.stage.target_ms
-    added = interference.added_pressure(learned, image, filler_use)
-    return interference.pressure_limit_of(learned, image, target_ms) - load - added
-
-
 @define(eq=False)
 class FillerImpact:
     """Predicted impact of one more filler on the serving tasks of an instance.
@@ -184,13 +186,14 @@
     :param capacity_cpu: Capacity of the instance in millicores.
     """
     weight = interference.weight_of(stage.cpu, capacity_cpu)
-    impact = FillerImpact(is_late=any(task.is_late for task in instance_slack.tasks))
-    for task in instance_slack.tasks:
-        effect = interference.effect_of(learned, task.image, stage.image).mean
+    highest, lowest_slack, is_late = 0.0, 1.0, False
+    for found in instance_slack.images:
+        is_late = is_late or found.is_late
+        effect = interference.mean_effect_of(learned, found.image, stage.image)
         pressure = max(0.0, effect) * weight
-        impact.pressure = max(impact.pressure, pressure)
-        impact.remaining_slack = min(impact.remaining_slack, task.slack - pressure)
-    return impact
+        highest = max(highest, pressure)
+        lowest_slack = min(lowest_slack, found.slack - pressure)
+    return FillerImpact(highest, lowest_slack, is_late)
 
 
 def reserve_slack(
@@ -204,9 +207,9 @@
     :param capacity_cpu: Capacity of the instance in millicores.
     """
     weight = interference.weight_of(stage.cpu, capacity_cpu)
-    for task in instance_slack.tasks:
-        effect = interference.effect_of(learned, task.image, stage.image).mean
-        task.slack -= max(0.0, effect) * weight
+    for found in instance_slack.images:
+        effect = interference.mean_effect_of(learned, found.image, stage.image)
+        found.slack -= max(0.0, effect) * weight
 
 
 def learn_from_listing(
@@ -230,7 +233,7 @@
         if run.percent < 100 or run.usage <= 0:
             run.over_target_since = None
             continue
-        runs_by_stage.setdefault(stage_id(run), []).append(run)
+        runs_by_stage.setdefault(run.stage_id, []).append(run)
         if run.usage > run.stage.target_ms:
             run.over_target_since = run.over_target_since or now
         elif run.usage <= RECOVERED_SHARE * run.stage.target_ms:
@@ -281,8 +284,8 @@
         if serving.phase is RunPhase.STOPPING:
             continue
         late_for = now - (serving.over_target_since or now)
-        load = peak_load(learned, stage_id(serving), now, PACE_HORIZONS)
-        slack = _slack(learned, serving, [], load) - PACE_MARGIN
+        load = peak_load(learned, serving.stage_id, now, PACE_HORIZONS)
+        slack = free_pressure(learned, serving, load) - PACE_MARGIN
         _reduce_shares(
             learned, serving.stage.image, fillers, shares, capacity, slack, late_for
         )
@@ -312,7 +315,7 @@
     total = 0.0
     for run in fillers:
         identity = (run.key, run.number)
-        effect = max(0.0, interference.effect_of(learned, image, run.stage.image).mean)
+        effect = max(0.0, interference.mean_effect_of(learned, image, run.stage.image))
         weight = interference.weight_of(run.stage.cpu, capacity)
         is_harmful = effect > HARMLESS_EFFECT
         if late_for >= PAUSE_ALL_AFTER or (
--- a/src/fighead/decisions/interference.py
+++ b/src/fighead/decisions/interference.py
@@ -162,6 +162,12 @@
     return Estimate(found.means[filler], found.covariances[filler][filler])
 
 
+def mean_effect_of(learned: Interference, serving: str, filler: str) -> float:
+    """Return the mean effect of a filler image on a serving image, or the prior's."""
+    found = learned.effects.get(serving)
+    return PRIOR_EFFECT if found is None else found.means.get(filler, PRIOR_EFFECT)
+
+
 def tolerance_of(learned: Interference, serving: t.Collection[str]) -> float:
     """Return the share of filler images that all the serving images tolerate.
 
@@ -171,7 +177,7 @@
     if not serving or not fillers:
         return 1.0
     tolerated = sum(
-        all(effect_of(learned, s, f).mean <= TOLERABLE_EFFECT for s in serving)
+        all(mean_effect_of(learned, s, f) <= TOLERABLE_EFFECT for s in serving)
         for f in fillers
     )
     return tolerated / len(fillers)
@@ -219,7 +225,7 @@
 ) -> float:
     """Return the pressure that fillers add to a task of a serving image."""
     return sum(
-        max(0.0, effect_of(learned, serving, use.image).mean) * use.weight
+        max(0.0, mean_effect_of(learned, serving, use.image)) * use.weight
         for use in filler_use
     )
 
--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -6,6 +6,7 @@
 """
 
 import datetime as dt
+import functools
 import typing as t
 
 from attrs import define, field
@@ -14,6 +15,7 @@
 from ..log import Event
 from ..run import StartRun
 from . import filler_control, instance_health, interference, job_value
+from .candidates import Candidates, Evaluate
 from .filler_control import FillerImpact, InstanceSlack
 from .run_updates import add_run
 from .schedule_state import (
@@ -61,6 +63,11 @@
 #: tolerate most filler images are kept off them while they fit elsewhere.
 RESERVED_SHARE = 0.1
 
+#: All that the choice of an instance depends on, apart from the state of one task.
+Kind = tuple[t.Hashable, ...]
+#: Kind of the instances that count as spare ones; it is no kind of task.
+TOLERANT_KIND: Kind = ("tolerant",)
+
 
 def place_waiting_tasks(schedule: Schedule, now: dt.datetime) -> list[Effect]:
     """Start as many waiting tasks as fit, the most urgent jobs first.
@@ -81,65 +88,119 @@
 class PlacementRound:
     """One round of placement, and the values cached during it.
 
+    :param states: All instances, in the order of the schedule.
+    :param positions: Position in ``states``, by instance ID.
+    :param changes: Position of the instance of each start in this round.
+    :param used_cpu: Processor demand of all runs in millicores.
+    :param candidates: Instances evaluated for a kind of task.
     :param slacks: Slack of the serving tasks on an instance, by instance ID.
-    :param peak_loads: Highest load forecast, by stage.
+    :param free_pressures: Pressure that a serving run tolerates, by stage.
     :param tolerances: Share of filler images tolerated, by set of serving images.
-    :param has_spare: Cached result of :meth:`has_spare_instances`; ``None`` once
-        a serving task has been placed.
+    :param tolerant_images: Whether a serving image tolerates most filler images.
+    :param similar_images: Whether two serving images are similarly sensitive.
     :param unplaceable_cpu: Lowest processor demand in millicores, by filler image,
         for which no instance was found in this round.
     """
 
     schedule: Schedule
     now: dt.datetime
+    states: list[InstanceState] = field(init=False)
+    positions: dict[str, int] = field(init=False)
+    changes: list[int] = field(factory=list)
+    used_cpu: int = field(init=False)
+    candidates: dict[Kind, Candidates] = field(factory=dict)
     slacks: dict[str, InstanceSlack] = field(factory=dict)
-    peak_loads: dict[interference.StageId, float] = field(factory=dict)
+    free_pressures: dict[interference.StageId, float] = field(factory=dict)
     tolerances: dict[frozenset[str], float] = field(factory=dict)
-    has_spare: bool | None = None
+    tolerant_images: dict[str, bool] = field(factory=dict)
+    similar_images: dict[tuple[str, str], bool] = field(factory=dict)
     unplaceable_cpu: dict[str, int] = field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        self.states = list(self.schedule.instances.values())
+        self.positions = {name: n for n, name in enumerate(self.schedule.instances)}
+        self.used_cpu = sum(state.used.cpu for state in self.states)
+
+    def candidates_for(self, kind: Kind, evaluate: Evaluate) -> Candidates:
+        """Return the instances for a kind of task, evaluated as far as necessary."""
+        found = self.candidates.get(kind)
+        if found is None:
+            found = self.candidates[kind] = Candidates(self.states)
+            found.evaluate_all(evaluate, self.changes)
+        else:
+            found.evaluate_changed(evaluate, self.changes)
+        return found
+
+    def note_start(self, state: InstanceState, stage: StageState) -> None:
+        """Take into account that a task of a stage has started on an instance."""
+        self.changes.append(self.positions[state.instance.instance_id])
+        self.used_cpu += stage.spec.demand.cpu
+
+    def is_little_used(self) -> bool:
+        """Whether the instances are less than half used."""
+        capacity = sum(state.instance.capacity.cpu for state in self.states)
+        return self.used_cpu < LOW_USE_SHARE * capacity
+
     def has_spare_instances(self) -> bool:
         """Whether more instances than are reserved tolerate nearly all fillers."""
-        if self.has_spare is None:
-            states = self.schedule.instances.values()
-            tolerant = sum(
-                accepts_runs(state, self.now)
-                and self.tolerance_of(state) >= interference.TOLERANT_SHARE
-                for state in states
-            )
-            self.has_spare = tolerant > len(states) * RESERVED_SHARE
-        return self.has_spare
+        tolerant = self.candidates_for(TOLERANT_KIND, self._evaluate_tolerance)
+        return len(tolerant) > len(self.states) * RESERVED_SHARE
+
+    def _evaluate_tolerance(self, state: InstanceState) -> float | None:
+        if not accepts_runs(state, self.now):
+            return None
+        tolerance = self.tolerance_of(state)
+        return tolerance if tolerance >= interference.TOLERANT_SHARE else None
 
     def slack_of(self, state: InstanceState) -> InstanceSlack:
         """Return the slack of an instance, less what this round has reserved."""
         instance_id = state.instance.instance_id
-        if instance_id not in self.slacks:
+        found = self.slacks.get(instance_id)
+        if found is None:
             learned = self.schedule.interference
-            self.slacks[instance_id] = filler_control.measure_slack(
-                learned, state, self.peak_load_of
-            )
-        return self.slacks[instance_id]
-
-    def peak_load_of(self, stage: interference.StageId) -> float:
-        """Return the highest load forecast for a stage during a filler's run."""
-        if stage not in self.peak_loads:
-            self.peak_loads[stage] = filler_control.peak_load(
-                self.schedule.interference,
-                stage,
-                self.now,
-                filler_control.START_HORIZONS,
+            found = filler_control.measure_slack(learned, state, self.free_pressure_of)
+            self.slacks[instance_id] = found
+        return found
+
+    def free_pressure_of(self, run: RunState) -> float:
+        """Return the pressure that a serving run tolerates during a filler's run.
+
+        The highest load forecast in that time counts, and no filler.
+        """
+        free = self.free_pressures.get(run.stage_id)
+        if free is None:
+            learned = self.schedule.interference
+            load = filler_control.peak_load(
+                learned, run.stage_id, self.now, filler_control.START_HORIZONS
             )
-        return self.peak_loads[stage]
+            free = filler_control.free_pressure(learned, run, load)
+            self.free_pressures[run.stage_id] = free
+        return free
 
     def tolerance_of(self, state: InstanceState) -> float:
         """Return the share of filler images that an instance's tasks tolerate."""
-        images = frozenset(
-            run.stage.image for run in filler_control.serving_runs(state)
-        )
-        if images not in self.tolerances:
+        images = frozenset([run.stage.image for run in state.serving.values()])
+        tolerance = self.tolerances.get(images)
+        if tolerance is None:
+            learned = self.schedule.interference
+            tolerance = interference.tolerance_of(learned, images)
+            self.tolerances[images] = tolerance
+        return tolerance
+
+    def tolerates_most(self, image: str) -> bool:
+        """Whether a serving image is known to tolerate nearly all filler images."""
+        if image not in self.tolerant_images:
+            learned = self.schedule.interference
+            self.tolerant_images[image] = interference.tolerates_most(learned, image)
+        return self.tolerant_images[image]
+
+    def are_similar(self, one: str, other: str) -> bool:
+        """Whether two serving images are known to be sensitive to the same fillers."""
+        if (one, other) not in self.similar_images:
             learned = self.schedule.interference
-            self.tolerances[images] = interference.tolerance_of(learned, images)
-        return self.tolerances[images]
+            are_similar = interference.are_similarly_sensitive(learned, one, other)
+            self.similar_images[one, other] = are_similar
+        return self.similar_images[one, other]
 
 
 def _waiting_stages(
@@ -188,17 +249,15 @@
                 round_.unplaceable_cpu[spec.image] = spec.cpu
             break
         if spec.is_filler:
-            learned, capacity = (
+            filler_control.reserve_slack(
                 round_.schedule.interference,
+                round_.slack_of(state),
+                spec,
                 state.instance.capacity.cpu,
             )
-            filler_control.reserve_slack(
-                learned, round_.slack_of(state), spec, capacity
-            )
-        if spec.target_ms:
-            round_.has_spare = None
         number = max(task.highest_run_number + 1, round_.schedule.first_run_number)
         effects += _start(job, stage, task, state, number, round_.now)
+        round_.note_start(state, stage)
     return effects
 
 
@@ -230,9 +289,11 @@
     Instances on which a run of the task has failed are chosen only if no other is
     usable. A task that has failed prefers instances whose last run succeeded.
     """
-    usable = _usable_instances(round_, job, stage)
-    if _is_held_back(round_, stage, task):
-        usable = [s for s in usable if filler_control.serving_runs(s)]
+    candidates = _find_candidates(round_, job, stage)
+    is_held_back = _is_held_back(round_, stage, task)
+    if not (is_held_back or task.avoided_instances or task.failures):
+        return next(iter(candidates), None)
+    usable = [s for s in candidates if s.serving or not is_held_back]
     not_avoided = [
         s for s in usable if s.instance.instance_id not in task.avoided_instances
     ]
@@ -241,11 +302,7 @@
         if task.failures
         else []
     )
-    return max(
-        proven or not_avoided or usable,
-        key=lambda s: _score(round_, s, stage),
-        default=None,
-    )
+    return next(iter(proven or not_avoided or usable), None)
 
 
 def _is_held_back(round_: PlacementRound, stage: StageState, task: TaskState) -> bool:
@@ -257,26 +314,73 @@
     """
     if not stage.spec.target_ms or round_.has_spare_instances():
         return False
-    if interference.tolerates_most(round_.schedule.interference, stage.spec.image):
+    if round_.tolerates_most(stage.spec.image):
         return False
     since = task.waiting_since
     return since is None or round_.now - since < HOLD_BACK_TIME
 
 
-def _usable_instances(
+def _find_candidates(
     round_: PlacementRound, job: JobState, stage: StageState
-) -> list[InstanceState]:
-    usable = [
-        state
-        for state in round_.schedule.instances.values()
-        if is_usable(state, job, stage, round_.now)
-    ]
+) -> Candidates:
+    """Return the usable instances for a stage, those with the highest score first.
+
+    A filler gets those where its impact is acceptable; if there are none and it is
+    starved, it gets all.
+    """
+    kind = _kind_of(round_, job, stage)
+    evaluate = functools.partial(_evaluate, round_, job, stage)
+    found = round_.candidates_for(kind, evaluate)
+    if stage.spec.is_filler and not found and _is_starved(round_, job, stage):
+        evaluate = functools.partial(evaluate, accepts_harm=True)
+        return round_.candidates_for((*kind, "starved"), evaluate)
+    return found
+
+
+def _kind_of(round_: PlacementRound, job: JobState, stage: StageState) -> Kind:
+    """Return a key that is equal for stages with equal candidates and scores.
+
+    A limit of tasks per instance and the score for a serving task refer to the other
+    tasks of the stage, so such a stage has candidates of its own.
+    """
+    spec = stage.spec
+    if spec.target_ms:
+        return (id(stage), round_.has_spare_instances())
+    if spec.max_per_instance:
+        return (id(stage),)
+    return (
+        job.queue.upstream,
+        spec.required_label,
+        spec.preferred_rack,
+        spec.cpu,
+        spec.memory_mb,
+        spec.gpu,
+        spec.is_filler,
+        spec.image if spec.is_filler else "",
+    )
+
+
+def _evaluate(
+    round_: PlacementRound,
+    job: JobState,
+    stage: StageState,
+    state: InstanceState,
+    accepts_harm: bool = False,
+) -> float | None:
+    """Return the score of an instance for a stage, or ``None`` if it can't be used.
+
+    :param accepts_harm: Whether a filler may start whatever its impact is.
+    """
+    if not is_usable(state, job, stage, round_.now):
+        return None
     if not stage.spec.is_filler:
-        return usable
-    acceptable = [s for s in usable if _predict_impact(round_, s, stage).is_acceptable]
-    if not acceptable and _is_starved(round_, job, stage):
-        return usable
-    return acceptable
+        return _score(round_, state, stage.spec)
+    learned, slack = round_.schedule.interference, round_.slack_of(state)
+    capacity = state.instance.capacity.cpu
+    impact = filler_control.predict_impact(learned, slack, stage.spec, capacity)
+    if not (accepts_harm or impact.is_acceptable):
+        return None
+    return _filler_score(round_, state, stage.spec, impact)
 
 
 def _is_starved(round_: PlacementRound, job: JobState, stage: StageState) -> bool:
@@ -289,19 +393,7 @@
     earliest = min((at for at in since if at is not None), default=round_.now)
     if round_.now - earliest < STARVATION_TIME or any(True for _ in job.runs()):
         return False
-    states = round_.schedule.instances.values()
-    used = sum(state.used.cpu for state in states)
-    return used < LOW_USE_SHARE * sum(state.instance.capacity.cpu for state in states)
-
-
-def _predict_impact(
-    round_: PlacementRound, state: InstanceState, stage: StageState
-) -> FillerImpact:
-    capacity = state.instance.capacity.cpu
-    slack = round_.slack_of(state)
-    return filler_control.predict_impact(
-        round_.schedule.interference, slack, stage.spec, capacity
-    )
+    return round_.is_little_used()
 
 
 def is_usable(
@@ -313,12 +405,12 @@
     """
     spec, instance = stage.spec, state.instance
     return (
-        accepts_runs(state, now)
+        state.has_room_for(spec.demand)
+        and (not spec.is_filler or unused_cpu(state) >= spec.cpu * MIN_UNUSED_SHARE)
         and instance.upstream == job.queue.upstream
         and (not spec.required_label or spec.required_label in instance.labels)
-        and spec.demand.fits(state.free_capacity)
         and _is_below_limit(state, stage)
-        and (not spec.is_filler or unused_cpu(state) >= spec.cpu * MIN_UNUSED_SHARE)
+        and accepts_runs(state, now)
     )
 
 
@@ -356,21 +448,22 @@
     return state.instance.capacity.cpu - expected_cpu
 
 
-def _score(round_: PlacementRound, state: InstanceState, stage: StageState) -> float:
-    """Return how well an instance suits a stage; the highest score is chosen."""
-    spec, capacity = stage.spec, state.instance.capacity.cpu
-    score = unused_cpu(state) / capacity
+def _score(round_: PlacementRound, state: InstanceState, spec: Stage) -> float:
+    """Return how well an instance suits a task other than a filler."""
+    score = _room_score(state, spec)
+    return _serving_score(round_, state, spec) - score if spec.target_ms else score
+
+
+def _room_score(state: InstanceState, spec: Stage) -> float:
+    """Return a score that is higher the more processors are unused."""
+    score = unused_cpu(state) / state.instance.capacity.cpu
     if spec.preferred_rack and spec.preferred_rack not in state.instance.labels:
         score -= 1.0
-    if spec.is_filler:
-        return score + _filler_score(round_, state, stage)
-    if spec.target_ms:
-        return _serving_score(round_, state, spec) - score
     return score
 
 
 def _filler_score(
-    round_: PlacementRound, state: InstanceState, stage: StageState
+    round_: PlacementRound, state: InstanceState, spec: Stage, impact: FillerImpact
 ) -> float:
     """Return a score that is higher the less a filler interferes.
 
@@ -378,10 +471,8 @@
     fillers that are tolerated nowhere else.
     """
     cost = TOLERANCE_COST * round_.tolerance_of(state)
-    if not round_.slack_of(state).tasks:
-        return -cost
-    impact = _predict_impact(round_, state, stage)
-    return -cost - PRESSURE_COST * impact.pressure + min(impact.remaining_slack, 0.0)
+    lack = min(impact.remaining_slack, 0.0)
+    return _room_score(state, spec) + (-cost - PRESSURE_COST * impact.pressure + lack)
 
 
 def _serving_score(round_: PlacementRound, state: InstanceState, spec: Stage) -> float:
@@ -398,15 +489,11 @@
     if images == {spec.image}:
         same_stage = sum(run.stage is spec for run in serving)
         return SAME_IMAGE_SCORE + SAME_STAGE_SCORE * same_stage / len(serving)
-    learned = round_.schedule.interference
     if not images:
-        if interference.tolerates_most(learned, spec.image):
+        if round_.tolerates_most(spec.image) or round_.has_spare_instances():
             return NO_IMAGE_SCORE
-        return NO_IMAGE_SCORE if round_.has_spare_instances() else RESERVED_SCORE
-    if all(
-        interference.are_similarly_sensitive(learned, spec.image, image)
-        for image in images
-    ):
+        return RESERVED_SCORE
+    if all(round_.are_similar(spec.image, image) for image in images):
         return SIMILAR_IMAGES_SCORE
     return MIXED_IMAGES_SCORE if spec.image in images else -float(len(images))
 
@@ -417,8 +504,7 @@
     """Start all tasks of a gang with the same run number, or none of them."""
     if len(stage.waiting_indexes) < len(stage.tasks):
         return []
-    usable = _usable_instances(round_, job, stage)
-    usable.sort(key=lambda state: -_score(round_, state, stage))
+    usable = list(_find_candidates(round_, job, stage))
     chosen = _choose_gang_instances(usable, stage)
     if chosen is None:
         return []
@@ -429,6 +515,7 @@
     for task, state in zip(stage.tasks, chosen, strict=True):
         task.checkpoint = checkpoint
         effects += _start(job, stage, task, state, number, round_.now)
+        round_.note_start(state, stage)
     return effects
 
 
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -3,6 +3,7 @@
 import collections
 import datetime as dt
 import enum
+import functools
 import typing as t
 
 from attrs import define, field
@@ -10,7 +11,7 @@
 from ..job import Demand, JobConfig, JobPhase, JobRecord, Queue, Stage, TaskKey
 from ..log import Event
 from ..run import PaceRun, RegisteredInstance, StartRun, StopRun
-from .interference import Interference
+from .interference import Interference, StageId
 
 #: Run numbers reserved for each term, per task.
 RUNS_PER_TERM = 10_000
@@ -68,6 +69,11 @@
     low_pace_since: dt.datetime | None = None
     over_target_since: dt.datetime | None = None
 
+    @functools.cached_property
+    def stage_id(self) -> StageId:
+        """ID of the run's stage: job ID, occurrence and stage number."""
+        return (self.key.job_id, self.key.occurrence, self.key.stage)
+
 
 @define(eq=False)
 class TaskState:
@@ -219,6 +225,15 @@
         """The capacity not used by runs."""
         return self.instance.capacity - self.used
 
+    def has_room_for(self, demand: Demand) -> bool:
+        """Whether the free capacity covers a demand in every resource."""
+        used, capacity = self.used, self.instance.capacity
+        return (
+            demand.cpu <= capacity.cpu - used.cpu
+            and demand.memory_mb <= capacity.memory_mb - used.memory_mb
+            and demand.gpu <= capacity.gpu - used.gpu
+        )
+
     @property
     def rack(self) -> str:
         """The rack, which is the last label, or an empty string without labels."""
--- a/src/fighead/job.py
+++ b/src/fighead/job.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import functools
 import math
 
 from attrs import field, frozen
@@ -107,7 +108,7 @@
     is_filler: bool = False
     max_unavailable: int = 0
 
-    @property
+    @functools.cached_property
     def demand(self) -> Demand:
         """Capacity that a task reserves on its instance; no processor for a filler."""
         return Demand(0 if self.is_filler else self.cpu, self.memory_mb, self.gpu)
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -271,7 +271,7 @@
                     )
                     - filler_control.peak_load(
                         learned,
-                        filler_control.stage_id(run),
+                        run.stage_id,
                         self.now,
                         filler_control.START_HORIZONS,
                     )
@@ -346,6 +346,7 @@
 
 SERVING_IMAGES = ("s", "t", "u")
 FILLER_IMAGES = ("f", "g", "h", "k")
+TARGETS_MS = (100, 200)
 RACKS = ("r0", "r1", "r2")
 
 
@@ -369,6 +370,18 @@
         variance = rng.choice((KNOWN_VARIANCE, 0.01))
         effects = {filler: rng.choice(means) for filler in known}
         learn_effects(schedule, {serving: effects}, variance)
+        for target_ms in TARGETS_MS:
+            base = target_ms * rng.choice((0.2, 0.5, 0.7))
+            schedule.interference.bases[serving, target_ms] = base
+    for number in range(rng.randint(0, 2)):
+        stage = evolve(
+            SERVING,
+            count=len(schedule.instances),
+            cpu=2000,
+            image=rng.choice(SERVING_IMAGES),
+            max_per_instance=1,
+        )
+        add_job(schedule, stage, job_id=make_job_id(9000 + number))
     return schedule
 
 
@@ -384,8 +397,9 @@
     kind = rng.choice(("quick", "serving", "filler", "filler", "gang", "gang filler"))
     if kind == "serving":
         image, cpu = rng.choice(SERVING_IMAGES), rng.choice((2000, 4000))
+        target_ms = rng.choice(TARGETS_MS)
         return Stage(
-            **common, cpu=cpu, image=image, target_ms=100, is_lasting=True
+            **common, cpu=cpu, image=image, target_ms=target_ms, is_lasting=True
         )  # fmt: skip
     if "filler" in kind:
         image, cpu = rng.choice(FILLER_IMAGES), rng.choice((1000, 4000))
@@ -446,3 +460,22 @@
         expected = PlainRound(copy.deepcopy(schedule), now).place()
         assert placement.place_waiting_tasks(schedule, now) == expected
         change_runs(rng, schedule)
+
+
+def test_instances_become_reserved_within_a_round():
+    schedule = make_schedule(tuple(f"i{number}" for number in range(20)))
+    harmful = {"f": 0.5, "g": 0.5, "h": 0.5}
+    learn_effects(schedule, {"s": harmful, "t": harmful | {"h": 0.3}})
+    other = evolve(SERVING, image="t", count=17, max_per_instance=1)
+    add_job(schedule, other, job_id=make_job_id(1))
+    placement.place_waiting_tasks(schedule, at_seconds(0))
+    job = add_job(schedule, evolve(SERVING, cpu=40000, count=2))
+    for task in job.stages[0, 0].tasks:
+        task.waiting_since = at_seconds(0)
+    now = at_seconds(5)
+    expected = PlainRound(copy.deepcopy(schedule), now).place()
+    effects = placement.place_waiting_tasks(schedule, now)
+    assert effects == expected
+    first, second = (e.instance_id for e in effects if isinstance(e, Order))
+    assert len(schedule.instances[first].serving) == 1
+    assert len(schedule.instances[second].serving) > 1
