Test that long rounds of placement leave the loop to other work

With rounds of 60 ms, the next one starts 20 ms after the end of the last, one step of the simulated clock.

--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -2,6 +2,7 @@
 
 import copy
 import datetime as dt
+import itertools
 import random
 
 import pytest
@@ -15,8 +16,9 @@
     run_updates,
 )
 from fighead.decisions.schedule_state import Order, RecentEnd, RunPhase
-from fighead.job import Demand, Queue, Stage
+from fighead.job import Demand, JobSpec, Queue, Stage
 from job_builders import add_instance, add_job, at_seconds, make_schedule
+from job_cluster import JobCluster
 
 INSTANCE_COUNT = 176
 JOB_COUNT = 40
@@ -26,6 +28,7 @@
 )  # fmt: skip
 SERVING = Stage(cpu=6000, memory_mb=1, is_lasting=True, image="s", target_ms=100)
 KNOWN_VARIANCE = 1e-4
+ROUND_TIME_S = 0.06
 
 
 def make_job_id(number):
@@ -479,3 +482,23 @@
     first, second = (e.instance_id for e in effects if isinstance(e, Order))
     assert len(schedule.instances[first].serving) == 1
     assert len(schedule.instances[second].serving) > 1
+
+
+def test_long_rounds_leave_half_of_the_loop_to_other_work(monkeypatch):
+    cluster = JobCluster()
+    cluster.advance(3)
+    rounds, place = [], placement.place_waiting_tasks
+
+    def place_slowly(schedule, now):
+        cluster.reactor.rightNow += ROUND_TIME_S
+        rounds.append(now)
+        return place(schedule, now)
+
+    monkeypatch.setattr(placement, "place_waiting_tasks", place_slowly)
+    for number in range(JOB_COUNT):
+        spec = JobSpec("x", (Stage(count=2, cpu=100, memory_mb=1, estimate_ms=300),))
+        cluster.submit(make_job_id(number), spec)
+        cluster.advance(0.05)
+    gaps = [(b - a).total_seconds() for a, b in itertools.pairwise(rounds)]
+    assert len(gaps) > 5
+    assert min(gaps) >= 2 * ROUND_TIME_S - 1e-6
