Leave half of the loop between rounds of placement to other work

Cause: a round followed 5 ms after any message, however long the last one took, so that rounds of 112 ms left the loop next to nothing.

Why it works: the next round starts no sooner than as long after the last one as that one took, at most 0.5 s, since a suspended process sees a long round. Rounds of less than 5 ms start as before.

Measured: the test passes; tests/test_job_cluster.py passes unchanged.

--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -63,6 +63,10 @@
 #: tolerate most filler images are kept off them while they fit elsewhere.
 RESERVED_SHARE = 0.1
 
+#: Maximum time between two rounds. A process that was suspended during a round has seen
+#: a long one, and must not wait as long again.
+MAX_ROUND_PAUSE = dt.timedelta(milliseconds=500)
+
 #: All that the choice of an instance depends on, apart from the state of one task.
 Kind = tuple[t.Hashable, ...]
 #: Kind of the instances that count as spare ones; it is no kind of task.
@@ -84,6 +88,18 @@
     return effects
 
 
+def next_round_at(started_at: dt.datetime, ended_at: dt.datetime) -> dt.datetime:
+    """Return the earliest time of the next round of placement.
+
+    It starts no sooner than as long after the last one as that one took, so that at
+    least half of the time is left to other work.
+
+    :param started_at: When the last round started.
+    :param ended_at: When the last round ended.
+    """
+    return ended_at + min(ended_at - started_at, MAX_ROUND_PAUSE)
+
+
 @define(eq=False)
 class PlacementRound:
     """One round of placement, and the values cached during it.
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -178,8 +178,10 @@
     _is_writing: bool = False
     _flushed_at: dt.datetime | None = None
     _placement_call: t.Any = None
+    _next_round_at: dt.datetime = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._next_round_at = self.clock.now()
         self._sweeper = SweeperTask(
             self.adapter.store, self.clock, self.status_time, self.schedule.fence
         )
@@ -626,8 +628,9 @@
 
     def _request_placement(self) -> None:
         if self._placement_call is None or not self._placement_call.active():
+            pause = self._next_round_at - self.clock.now()
             self._placement_call = self.clock.call_later(
-                PLACEMENT_DELAY, self._place_tasks
+                max(PLACEMENT_DELAY, pause), self._place_tasks
             )
 
     def _place_tasks(self) -> None:
@@ -635,6 +638,7 @@
         if self.may_act():
             self._apply_effects(placement.place_waiting_tasks(self.schedule, now))
         self._flush(now)
+        self._next_round_at = placement.next_round_at(now, self.clock.now())
 
     def _flush(self, now: dt.datetime) -> None:
         """Write changed jobs, and acknowledge the run ends whose effects are stored."""
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -502,3 +502,9 @@
     gaps = [(b - a).total_seconds() for a, b in itertools.pairwise(rounds)]
     assert len(gaps) > 5
     assert min(gaps) >= 2 * ROUND_TIME_S - 1e-6
+
+
+def test_a_suspended_round_delays_the_next_one_by_a_bounded_time():
+    ended = at_seconds(60)
+    expected = ended + placement.MAX_ROUND_PAUSE
+    assert placement.next_round_at(at_seconds(0), ended) == expected
