Read the capacity of an entry's machine and register it

The settings file of the platform names the processor share, the speed of the cores and the rate of the link. They become JobSettings.capacity; missing or invalid values are unknown, so that an entry starts as before. An entry's member record carries its capacity as a JobMember; records without one remain readable, and the product's own Member is unchanged.

--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -118,6 +118,7 @@
             self._update_view,
             self._start_scheduling,
             self._stop_scheduling,
+            cfg.capacity,
         )
 
     def start(self) -> None:
--- a/src/fighead/job_settings.py
+++ b/src/fighead/job_settings.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from .model import Capacity
 from .settings import ListenAddress
 
 
@@ -19,6 +20,7 @@
     :param early: How long before its due time an occurrence may start.
     :param status_time: How long the outcome of an ended job is kept.
     :param metrics_address: Where metrics are served; ``None`` to serve none.
+    :param capacity: What the entry's machine provides.
     :param seed: Seed for repeatable jitter in tests; empty for a random one.
     """
 
@@ -36,4 +38,5 @@
     early: dt.timedelta = dt.timedelta(milliseconds=250)
     status_time: dt.timedelta = dt.timedelta(seconds=120)
     metrics_address: ListenAddress | None = None
+    capacity: Capacity = Capacity()
     seed: str = ""
--- a/src/fighead/model.py
+++ b/src/fighead/model.py
@@ -198,6 +198,25 @@
     ready: bool = True
 
 
+@frozen
+class Capacity:
+    """What the machine of an entry provides; ``None`` where it is unknown.
+
+    :param processor_cores: Processor time, in reference cores.
+    :param link_mbit_s: Rate of the machine's link in Mbit/s.
+    """
+
+    processor_cores: float | None = None
+    link_mbit_s: float | None = None
+
+
+@frozen
+class JobMember(Member):
+    """An entry that schedules jobs, as it registers itself for the others."""
+
+    capacity: Capacity = Capacity()
+
+
 @frozen
 class Claim:
     """Ownership of an instance or of an upstream's line.
--- a/src/fighead/platform/settings.py
+++ b/src/fighead/platform/settings.py
@@ -1,11 +1,13 @@
 """Reading of the TOML settings file that the platform puts on each machine."""
 
 import datetime as dt
+import math
 import tomllib
 import typing as t
 
 from ..exceptions import SettingsError
 from ..job_settings import JobSettings
+from ..model import Capacity
 from ..settings import ListenAddress, read_address
 
 #: Environment variable that holds the path of the settings file.
@@ -49,6 +51,7 @@
         "ready_address": _take_address(listen, "Ready", errors),
         "peer_address": _take_peer_address(body, errors),
         "metrics_address": _make_metrics_address(body),
+        "capacity": _read_capacity(body),
         "store_address": _take(store, "Address", str, errors),
         # Address of the service that advises which instances may run a stage.
         "advice_address": body.get("Advice", ""),
@@ -106,6 +109,25 @@
     return ListenAddress(ip, METRICS_PORT) if isinstance(ip, str) else None
 
 
+def _read_capacity(body: Json) -> Capacity:
+    """Return the machine's capacity; missing or invalid limits are unknown."""
+    limits = body.get("Limits")
+    if not isinstance(limits, dict):
+        return Capacity()
+    share, speed, link_mbit_s = (
+        _read_positive(limits.get(name)) for name in ("CpuShare", "Cores", "LinkMbps")
+    )
+    # CpuShare is a share of one core, which is Cores times as fast as a reference core.
+    cores = share * speed if share and speed else None
+    return Capacity(cores, link_mbit_s)
+
+
+def _read_positive(value: t.Any) -> float | None:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return float(value) if 0 < value < math.inf else None
+
+
 def _take_milliseconds(body: Json, name: str, errors: list[str]) -> dt.timedelta:
     value = _take(body, name, (int, float), errors)
     return dt.timedelta(milliseconds=value or 0)
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -5,7 +5,7 @@
 import typing as t
 import uuid
 
-from attrs import define, evolve, field, frozen
+from attrs import asdict, define, evolve, field, frozen
 
 from ..clock import Clock, sleep
 from ..codec import from_json, to_json
@@ -14,7 +14,7 @@
 from ..exceptions import RequestError, StoreError, StoreOutcomeUnknownError
 from ..log import Event, log_event
 from ..mailbox import Mailbox, process_messages, spawn
-from ..model import Member
+from ..model import Capacity, JobMember, Member
 from ..store import (
     JOB_CONTROL_PREFIX,
     JOB_LEADER_KEY,
@@ -52,7 +52,7 @@
     """The current leader, if one is known, and the member entries by name."""
 
     leader: Leader | None = None
-    members: dict[str, Member] = field(factory=dict)
+    members: dict[str, JobMember] = field(factory=dict)
 
 
 @frozen
@@ -126,6 +126,7 @@
     :param on_elected: Called after this entry is elected, with the leader and
         whether this process already led and no other has led since.
     :param on_deposed: Called when this entry stops being the leader.
+    :param capacity: What this entry's machine provides.
     :param confirmed_at: When the store or a peer last confirmed this entry as leader.
     """
 
@@ -136,6 +137,7 @@
     publish: t.Callable[[ControlView], None]
     on_elected: t.Callable[[Leader, bool], None]
     on_deposed: t.Callable[[], None]
+    capacity: Capacity = Capacity()
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("leadership"))
     view: ControlView = ControlView()
     confirmed_at: dt.datetime | None = None
@@ -167,10 +169,11 @@
 
     async def _register(self) -> None:
         key = JOB_MEMBERS_PREFIX + self.me.name
+        member = JobMember(**asdict(self.me), capacity=self.capacity)
         while True:
             try:
                 await self.store.call(
-                    Txn(success=(Put(key, to_json(self.me)),)), STORE_TIMEOUT
+                    Txn(success=(Put(key, to_json(member)),)), STORE_TIMEOUT
                 )
                 return
             except StoreError as exc:
@@ -234,7 +237,7 @@
         members.pop(name, None)
         if kv.mod_revision:
             try:
-                members[name] = from_json(kv.value, Member)
+                members[name] = from_json(kv.value, JobMember)
             except RequestError as exc:
                 log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=exc.message)
         self._publish(evolve(self.view, members=members))
