--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -29,6 +29,7 @@
 from fighead.job_entry import JobEntry
 from fighead.job_settings import JobSettings
 from fighead.mailbox import Mailbox, spawn
+from fighead.model import Capacity
 from fighead.queries import job as queries
 from fighead.run import RefusalReason, RegisteredInstance
 from fighead.settings import ListenAddress
@@ -310,6 +311,7 @@
     """A running cluster, with methods that inject faults, submit jobs and check.
 
     :param entry_names: Entries that are started at first.
+    :param entry_capacities: Capacity of entries by name; that of others is unknown.
     :param capacity: Capacity of each instance.
     :param rng: Source of all random choices, seeded with ``seed``.
     :param entries: The latest :class:`EntryProcess` by entry.
@@ -326,6 +328,7 @@
 
     seed: int = 1
     entry_names: tuple = ("e1", "e2", "e3")
+    entry_capacities: dict = field(factory=dict)
     capacity: Demand = Demand(8000, 64000, 0)
     instance_count: int = 4
     reactor: Clock = field(factory=Clock)
@@ -382,7 +385,14 @@
         clock = GatedClock(self.clock, gate)
         address = ListenAddress("127.0.0.1", 1)
         cfg = JobSettings(
-            name, "z", address, address, f"tcp://{name}", "store", seed=name
+            name,
+            "z",
+            address,
+            address,
+            f"tcp://{name}",
+            "store",
+            capacity=self.entry_capacities.get(name, Capacity()),
+            seed=name,
         )
         adapter = PlatformAdapter(
             store,
