Rank the candidates for leadership by what their machines provide

Cause: candidacy_delay ordered the candidates by a hash of term and name only.

Fix: the scarcer of processor and link, as a share of the largest among the members, ranks first; entries within a factor of 1.5 are equal and keep the order by hash. Without known capacities the order is the same as before.

--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -273,13 +273,19 @@
             return
         self._is_candidate = True
         delay = election.candidacy_delay(
-            self._next_term(), self.me.name, tuple(self.view.members)
+            self._next_term(), self.me.name, self._find_capacities()
         )
         if self._is_leading or self._holds_leader_key():
             delay = dt.timedelta()
         due = CandidacyDue(self._leader_kv.mod_revision)
         self.clock.call_later(delay, lambda: self.mailbox.offer(due))
 
+    def _find_capacities(self) -> dict[str, Capacity]:
+        members = self.view.members.items()
+        return {name: member.capacity for name, member in members} | {
+            self.me.name: self.capacity
+        }
+
     def _is_eligible(self) -> bool:
         if not self._has_snapshot or self._is_resigned:
             return False
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -1,5 +1,13 @@
 """Election of the scheduling entry among machines of different capacity."""
 
+import pytest
+
+from fighead.decisions.election import (
+    CANDIDACY_STEP,
+    candidacy_delay,
+    find_shares,
+    rank_candidates,
+)
 from fighead.job import JobPhase, JobSpec, Stage
 from fighead.model import Capacity
 from job_cluster import JobCluster
@@ -30,6 +38,34 @@
     return int(cluster.store.items["fighead/control/term"].value)
 
 
+def test_the_scarcer_of_processor_and_link_counts():
+    capacities = {"a": Capacity(1.0, 100.0), "b": Capacity(2.0, 10.0)}
+    assert find_shares(capacities) == {"a": 0.5, "b": 0.1}
+
+
+@pytest.mark.parametrize("unknown", [Capacity(), Capacity(0.0, 0.0)])
+def test_an_unknown_capacity_counts_as_the_largest(unknown):
+    shares = find_shares({"a": LARGE, "b": unknown, "c": Capacity(1.075, None)})
+    assert shares == {"a": 1.0, "b": 1.0, "c": 0.5}
+    assert find_shares({"b": unknown}) == {"b": 1.0}
+
+
+@pytest.mark.parametrize("term", range(1, 11))
+def test_small_entries_are_the_last_candidates_of_every_term(term):
+    capacities = {f"small{n}": SMALL for n in range(33)}
+    capacities |= {f"large{n}": LARGE for n in range(8)}
+    ranked = rank_candidates(term, capacities)
+    assert all(name.startswith("large") for name in ranked[:8])
+    delays = [candidacy_delay(term, name, capacities) for name in ranked]
+    assert delays == [CANDIDACY_STEP * n for n in range(41)]
+
+
+def test_the_order_of_entries_of_about_the_same_capacity_depends_on_the_term():
+    capacities = {f"e{n}": Capacity(1.0 + 0.1 * n, 100.0) for n in range(5)}
+    first = {rank_candidates(term, capacities)[0] for term in range(1, 40)}
+    assert first == set(capacities)
+
+
 def kill_leader(cluster):
     """Kill the leader and return it and the next one, as soon as that is elected."""
     killed = cluster.leader()
