Hand over the leadership to a peer that can carry much more

Callers saw: a small entry that had been elected, at the start of a site or while the large ones were away, led on for good and served almost nothing.

Cause: only a leader that stops, dies or loses its key is replaced.

Fix: a leader hands over to a peer of at least twice its capacity: it stops scheduling and deletes its key as on a planned stop, and the order of the candidates makes the peer follow. The evidence is a new field of LeaderIs, can_lead, in the answers to its announcements: the peer has a configuration, is not stopping, reaches the store and has not failed to become or remain the leader for 20 s. It must last for 3 s, and the leader must have renewed its key within 2 s, so that nothing is handed over while the store is unavailable. The former leader is no candidate for 2 s, also while the key still names it, and hands over again after 10 s at the earliest. Entries of earlier versions and entries of unknown capacity are never handed over to.

test_a_small_leader_does_not_lead_on_beside_a_large_entry failed before: small0 led on.

--- a/src/fighead/decisions/election.py
+++ b/src/fighead/decisions/election.py
@@ -5,7 +5,7 @@
 import typing as t
 
 import xxhash
-from attrs import frozen
+from attrs import evolve, frozen
 
 from ..model import Capacity
 
@@ -19,6 +19,23 @@
 #: Ratio of capacities up to which candidates are equal. Machines of one size differ a
 #: little in what they provide.
 EQUAL_CAPACITY_RATIO = 1.5
+#: Ratio of capacities from which a leader hands over to a peer. It exceeds
+#: :data:`EQUAL_CAPACITY_RATIO`, so that the peer is a candidate before the leader.
+HANDOVER_RATIO = 2.0
+#: How long a peer must report that it could lead before a leader hands over to it. A
+#: peer notices within this time that it is cut off from the store.
+HANDOVER_EVIDENCE = dt.timedelta(seconds=3)
+#: Longest interval between two reports of a peer that count as uninterrupted. A busy
+#: leader announces itself late.
+MAX_REPORT_INTERVAL = dt.timedelta(seconds=3)
+#: How long an entry is no candidate after it handed over. A leader key that could not
+#: be deleted expires within this time.
+HANDOVER_YIELD = dt.timedelta(seconds=LEADER_TTL_S)
+#: Interval between two hand-overs by the same entry.
+HANDOVER_INTERVAL = dt.timedelta(seconds=10)
+#: How long an entry reports that it could not lead after it failed to become or remain
+#: the leader. Smaller entries lead meanwhile, and each of them might hand over.
+FAILURE_PAUSE = dt.timedelta(seconds=20)
 
 #: What each entry's machine provides, by name of the entry.
 Capacities = t.Mapping[str, Capacity]
@@ -100,6 +117,41 @@
     return ranks
 
 
+@frozen
+class Availability:
+    """Interval in which a peer has reported without interruption that it could lead."""
+
+    since: dt.datetime
+    until: dt.datetime
+
+
+def add_report(
+    known: Availability | None, can_lead: bool, now: dt.datetime
+) -> Availability | None:
+    """Return the availability of a peer after its report at ``now``."""
+    if not can_lead:
+        return None
+    if known is None or now - known.until > MAX_REPORT_INTERVAL:
+        return Availability(now, now)
+    return evolve(known, until=now)
+
+
+def is_successor(
+    own_name: str, peer: str, capacities: Capacities, availability: Availability
+) -> bool:
+    """Whether the leader ``own_name`` should hand over to ``peer``.
+
+    No entry hands over to one whose capacity is not known.
+    """
+    if peer not in capacities or not capacities[peer].is_known:
+        return False
+    shares = find_shares(capacities)
+    return (
+        shares[peer] >= HANDOVER_RATIO * shares[own_name]
+        and availability.until - availability.since >= HANDOVER_EVIDENCE
+    )
+
+
 def is_newer(known: Leader | None, reported: Leader) -> bool:
     """Whether ``reported`` was elected after ``known``, or no leader is known."""
     return known is None or (reported.term, reported.fence) > (known.term, known.fence)
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -284,14 +284,19 @@
 
     def _make_announcement(self) -> m.LeaderIs:
         version = self.front_context.config.version if self.front_context.config else 0
-        return m.LeaderIs(self.cfg.name, self.front_context.view.leader, version)
+        return m.LeaderIs(
+            self.cfg.name, self.front_context.view.leader, version, self._can_lead()
+        )
+
+    def _can_lead(self) -> bool:
+        return self.is_ready() and self._is_store_reached and self.leadership.can_lead()
 
     # Messages from peers and to the scheduler.
 
     def _handle_peer_message(self, sender: str, msg: t.Any) -> t.Any:
         match msg:
-            case m.LeaderIs(_, leader, version):
-                self._handle_announcement(sender, leader, version)
+            case m.LeaderIs():
+                self._handle_announcement(sender, msg)
             case m.ConfigWanted():
                 if self.front_context.config is not None:
                     self.peer.send(sender, self.front_context.config)
@@ -306,20 +311,21 @@
                 return Deferred.fromCoroutine(execute_for_peer(self.adapter.store, msg))
         return None
 
-    def _handle_announcement(
-        self, sender: str, leader: Leader | None, version: int
-    ) -> None:
+    def _handle_announcement(self, sender: str, msg: m.LeaderIs) -> None:
+        leader = msg.leader
         own_version = (
             self.front_context.config.version if self.front_context.config else 0
         )
-        if version > own_version:
+        if msg.version > own_version:
             self.peer.send(sender, m.ConfigWanted())
         if leader is None:
             return
         if self.leadership.is_leading and not election.is_newer(
             self.front_context.view.leader, leader
         ):
-            self.leadership.mailbox.offer(leadership.LeadershipConfirmed())
+            self.leadership.mailbox.offer(
+                leadership.LeadershipConfirmed(sender, msg.can_lead)
+            )
             return
         self.leadership.mailbox.offer(leadership.LeaderAnnounced(leader))
         if leader.name == sender:
--- a/src/fighead/job_message.py
+++ b/src/fighead/job_message.py
@@ -13,11 +13,13 @@
 
     :param leader: ``None`` if the sender knows of none.
     :param version: Version of the sender's configuration.
+    :param can_lead: Whether the sender could lead now.
     """
 
     sender: str
     leader: Leader | None
     version: int = 0
+    can_lead: bool = False
 
 
 @frozen
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -56,6 +56,7 @@
     SCHEDULER_FENCED = (5004, "warning", "An instance has seen a higher fence.")
     SCHEDULE_LOADED = (5005, "info", "All accepted jobs have been read.")
     SCHEDULE_SETTLED = (5006, "info", "No unknown run can exist any more.")
+    LEADER_HANDED_OVER = (5007, "info", "A peer can carry more and is to schedule.")
     JOB_ACCEPTED = (5101, "info", "A job was accepted and is stored.")
     JOB_REFUSED = (5102, "warning", "A job was refused and is not stored.")
     JOB_UNCERTAIN = (5103, "warning", "It is not known whether a job is stored.")
--- a/src/fighead/model.py
+++ b/src/fighead/model.py
@@ -209,6 +209,11 @@
     processor_cores: float | None = None
     link_mbit_s: float | None = None
 
+    @property
+    def is_known(self) -> bool:
+        """Whether both figures are known."""
+        return self.processor_cores is not None and self.link_mbit_s is not None
+
 
 @frozen
 class JobMember(Member):
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -10,7 +10,7 @@
 from ..clock import Clock, sleep
 from ..codec import from_json, to_json
 from ..decisions import election
-from ..decisions.election import Leader
+from ..decisions.election import Availability, Leader
 from ..exceptions import RequestError, StoreError, StoreOutcomeUnknownError
 from ..log import Event, log_event
 from ..mailbox import Mailbox, process_messages, spawn
@@ -64,7 +64,13 @@
 
 @frozen
 class LeadershipConfirmed:
-    """A peer knows of no later leader, which confirms this entry as the leader."""
+    """A peer knows of no later leader, which confirms this entry as the leader.
+
+    :param can_lead: Whether the peer could lead now.
+    """
+
+    peer: str
+    can_lead: bool
 
 
 @frozen
@@ -151,12 +157,31 @@
     _is_resigned: bool = False
     _has_snapshot: bool = False
     _lease: int = 0
+    # When the last renewal that succeeded was sent. Unlike ``confirmed_at``, it shows
+    # that the store was reached.
+    _renewed_at: dt.datetime | None = None
+    # When this entry last failed to become or remain the leader.
+    _failed_at: dt.datetime | None = None
+    _handed_over_at: dt.datetime | None = None
+    # By peer, while this entry leads.
+    _availability: dict[str, Availability] = field(factory=dict)
 
     @property
     def is_leading(self) -> bool:
         """Whether this entry is the leader, as far as it knows."""
         return self._is_leading
 
+    def can_lead(self) -> bool:
+        """Whether this entry would be a candidate and has not failed recently."""
+        return (
+            self._has_snapshot
+            and not self._is_resigned
+            and not self._is_within(election.FAILURE_PAUSE, self._failed_at)
+        )
+
+    def _is_within(self, interval: dt.timedelta, since: dt.datetime | None) -> bool:
+        return since is not None and self.clock.now() - since < interval
+
     async def run(self) -> None:
         """Register the entry and take part in elections until cancelled."""
         watch = WatchTask(
@@ -190,11 +215,12 @@
                     self._apply_key(kv)
             case LeaderAnnounced(leader):
                 self._update_leader(leader)
-            case LeadershipConfirmed():
+            case LeadershipConfirmed(peer, can_lead):
                 self.confirmed_at = self.clock.now()
+                self._handle_report(peer, can_lead)
             case OwnFenceRefused(fence):
                 if self._own_leader is not None and fence == self._own_leader.fence:
-                    self._step_down("the fence of this entry was refused")
+                    self._fail("the fence of this entry was refused")
             case CandidacyDue(key_revision):
                 self._start_candidacy(key_revision)
             case Elected():
@@ -257,7 +283,7 @@
         if not election.is_newer(self.view.leader, leader):
             return
         if leader.nonce != self._nonce and self._is_leading:
-            self._step_down(f"entry {leader.name} was elected for term {leader.term}")
+            self._fail(f"entry {leader.name} was elected for term {leader.term}")
         if leader.nonce != self._nonce:
             log_event(Event.LEADER_FOLLOWED, leader=leader.name, term=leader.term)
         self._publish(evolve(self.view, leader=leader))
@@ -266,7 +292,7 @@
         self.view = view
         self.publish(view)
 
-    # Candidacy, renewal and stepping down.
+    # Candidacy, renewal, stepping down and handing over.
 
     def _schedule_candidacy(self) -> None:
         if not self._is_eligible() or self._is_candidate:
@@ -277,6 +303,9 @@
         )
         if self._is_leading or self._holds_leader_key():
             delay = dt.timedelta()
+        if self._handed_over_at is not None:
+            yields_until = self._handed_over_at + election.HANDOVER_YIELD
+            delay = max(delay, yields_until - self.clock.now())
         due = CandidacyDue(self._leader_kv.mod_revision)
         self.clock.call_later(delay, lambda: self.mailbox.offer(due))
 
@@ -319,6 +348,7 @@
             await self._write_leader_key()
         except StoreError as exc:
             log_event(Event.STORE_CALL_FAILED, what="stand", reason=exc.message)
+            self._failed_at = self.clock.now()
             await sleep(self.clock, RETRY_PAUSE * (0.5 + self.random.random()))
         finally:
             self._is_candidate = False
@@ -373,6 +403,7 @@
             and self.view.leader.nonce == self._nonce
         )
         self._lease, self.confirmed_at = elected.lease, elected.sent_at
+        self._renewed_at = elected.sent_at
         self._is_leading, self._own_leader = True, leader
         self._leader_kv = KeyValue(JOB_LEADER_KEY, "", leader.fence, leader.fence)
         log_event(Event.LEADER_ELECTED, term=leader.term, fence=leader.fence)
@@ -398,7 +429,7 @@
         if not self._is_leading:
             return
         if renewed.is_alive:
-            self.confirmed_at = renewed.sent_at
+            self.confirmed_at = self._renewed_at = renewed.sent_at
         else:
             # The lease has expired; another entry may already hold the leader key.
             spawn(self._refresh_election_keys())
@@ -410,10 +441,17 @@
             log_event(Event.STORE_CALL_FAILED, what="leader", reason=exc.message)
         self._schedule_candidacy()
 
+    def _fail(self, reason: str) -> None:
+        """Step down because this entry could not remain the leader."""
+        if self._is_leading:
+            self._failed_at = self.clock.now()
+            self._step_down(reason)
+
     def _step_down(self, reason: str) -> None:
         if not self._is_leading:
             return
         self._is_leading = False
+        self._availability.clear()
         log_event(Event.LEADER_DEPOSED, reason=reason)
         self.on_deposed()
         spawn(self._refresh_election_keys())
@@ -425,6 +463,43 @@
             self._step_down("the entry is stopping")
             spawn(self._delete_leader_key(fence))
 
+    def _handle_report(self, peer: str, can_lead: bool) -> None:
+        if not self._is_leading:
+            return
+        known = self._availability.pop(peer, None)
+        availability = election.add_report(known, can_lead, self.clock.now())
+        if availability is None:
+            return
+        self._availability[peer] = availability
+        if self._may_hand_over() and election.is_successor(
+            self.me.name, peer, self._find_capacities(), availability
+        ):
+            self._hand_over(peer)
+
+    def _may_hand_over(self) -> bool:
+        """Whether the leader key is certainly held and the store was reached."""
+        return (
+            self._own_leader is not None
+            and self._leader_kv.mod_revision == self._own_leader.fence
+            and not self._is_candidate
+            and self._is_within(
+                dt.timedelta(seconds=election.LEADER_TTL_S), self._renewed_at
+            )
+            and not self._is_within(election.HANDOVER_INTERVAL, self._handed_over_at)
+        )
+
+    def _hand_over(self, peer: str) -> None:
+        self._handed_over_at = self.clock.now()
+        log_event(
+            Event.LEADER_HANDED_OVER,
+            peer=peer,
+            peer_capacity=asdict(self._find_capacities()[peer]),
+            capacity=asdict(self.capacity),
+        )
+        fence = self._leader_kv.mod_revision
+        self._step_down(f"entry {peer} can carry more")
+        spawn(self._delete_leader_key(fence))
+
     async def _delete_leader_key(self, fence: int) -> None:
         txn = Txn((Compare(JOB_LEADER_KEY, fence),), (Delete(JOB_LEADER_KEY),))
         try:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -1,16 +1,31 @@
 """Election of the scheduling entry among machines of different capacity."""
 
+import datetime as dt
+import random
+
 import pytest
+from attrs import evolve
 
+from fighead.codec import from_wire, to_wire
 from fighead.decisions.election import (
     CANDIDACY_STEP,
+    HANDOVER_EVIDENCE,
+    HANDOVER_INTERVAL,
+    HANDOVER_YIELD,
+    MAX_REPORT_INTERVAL,
+    Availability,
+    Leader,
+    add_report,
     candidacy_delay,
     find_shares,
+    is_successor,
     rank_candidates,
 )
 from fighead.job import JobPhase, JobSpec, Stage
+from fighead.job_message import JOB_MESSAGES, LeaderIs
 from fighead.model import Capacity
-from job_cluster import JobCluster
+from job_cluster import START_TIME, JobCluster, has_ended
+from test_job_cluster import FAULT_KINDS, inject_fault
 
 LARGE = Capacity(processor_cores=2.15, link_mbit_s=200.0)
 SMALL = Capacity(processor_cores=0.3, link_mbit_s=10.0)
@@ -89,6 +104,51 @@
     assert set(followers) == {"large0", "large1"}
 
 
+def make_availability(duration=HANDOVER_EVIDENCE):
+    return Availability(START_TIME, START_TIME + duration)
+
+
+def test_a_leader_hands_over_to_a_peer_of_twice_its_capacity():
+    capacities = {"own": Capacity(1.0, 100.0), "peer": Capacity(2.0, 200.0)}
+    assert is_successor("own", "peer", capacities, make_availability())
+    capacities["peer"] = Capacity(1.9, 190.0)
+    assert not is_successor("own", "peer", capacities, make_availability())
+
+
+def test_a_leader_does_not_hand_over_without_lasting_evidence():
+    capacities = {"own": SMALL, "peer": LARGE}
+    short = make_availability(HANDOVER_EVIDENCE - dt.timedelta(milliseconds=1))
+    assert not is_successor("own", "peer", capacities, short)
+
+
+@pytest.mark.parametrize("peer", [Capacity(), Capacity(2.15), Capacity(None, 200.0)])
+def test_a_leader_does_not_hand_over_to_a_peer_of_unknown_capacity(peer):
+    capacities = {"own": SMALL, "peer": peer, "other": LARGE}
+    assert not is_successor("own", "peer", capacities, make_availability())
+    assert not is_successor("own", "absent", capacities, make_availability())
+
+
+def test_a_leader_of_unknown_capacity_does_not_hand_over():
+    capacities = {"own": Capacity(), "peer": LARGE}
+    assert not is_successor("own", "peer", capacities, make_availability())
+
+
+def test_a_denial_or_a_long_silence_ends_the_availability_of_a_peer():
+    known = make_availability()
+    later = known.until + MAX_REPORT_INTERVAL
+    assert add_report(known, True, later) == evolve(known, until=later)
+    too_late = later + dt.timedelta(milliseconds=1)
+    assert add_report(known, True, too_late) == Availability(too_late, too_late)
+    assert add_report(known, False, known.until) is None
+    assert add_report(None, True, later) == Availability(later, later)
+
+
+def test_an_announcement_of_an_earlier_version_does_not_say_that_its_sender_can_lead():
+    frame = to_wire(LeaderIs("e1", Leader("e1", 1), 3))
+    assert b"can_lead" not in frame
+    assert from_wire(frame, JOB_MESSAGES).can_lead is False
+
+
 def test_a_small_leader_does_not_lead_on_beside_a_large_entry():
     cluster = make_cluster(large=1, small=2, started=["small0", "small1"])
     cluster.submit(job_id(1), LONG_JOB)
@@ -101,3 +161,140 @@
     assert cluster.find_phase(job_id(1)) is JobPhase.COMPLETED
     starts = [event for event in cluster.history if event.event == "started"]
     assert len(starts) == 8 and not cluster.find_breaches()
+
+
+def start_small_leader():
+    """Return a cluster that a small entry leads, and its leader."""
+    cluster = make_cluster(large=1, small=2, started=["small0", "small1"])
+    return cluster, cluster.leader()
+
+
+def advance_until_leader_steps_down(cluster):
+    for _ in range(500):
+        cluster.advance(0.02)
+        if cluster.leader() is None:
+            return
+    raise AssertionError("the leader did not step down")
+
+
+def test_a_leader_does_not_hand_over_to_an_entry_that_lost_the_store():
+    cluster, small = start_small_leader()
+    cluster.start_entry("large0")
+    cluster.advance(1)
+    cluster.entries["large0"].store.is_cut = True
+    cluster.advance(30)
+    assert cluster.leader() == small and count_elections(cluster) == 1
+    cluster.entries["large0"].store.is_cut = False
+    cluster.advance(6)
+    assert cluster.leader() == "large0" and count_elections(cluster) == 2
+
+
+def test_a_large_leader_that_lost_the_store_is_not_elected_again_and_again():
+    cluster = make_cluster(large=1, small=2)
+    cluster.advance(6)
+    assert cluster.leader() == "large0"
+    elections = count_elections(cluster)
+    cluster.entries["large0"].store.is_cut = True
+    cluster.advance(30)
+    assert cluster.leader().startswith("small")
+    assert count_elections(cluster) == elections + 1
+    cluster.entries["large0"].store.is_cut = False
+    cluster.advance(30)
+    assert cluster.leader() == "large0"
+    assert count_elections(cluster) == elections + 2
+
+
+def test_a_large_entry_whose_claims_the_store_refuses_causes_few_elections():
+    cluster = make_cluster(large=1, small=4)
+    cluster.advance(6)
+    assert cluster.leader() == "large0"
+    elections = count_elections(cluster)
+    cluster.store.refuse_leader("large0")
+    cluster.advance(60)
+    assert count_elections(cluster) <= elections + 4
+
+
+def test_nothing_is_handed_over_while_the_store_is_unavailable():
+    cluster, small = start_small_leader()
+    cluster.submit(job_id(1), LONG_JOB)
+    cluster.start_entry("large0")
+    cluster.advance(1)
+    cluster.store.is_unavailable = True
+    for _ in range(100):
+        cluster.advance(0.1)
+        assert cluster.leader() == small
+    cluster.store.is_unavailable = False
+    cluster.advance(10)
+    assert cluster.leader() == "large0"
+    assert cluster.find_phase(job_id(1)) is JobPhase.COMPLETED
+    assert not cluster.find_breaches()
+
+
+def test_an_entry_that_handed_over_yields_and_then_leads_if_nobody_follows():
+    cluster = make_cluster(large=1, small=1, started=["small0"])
+    cluster.start_entry("large0")
+    advance_until_leader_steps_down(cluster)
+    cluster.entries["large0"].store.is_cut = True
+    cluster.advance(HANDOVER_YIELD.total_seconds() - 0.1)
+    assert cluster.leader() is None
+    cluster.advance(0.5)
+    assert cluster.leader() == "small0"
+    cluster.entries["large0"].store.is_cut = False
+    cluster.advance(10)
+    assert cluster.leader() == "small0" and count_elections(cluster) == 2
+    cluster.advance(20)
+    assert cluster.leader() == "large0" and count_elections(cluster) == 3
+
+
+def test_an_entry_does_not_hand_over_again_at_once():
+    cluster = make_cluster(large=1, small=1, started=["small0"])
+    cluster.start_entry("large0")
+    advance_until_leader_steps_down(cluster)
+    cluster.kill_entries("large0")
+    cluster.advance(2.5)
+    cluster.start_entry("large0")
+    cluster.advance(HANDOVER_INTERVAL.total_seconds() - 2.6)
+    assert cluster.leader() == "small0" and count_elections(cluster) == 2
+    cluster.advance(2)
+    assert cluster.leader() == "large0" and count_elections(cluster) == 3
+
+
+def test_a_handed_over_key_that_could_not_be_deleted_is_not_claimed_again_at_once():
+    cluster = make_cluster(large=1, small=1, started=["small0"])
+    cluster.start_entry("large0")
+    advance_until_leader_steps_down(cluster)
+    cluster.entries["small0"].store.is_cut = True
+    cluster.advance(1)
+    cluster.entries["small0"].store.is_cut = False
+    cluster.advance(3)
+    assert cluster.leader() == "large0" and count_elections(cluster) == 2
+
+
+def test_a_leader_does_not_hand_over_to_a_stopping_entry():
+    cluster, small = start_small_leader()
+    cluster.start_entry("large0")
+    cluster.advance(1)
+    cluster.entries["large0"].entry.stop()
+    cluster.advance(15)
+    assert cluster.leader() == small and count_elections(cluster) == 1
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_guarantees_hold_under_random_faults_among_unequal_entries(seed):
+    cluster = make_cluster(seed, large=1, small=2)
+    rng = random.Random(seed)
+    cluster.late_share = 0.08 * (seed % 2)
+    for number in range(30):
+        if cluster.live_entries():
+            cluster.submit(job_id(number), LONG_JOB, rng.choice(["checks", "plans"]))
+        if rng.random() < 0.4:
+            end_fault = inject_fault(cluster, rng.choice(FAULT_KINDS))
+            cluster.advance(rng.uniform(0.2, 5))
+            end_fault()
+        cluster.advance(rng.uniform(0.05, 2))
+    cluster.late_share = 0.0
+    cluster.advance(90)
+    assert not cluster.find_breaches()
+    assert cluster.leader() == "large0"
+    for accepted_job_id in cluster.accepted_at:
+        assert has_ended(cluster.find_phase(accepted_job_id)), accepted_job_id
