Test when a leader must not hand over

Adds the cases of a peer without a configuration, of a large leader that was deposed while frozen and of a leader that does not reach the store, and states the times of the others as figures instead of the code's constants.

On a scratch copy, eleven mutations of the hand-over were tried: each makes a test of tests/test_election.py fail but one, the removal of the condition that no candidacy of the leader is pending.

--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -169,6 +169,10 @@
         """Write a key without delay, as an operator or an instance would."""
         return self._commit(Txn(success=(Put(key, value),)))
 
+    def remove(self, key):
+        """Delete a key without delay."""
+        return self._commit(Txn(success=(Delete(key),)))
+
     def _notify_watches(self):
         pending_watches, self.pending_watches = self.pending_watches, []
         for fut in pending_watches:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -5,13 +5,13 @@
 
 import pytest
 from attrs import evolve
+from twisted.internet.task import Clock
 
-from fighead.codec import from_wire, to_wire
+from fighead.clock import ReactorClock
+from fighead.codec import from_wire, to_json, to_wire
 from fighead.decisions.election import (
     CANDIDACY_STEP,
     HANDOVER_EVIDENCE,
-    HANDOVER_INTERVAL,
-    HANDOVER_YIELD,
     MAX_REPORT_INTERVAL,
     Availability,
     Leader,
@@ -23,8 +23,12 @@
 )
 from fighead.job import JobPhase, JobSpec, Stage
 from fighead.job_message import JOB_MESSAGES, LeaderIs
-from fighead.model import Capacity
+from fighead.mailbox import spawn
+from fighead.model import Capacity, JobMember, Member
+from fighead.store import JOB_MEMBERS_PREFIX
+from fighead.tasks.leadership import LeadershipConfirmed, LeadershipTask
 from job_cluster import START_TIME, JobCluster, has_ended
+from memory_store import MemoryStore
 from test_job_cluster import FAULT_KINDS, inject_fault
 
 LARGE = Capacity(processor_cores=2.15, link_mbit_s=200.0)
@@ -235,7 +239,7 @@
     cluster.start_entry("large0")
     advance_until_leader_steps_down(cluster)
     cluster.entries["large0"].store.is_cut = True
-    cluster.advance(HANDOVER_YIELD.total_seconds() - 0.1)
+    cluster.advance(1.9)
     assert cluster.leader() is None
     cluster.advance(0.5)
     assert cluster.leader() == "small0"
@@ -253,7 +257,7 @@
     cluster.kill_entries("large0")
     cluster.advance(2.5)
     cluster.start_entry("large0")
-    cluster.advance(HANDOVER_INTERVAL.total_seconds() - 2.6)
+    cluster.advance(7.4)
     assert cluster.leader() == "small0" and count_elections(cluster) == 2
     cluster.advance(2)
     assert cluster.leader() == "large0" and count_elections(cluster) == 3
@@ -279,6 +283,73 @@
     assert cluster.leader() == small and count_elections(cluster) == 1
 
 
+def test_a_leader_does_not_hand_over_to_an_entry_without_a_configuration():
+    cluster = make_cluster(large=1, small=1, started=["small0"])
+    cluster.kill_entries("small0")
+    config = cluster.store.items["op/config"].value
+    cluster.store.remove("op/config")
+    cluster.start_entry("small0")
+    cluster.advance(1)
+    cluster.start_entry("large0")
+    cluster.advance(10)
+    assert cluster.leader() == "small0"
+    cluster.store.put("op/config", config)
+    cluster.advance(6)
+    assert cluster.leader() == "large0"
+
+
+def test_a_large_leader_that_was_deposed_while_frozen_does_not_lead_again_at_once():
+    cluster = make_cluster(large=1, small=2)
+    cluster.advance(6)
+    cluster.entries["large0"].gate.is_frozen = True
+    cluster.advance(4)
+    cluster.entries["large0"].gate.unfreeze()
+    cluster.advance(15)
+    assert cluster.leader().startswith("small")
+    cluster.advance(15)
+    assert cluster.leader() == "large0"
+
+
+def advance(reactor, seconds):
+    for _ in range(round(seconds * 100)):
+        reactor.advance(0.01)
+
+
+def report_for(reactor, task, seconds):
+    """Let the peer ``large`` report to the leader that it could lead."""
+    for _ in range(seconds * 2):
+        task.mailbox.offer(LeadershipConfirmed("large", True))
+        advance(reactor, 0.5)
+
+
+def test_a_leader_that_does_not_reach_the_store_keeps_the_leadership():
+    reactor = Clock()
+    clock = ReactorClock(reactor, START_TIME)
+    store = MemoryStore(clock)
+    large = JobMember("large", "z", "tcp://large", capacity=LARGE)
+    store.put(JOB_MEMBERS_PREFIX + "large", to_json(large))
+    task = LeadershipTask(
+        Member("small", "z", "tcp://small"),
+        store,
+        clock,
+        random.Random(1),
+        lambda view: None,
+        lambda leader, is_uninterrupted: None,
+        lambda: None,
+        SMALL,
+    )
+    spawn(task.run())
+    report_for(reactor, task, 2)
+    assert task.is_leading
+    store.is_unavailable = True
+    advance(reactor, 2)
+    report_for(reactor, task, 8)
+    assert task.is_leading
+    store.is_unavailable = False
+    report_for(reactor, task, 2)
+    assert not task.is_leading
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_guarantees_hold_under_random_faults_among_unequal_entries(seed):
     cluster = make_cluster(seed, large=1, small=2)
