--- a/src/fighead/model.py
+++ b/src/fighead/model.py
@@ -198,6 +198,30 @@
     ready: bool = True
 
 
+@frozen
+class Capacity:
+    """What the machine of an entry provides; ``None`` where it is unknown.
+
+    :param processor_cores: Processor time, in reference cores.
+    :param link_mbit_s: Rate of the machine's link in Mbit/s.
+    """
+
+    processor_cores: float | None = None
+    link_mbit_s: float | None = None
+
+    @property
+    def is_known(self) -> bool:
+        """Whether both figures are known."""
+        return self.processor_cores is not None and self.link_mbit_s is not None
+
+
+@frozen
+class JobMember(Member):
+    """An entry that schedules jobs, as it registers itself for the others."""
+
+    capacity: Capacity = Capacity()
+
+
 @frozen
 class Claim:
     """Ownership of an instance or of an upstream's line.
