Log and measure how busy an entry is, and who leads since when

Cause: queue lengths, loop delay, durations of placement and counts of calls were not measured; the events on leaders were dropped like any other.

Change: tasks/load.py reads the clocks of the process every 100 ms. The same figures are metrics. The scheduler's load is read by a function, as an answer by message would be as late as what it measures. HttpPool counts failures and time-outs.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -161,8 +161,12 @@
             for state in schedule.instances.values()
         )
         if schedule.is_settled:
-            count = len(schedule.instances)
-            effects.append(LogNote(Event.SCHEDULE_SETTLED, {"instances": count}))
+            fields = {
+                "instances": len(schedule.instances),
+                "term": schedule.term,
+                "since_election_ms": schedule.ms_since_election(now),
+            }
+            effects.append(LogNote(Event.SCHEDULE_SETTLED, fields))
     return effects
 
 
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -152,6 +152,14 @@
             return None
         return stage.tasks[key.index]
 
+    def count_waiting_tasks(self) -> int:
+        """Return the number of tasks that could run and have no run."""
+        return sum(
+            len(stage.waiting_indexes)
+            for stage in self.stages.values()
+            if stage.is_open
+        )
+
     def runs(self) -> t.Iterator[RunState]:
         """Iterate over all runs that may still exist on an instance."""
         for stage in self.stages.values():
@@ -299,6 +307,10 @@
             state.restart_count, INCARNATIONS_PER_TERM - 1
         )
 
+    def ms_since_election(self, now: dt.datetime) -> int:
+        """Return the milliseconds since the start of the term."""
+        return int((now - self.elected_at).total_seconds() * 1000)
+
     def may_start(self, job: JobState) -> bool:
         """Whether runs may start because the job can have no unknown runs."""
         is_new = (
--- a/src/fighead/http_client.py
+++ b/src/fighead/http_client.py
@@ -11,11 +11,13 @@
 
 import h11
 from attrs import define, field, frozen
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.error import TimeoutError as ConnectTimeoutError
 from twisted.internet.protocol import Protocol, connectionDone
 
 from .clock import Clock, with_timeout
+from .process_load import CallCounts
 
 #: Limit on establishing a connection: several times the latency of the slowest
 #: link between two availability zones.
@@ -159,6 +161,8 @@
     :param max_per_address: Most connections to one address; further calls wait.
     :param calls: Number of requests sent so far.
     :param connections: Number of connection attempts so far.
+    :param failures: Number of calls that failed so far, without time-outs.
+    :param timeouts: Number of calls that timed out so far.
     """
 
     reactor: t.Any
@@ -166,6 +170,8 @@
     max_per_address: int = 4
     calls: int = 0
     connections: int = 0
+    failures: int = 0
+    timeouts: int = 0
     _pools: dict[str, _AddressPool] = field(factory=dict)
 
     def request(
@@ -182,14 +188,26 @@
         progress = _Progress()
         pending = Deferred.fromCoroutine(self._exchange(address, req, progress))
         limited = with_timeout(self.clock, pending, timeout)
+        limited.addErrback(self._count_failure)
         return limited.addErrback(progress.raise_typed_error)
 
+    def counts(self) -> CallCounts:
+        """Return the numbers of calls so far."""
+        return CallCounts(self.calls, self.connections, self.failures, self.timeouts)
+
     def close_connections(self, address: str) -> None:
         """Close the idle connections to an address, and busy ones after their call."""
         pool = self._pools.pop(address, None)
         for conn in pool.idle if pool else ():
             conn.transport.loseConnection()
 
+    def _count_failure(self, failure: t.Any) -> t.Any:
+        if failure.check(TimeoutError, ConnectTimeoutError):
+            self.timeouts += 1
+        elif not failure.check(CancelledError):
+            self.failures += 1
+        return failure
+
     async def _exchange(
         self, address: str, req: HttpRequest, progress: "_Progress"
     ) -> HttpResponse:
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -25,10 +25,12 @@
 from .log import Event, log_event
 from .mailbox import spawn
 from .model import Member
+from .process_load import ProcessClocks, SchedulerLoad
 from .settings import ListenAddress
 from .tasks import leadership
 from .tasks.call import call
 from .tasks.leadership import ControlView, LeadershipTask
+from .tasks.load import LoadTask
 from .tasks.peer import CurveKeys, PeerTask
 from .tasks.relay import RelayingStore, execute_for_peer
 from .tasks.scheduler import PlatformAdapter, Reelected, SchedulerTask
@@ -64,6 +66,7 @@
     :param codec: Encoding of client requests and responses.
     :param on_end: Called once the planned stop is complete.
     :param make_peer: Creates the task that owns the connections to other entries.
+    :param clocks: Clocks of the process, to measure its load.
     :param scheduler: The scheduling task, while this entry is the leader.
     """
 
@@ -74,6 +77,7 @@
     reactor: t.Any
     on_end: t.Callable[[], None]
     make_peer: t.Callable[..., PeerTask] = PeerTask
+    clocks: ProcessClocks = ProcessClocks()
     metrics: JobMetrics = field(init=False)
     front_context: JobFrontContext = field(init=False)
     peer: PeerTask = field(init=False)
@@ -130,7 +134,14 @@
             self._handle_config_watch,
             CONFIG_WATCH_WAIT,
         )
-        for task in (self.peer, self.leadership, config):
+        load = LoadTask(
+            self.clock,
+            self.clocks,
+            self.adapter.count_calls,
+            self._take_scheduler_load,
+            self.metrics,
+        )
+        for task in (self.peer, self.leadership, config, load):
             spawn(task.run())
         spawn(self._announce_periodically())
         front = JobFront(self.front_context, self.codec)
@@ -254,6 +265,7 @@
             ),
             self.metrics,
             self.cfg.status_time,
+            self.clocks.steady_s,
         )
         self.metrics.set_leading(True)
         self.scheduler.start()
@@ -265,6 +277,9 @@
             self.scheduler = None
             self.metrics.set_leading(False)
 
+    def _take_scheduler_load(self) -> SchedulerLoad | None:
+        return self.scheduler.take_load() if self.scheduler is not None else None
+
     def _may_act(self) -> bool:
         confirmed_at = self.leadership.confirmed_at
         return confirmed_at is not None and election.may_act(
--- a/src/fighead/job_metric.py
+++ b/src/fighead/job_metric.py
@@ -10,6 +10,10 @@
 from prometheus_client import generate_latest
 
 from .log import Event
+from .process_load import CallCounts, SchedulerLoad
+
+#: Bounds in seconds of the histograms of durations within the event loop.
+LOOP_BUCKETS_S = (0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 
 
 class JobMetrics:
@@ -53,6 +57,76 @@
         self._version_gauge = meter.create_gauge(
             "fighead.config.version", "1", "Version of the configuration in force."
         )
+        self._loop_delays = meter.create_histogram(
+            "fighead.loop.delay",
+            "s",
+            "How late timers fire.",
+            explicit_bucket_boundaries_advisory=LOOP_BUCKETS_S,
+        )
+        self._placement_durations = meter.create_histogram(
+            "fighead.placement.duration",
+            "s",
+            "Duration of a round of placement.",
+            explicit_bucket_boundaries_advisory=LOOP_BUCKETS_S,
+        )
+        self._cpu_time = meter.create_counter(
+            "fighead.cpu.time", "s", "Processor time used."
+        )
+        self._calls = meter.create_counter(
+            "fighead.calls", "1", "Calls to the store and to instances."
+        )
+        self._call_failures = meter.create_counter(
+            "fighead.call.failures", "1", "Calls that failed or had no answer in time."
+        )
+        self._orders = meter.create_counter(
+            "fighead.scheduler.orders", "1", "Orders given to instances."
+        )
+        self._listings = meter.create_counter(
+            "fighead.scheduler.listings", "1", "Listings of instances handled."
+        )
+        self._mailbox_gauge = meter.create_gauge(
+            "fighead.scheduler.mailbox", "1", "Messages that wait for the scheduler."
+        )
+        self._jobs_gauge = meter.create_gauge(
+            "fighead.scheduler.jobs", "1", "Jobs in the schedule."
+        )
+        self._waiting_gauge = meter.create_gauge(
+            "fighead.scheduler.waiting", "1", "Tasks that could run and have no run."
+        )
+        self._write_age_gauge = meter.create_gauge(
+            "fighead.scheduler.write.age", "s", "Age of the write in progress."
+        )
+
+    def record_loop_delay(self, delay_s: float) -> None:
+        """Record by how many seconds a timer was late."""
+        self._loop_delays.record(delay_s)
+
+    def record_placement(self, duration_s: float) -> None:
+        """Record the duration of a round of placement."""
+        self._placement_durations.record(duration_s)
+
+    def count_cpu(self, cpu_s: float) -> None:
+        """Count processor time."""
+        self._cpu_time.add(cpu_s)
+
+    def count_calls(self, target: str, counts: CallCounts) -> None:
+        """Count calls to ``target``, which is ``store`` or ``instances``."""
+        self._calls.add(counts.sent, {"target": target})
+        for outcome, count in (
+            ("failed", counts.failed),
+            ("timeout", counts.timed_out),
+        ):
+            self._call_failures.add(count, {"target": target, "outcome": outcome})
+
+    def set_scheduler_load(self, load: SchedulerLoad | None) -> None:
+        """Record the load of the scheduler; ``None`` while another entry schedules."""
+        self._mailbox_gauge.set(load.mailbox_length if load else 0)
+        self._jobs_gauge.set(load.jobs if load else 0)
+        self._waiting_gauge.set(load.waiting_tasks if load else 0)
+        self._write_age_gauge.set(load.write_age_s if load else 0.0)
+        if load is not None:
+            self._orders.add(load.done.orders)
+            self._listings.add(load.done.listings)
 
     def count_request(self, queue: str, outcome: str, took: dt.timedelta) -> None:
         """Count a submission and record the time ``took`` until its answer."""
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -30,6 +30,12 @@
         "The entry takes no requests.",
     )
     ENTRY_READY = (1005, "info", "The entry takes requests.")
+    LOOP_DELAYED = (1006, "warning", "The entry handled events late.")
+    CLOCK_STEPPED = (
+        1007,
+        "warning",
+        "The wall clock and the steady clock have parted.",
+    )
     LEASE_GRANTED = (2001, "info", "The store granted a lease.")
     LEASE_LOST = (2002, "warning", "The lease expired; claims are made again.")
     STORE_AWAY = (2003, "warning", "The store is unreachable.")
@@ -56,6 +62,7 @@
     SCHEDULER_FENCED = (5004, "warning", "An instance has seen a higher fence.")
     SCHEDULE_LOADED = (5005, "info", "All accepted jobs have been read.")
     SCHEDULE_SETTLED = (5006, "info", "No unknown run can exist any more.")
+    LEADER_LOAD = (5007, "info", "How busy the scheduling entry is.")
     JOB_ACCEPTED = (5101, "info", "A job was accepted and is stored.")
     JOB_REFUSED = (5102, "warning", "A job was refused and is not stored.")
     JOB_UNCERTAIN = (5103, "warning", "It is not known whether a job is stored.")
@@ -118,6 +125,20 @@
         return self.value[2]
 
 
+#: Numbers of the events that are kept at any rate of lines: the few that tell which
+#: entry schedules and how busy it is, which matter most when lines are dropped.
+KEPT_NUMBERS = frozenset(
+    event.number
+    for event in (
+        Event.LEADER_ELECTED,
+        Event.LEADER_FOLLOWED,
+        Event.SCHEDULE_LOADED,
+        Event.SCHEDULE_SETTLED,
+        Event.LEADER_LOAD,
+    )
+)
+
+
 def log_event(event: Event, **fields: t.Any) -> None:
     """Log ``event`` with ``fields``, which must hold no secrets or request bodies."""
     logger = structlog.get_logger()
@@ -130,7 +151,7 @@
 
     A token bucket limits the rate. Lines beyond it, and lines that a full pipe
     can't take, are dropped and counted; the next line written carries the count as
-    ``lines_dropped``. Warnings and errors may overdraw the bucket by
+    ``lines_dropped``. Warnings, errors and lines to be kept may overdraw the bucket by
     :data:`BURST_LINES`.
 
     :param fd: File descriptor to write to; a pipe is made non-blocking.
@@ -149,13 +170,16 @@
         if stat.S_ISFIFO(os.fstat(fd).st_mode):
             os.set_blocking(fd, False)
 
-    def msg(self, message: str) -> None:
-        """Write or drop a line below the level of warnings."""
-        self._write(message, 0.0)
+    def msg(self, message: str, is_kept: bool = False) -> None:
+        """Write or drop a line below the level of warnings.
+
+        :param is_kept: Whether the line may overdraw the bucket like a warning.
+        """
+        self._write(message, -float(BURST_LINES) if is_kept else 0.0)
 
     info = debug = msg
 
-    def warning(self, message: str) -> None:
+    def warning(self, message: str, is_kept: bool = True) -> None:
         """Write or drop a line of a warning or an error."""
         self._write(message, -float(BURST_LINES))
 
@@ -191,6 +215,29 @@
         return not self._unwritten
 
 
+def _make_renderer() -> structlog.typing.Processor:
+    """Return a processor that renders a line as JSON and says whether to keep it."""
+    render = structlog.processors.JSONRenderer(default=str)
+
+    def process(
+        logger: t.Any, method: str, fields: structlog.typing.EventDict
+    ) -> tuple[tuple[t.Any], dict[str, bool]]:
+        is_kept = fields.get("number") in KEPT_NUMBERS
+        return (render(logger, method, fields),), {"is_kept": is_kept}
+
+    return process
+
+
+def make_processors() -> list[structlog.typing.Processor]:
+    """Return the processors that turn an event into a call of the writer."""
+    return [
+        structlog.contextvars.merge_contextvars,
+        structlog.processors.add_log_level,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+        _make_renderer(),
+    ]
+
+
 def configure_logging(entry: str) -> None:
     """Write events to standard output as JSON, one per line.
 
@@ -198,12 +245,7 @@
     """
     writer = BoundedWriter()
     structlog.configure(
-        processors=[
-            structlog.contextvars.merge_contextvars,
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.JSONRenderer(default=str),
-        ],
+        processors=make_processors(),
         logger_factory=lambda *_: writer,
         cache_logger_on_first_use=True,
     )
--- a/src/fighead/platform/daemon.py
+++ b/src/fighead/platform/daemon.py
@@ -10,6 +10,7 @@
 from ..job_entry import JobEntry
 from ..job_settings import JobSettings
 from ..log import Event, configure_logging, log_event
+from ..process_load import AllCallCounts
 from ..run import RegisteredInstance
 from ..runtime import make_clock, reactor, run_until_stopped, stop_reactor
 from ..tasks.scheduler import PlatformAdapter
@@ -56,6 +57,7 @@
         config.decode_config,
         instance.decode_instance,
         make_client,
+        lambda: AllCallCounts(store_pool.counts(), instance_pool.counts()),
     )
 
 
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -256,9 +256,18 @@
         if leader.nonce != self._nonce and self._is_leading:
             self._step_down(f"entry {leader.name} was elected for term {leader.term}")
         if leader.nonce != self._nonce:
-            log_event(Event.LEADER_FOLLOWED, leader=leader.name, term=leader.term)
+            log_event(
+                Event.LEADER_FOLLOWED,
+                leader=leader.name,
+                term=leader.term,
+                fence=leader.fence,
+                previous=self._leader_name(),
+            )
         self._publish(evolve(self.view, leader=leader))
 
+    def _leader_name(self) -> str:
+        return self.view.leader.name if self.view.leader else ""
+
     def _publish(self, view: ControlView) -> None:
         self.view = view
         self.publish(view)
@@ -366,7 +375,15 @@
         self._lease, self.confirmed_at = elected.lease, elected.sent_at
         self._is_leading, self._own_leader = True, leader
         self._leader_kv = KeyValue(JOB_LEADER_KEY, "", leader.fence, leader.fence)
-        log_event(Event.LEADER_ELECTED, term=leader.term, fence=leader.fence)
+        took = self.clock.now() - elected.sent_at
+        log_event(
+            Event.LEADER_ELECTED,
+            term=leader.term,
+            fence=leader.fence,
+            previous=self._leader_name(),
+            took_ms=int(took.total_seconds() * 1000),
+            is_uninterrupted=is_uninterrupted,
+        )
         self._publish(evolve(self.view, leader=leader))
         self.on_elected(leader, is_uninterrupted)
 
@@ -405,7 +422,8 @@
         if not self._is_leading:
             return
         self._is_leading = False
-        log_event(Event.LEADER_DEPOSED, reason=reason)
+        term = self._own_leader.term if self._own_leader else 0
+        log_event(Event.LEADER_DEPOSED, reason=reason, term=term)
         self.on_deposed()
         spawn(self._refresh_election_keys())
 
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -2,6 +2,7 @@
 
 import datetime as dt
 import random
+import time
 import typing as t
 
 from attrs import define, field, frozen
@@ -30,6 +31,7 @@
 from ..job_metric import JobMetrics
 from ..log import Event, log_event
 from ..mailbox import Mailbox, process_messages, spawn
+from ..process_load import AllCallCounts, SchedulerCounters, SchedulerLoad, timed
 from ..run import RegisteredInstance
 from ..store import (
     CANCEL_MARK_SUFFIX,
@@ -89,6 +91,7 @@
     :param decode_instance: Decodes the key and value of a registration; returns
         ``None`` if it is invalid.
     :param make_client: Creates a client for one incarnation of an instance.
+    :param count_calls: Returns the calls sent since the start of the process.
     """
 
     store: StoreClient
@@ -98,6 +101,7 @@
     decode_config: t.Callable[[str], JobConfig | None]
     decode_instance: t.Callable[[str, str], RegisteredInstance | None]
     make_client: t.Callable[[RegisteredInstance], InstanceClient]
+    count_calls: t.Callable[[], AllCallCounts] = AllCallCounts
 
 
 @frozen
@@ -151,6 +155,7 @@
     :param on_fence_refused: Called with the fence of a term that an instance or the
         store refused.
     :param status_time: How long the outcome of an ended job must be available.
+    :param steady_s: Source of monotonic seconds, to measure durations.
     :param agents: Agent of each instance, by instance ID.
     """
 
@@ -163,6 +168,7 @@
     on_fence_refused: t.Callable[[int], None]
     metrics: JobMetrics
     status_time: dt.timedelta
+    steady_s: t.Callable[[], float] = time.monotonic
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("scheduler", 65536))
     agents: dict[str, AgentTask] = field(factory=dict)
     _recorder: RecorderTask = field(init=False)
@@ -178,6 +184,8 @@
     _is_writing: bool = False
     _flushed_at: dt.datetime | None = None
     _placement_call: t.Any = None
+    _counters: SchedulerCounters = field(factory=SchedulerCounters)
+    _write_requested_s: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         self._sweeper = SweeperTask(
@@ -199,7 +207,7 @@
             pause=MIN_WATCH_INTERVAL,
         )
         loops = (
-            process_messages(self.mailbox, self._handle, "scheduler"),
+            process_messages(self.mailbox, self._handle_measured, "scheduler"),
             instances.run(),
             self._recorder.run(),
             self._fleet.run(),
@@ -220,6 +228,22 @@
         if self._placement_call is not None and self._placement_call.active():
             self._placement_call.cancel()
 
+    def take_load(self) -> SchedulerLoad:
+        """Return the load, and count anew what is done from now on."""
+        done, self._counters = self._counters, SchedulerCounters()
+        jobs = self.schedule.jobs
+        write_age_s = self.steady_s() - self._write_requested_s
+        return SchedulerLoad(
+            self.schedule.term,
+            done,
+            len(self.mailbox),
+            len(jobs),
+            sum(job.count_waiting_tasks() for job in jobs.values()),
+            len(self.schedule.instances),
+            len(self.schedule.unsaved_jobs),
+            write_age_s if self._is_writing else 0.0,
+        )
+
     async def _tick_periodically(self) -> None:
         while True:
             await sleep(self.clock, TICK_INTERVAL)
@@ -305,6 +329,9 @@
         """
         return bool(self.agents) and self._pending_listings.keys() >= self.agents.keys()
 
+    def _handle_measured(self, msg: t.Any) -> None:
+        timed(self.steady_s, self._counters.messages.add, self._handle, msg)
+
     def _handle(self, msg: t.Any) -> None:
         now = self.clock.now()
         match msg:
@@ -335,7 +362,7 @@
             case Reelected(fence):
                 self._update_fence(fence)
             case Tick():
-                self._handle_tick(now)
+                timed(self.steady_s, self._counters.ticks.add, self._handle_tick, now)
             case JobConfig():
                 self.schedule.config = msg
             case StoreContact():
@@ -368,12 +395,18 @@
             for job in self.schedule.jobs.values()
         )
 
-    def _apply_effects(self, effects: t.Iterable[t.Any]) -> None:
+    def _apply_effects(self, effects: t.Sequence[t.Any]) -> None:
+        if effects:
+            record = self._counters.effects.add
+            timed(self.steady_s, record, self._apply_effects_now, effects)
+
+    def _apply_effects_now(self, effects: t.Sequence[t.Any]) -> None:
         for effect in effects:
             match effect:
                 case Order(instance_id, order):
                     agent = self.agents.get(instance_id)
                     if agent is not None:
+                        self._counters.orders += 1
                         agent.mailbox.offer(order)
                 case LogNote(event, fields):
                     log_event(event, **fields)
@@ -469,7 +502,12 @@
         if fleet is not None:
             instance_tracking.set_inherited_fleet(self.schedule, fleet.instances)
         self._is_loaded = True
-        log_event(Event.SCHEDULE_LOADED, jobs=len(self.schedule.jobs))
+        log_event(
+            Event.SCHEDULE_LOADED,
+            jobs=len(self.schedule.jobs),
+            term=self.schedule.term,
+            since_election_ms=self.schedule.ms_since_election(now),
+        )
         self._apply_pending_listings(now)
 
     def _restore_job(
@@ -496,6 +534,7 @@
             return
         match msg:
             case agent_messages.ListingReceived():
+                self._counters.listings += 1
                 self._pending_listings[instance_id] = msg
                 instance_tracking.record_instance_contact(state, msg.leases_end_at)
                 self._apply_pending_listings(now)
@@ -633,9 +672,20 @@
     def _place_tasks(self) -> None:
         now = self.clock.now()
         if self.may_act():
-            self._apply_effects(placement.place_waiting_tasks(self.schedule, now))
+            effects = timed(
+                self.steady_s,
+                self._count_round,
+                placement.place_waiting_tasks,
+                self.schedule,
+                now,
+            )
+            self._apply_effects(effects)
         self._flush(now)
 
+    def _count_round(self, duration_s: float) -> None:
+        self._counters.rounds.add(duration_s)
+        self.metrics.record_placement(duration_s)
+
     def _flush(self, now: dt.datetime) -> None:
         """Write changed jobs, and acknowledge the run ends whose effects are stored."""
         if self._is_writing or not self._is_loaded:
@@ -652,6 +702,7 @@
             self._acknowledge_ends(end_sequences)
             return
         self._is_writing, self._flushed_at = True, now
+        self._write_requested_s = self.steady_s()
         self._recorder.mailbox.offer(
             RecordJobs(self.schedule.fence, writes, end_sequences)
         )
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -29,6 +29,7 @@
 from fighead.job_entry import JobEntry
 from fighead.job_settings import JobSettings
 from fighead.mailbox import Mailbox, spawn
+from fighead.process_load import ProcessClocks
 from fighead.queries import job as queries
 from fighead.run import RefusalReason, RegisteredInstance
 from fighead.settings import ListenAddress
@@ -398,7 +399,14 @@
             return FakePeer(self, gate, me, handle)
 
         entry = JobEntry(
-            cfg, adapter, make_codec(), clock, FakeReactor(), lambda: None, make_peer
+            cfg,
+            adapter,
+            make_codec(),
+            clock,
+            FakeReactor(),
+            lambda: None,
+            make_peer,
+            ProcessClocks(self.reactor.seconds, self.reactor.seconds, lambda: 0.0),
         )
         self.entries[name] = EntryProcess(gate, store, entry)
         entry.start()
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -4,8 +4,16 @@
 import os
 
 import pytest
+import structlog
 
-from fighead.log import BURST_LINES, LINES_PER_S, BoundedWriter
+from fighead.log import (
+    BURST_LINES,
+    KEPT_NUMBERS,
+    LINES_PER_S,
+    BoundedWriter,
+    Event,
+    make_processors,
+)
 
 
 @pytest.fixture
@@ -57,3 +65,25 @@
     for _ in range(LINES_PER_S + 10):
         log.msg("{}")
     assert log.dropped_lines > 0
+
+
+def test_the_lines_on_a_leader_pass_while_others_are_dropped(pipe):
+    reader, writer = pipe
+    log = BoundedWriter(writer, ManualTime())
+    logger = structlog.wrap_logger(log, make_processors())
+    for _ in range(BURST_LINES + 50):
+        logger.info("x", number=Event.RUN_ORDERED.number)
+        read_lines(reader)
+    assert log.dropped_lines == 50
+    for number in KEPT_NUMBERS:
+        logger.info("x", number=number)
+    written = [json.loads(line)["number"] for line in read_lines(reader)]
+    assert set(written) == KEPT_NUMBERS
+
+
+def test_kept_lines_are_bounded_like_warnings(pipe):
+    reader, writer = pipe
+    log = BoundedWriter(writer, ManualTime())
+    for _ in range(3 * BURST_LINES):
+        log.msg("{}", is_kept=True)
+    assert log.dropped_lines == BURST_LINES
