--- a/src/fighead/decisions/load_watch.py
+++ b/src/fighead/decisions/load_watch.py
@@ -146,6 +146,7 @@
         "message_max_ms": _to_ms(done.messages.longest_s),
         "ticks_ms": _to_ms(done.ticks.total_s),
         "tick_max_ms": _to_ms(done.ticks.longest_s),
+        "regrouping_ms": _to_ms(done.regroupings.total_s),
         "effects_ms": _to_ms(done.effects.total_s),
         "effects_max_ms": _to_ms(done.effects.longest_s),
         "orders": done.orders,
--- a/src/fighead/process_load.py
+++ b/src/fighead/process_load.py
@@ -85,7 +85,8 @@
 
     :param rounds: Rounds of placement, without their effects.
     :param messages: Handling of messages, with their effects and with ticks.
-    :param ticks: Checks of timeouts, which include regrouping.
+    :param ticks: Checks of timeouts, with regrouping.
+    :param regroupings: Looks for a serving task to move for waiting fillers.
     :param effects: Execution of effects: agents send their orders meanwhile, and
         lines are logged.
     """
@@ -95,6 +96,7 @@
     rounds: Durations = field(factory=Durations)
     messages: Durations = field(factory=Durations)
     ticks: Durations = field(factory=Durations)
+    regroupings: Durations = field(factory=Durations)
     effects: Durations = field(factory=Durations)
 
 
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -644,7 +644,14 @@
     def _handle_tick(self, now: dt.datetime) -> None:
         self._apply_effects(instance_tracking.update_instances(self.schedule, now))
         if self.may_act():
-            self._apply_effects(regrouping.regroup_serving_tasks(self.schedule, now))
+            effects = timed(
+                self.steady_s,
+                self._counters.regroupings.add,
+                regrouping.regroup_serving_tasks,
+                self.schedule,
+                now,
+            )
+            self._apply_effects(effects)
         for instance_id in sorted(self.agents.keys() - self.schedule.instances.keys()):
             self._remove_agent(instance_id)
         self._request_fleet_write()
