Compare groups of serving tasks once in a search for a move

What callers saw: work waited on a leader with a large machine. Cause: while fillers wait, regrouping compared the images of all pairs of instances anew for each misplaced run: runs x instances x comparisons of effects. Fix: groups, similar images and suitable instances are computed once in a search. The choice is the same: the first misplaced run with a match.

--- a/src/fighead/decisions/regrouping.py
+++ b/src/fighead/decisions/regrouping.py
@@ -7,10 +7,22 @@
 """
 
 import datetime as dt
+import itertools
 import typing as t
 
+from attrs import define, field
+
 from . import filler_control, interference, placement
-from .schedule_state import Effect, JobState, RunPhase, RunState, Schedule, StageState
+from .interference import StageId
+from .schedule_state import (
+    Effect,
+    InstanceState,
+    JobState,
+    RunPhase,
+    RunState,
+    Schedule,
+    StageState,
+)
 from .stopping import move_run
 
 #: Shortest time between two attempts to move a task. A move takes the task out of
@@ -26,6 +38,71 @@
 MOVE_REASON = "grouping serving tasks that are sensitive to the same fillers"
 
 
+@define(eq=False)
+class RegroupingAttempt:
+    """One search for a task to move, and the values computed once during it.
+
+    :param groups: Serving runs on each instance, grouped by the fillers to which their
+        images are sensitive, by instance ID.
+    :param similar_images: Whether two serving images are similarly sensitive.
+    :param suitable: Instances whose serving tasks suit an image, by image.
+    :param matching: IDs of up to two suitable instances with room for a stage, by ID
+        of the stage.
+    """
+
+    schedule: Schedule
+    now: dt.datetime
+    groups: dict[str, list[list[RunState]]] = field(factory=dict)
+    similar_images: dict[tuple[str, str], bool] = field(factory=dict)
+    suitable: dict[str, list[InstanceState]] = field(factory=dict)
+    matching: dict[StageId, list[str]] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.groups = {
+            instance_id: self._group_by_sensitivity(state)
+            for instance_id, state in self.schedule.instances.items()
+        }
+
+    def _group_by_sensitivity(self, state: InstanceState) -> list[list[RunState]]:
+        groups: list[list[RunState]] = []
+        for run in filler_control.serving_runs(state):
+            for group in groups:
+                if self.are_similar(group[0].stage.image, run.stage.image):
+                    group.append(run)
+                    break
+            else:
+                groups.append([run])
+        return groups
+
+    def are_similar(self, one: str, other: str) -> bool:
+        """Whether two serving images are known to be sensitive to the same fillers."""
+        if (one, other) not in self.similar_images:
+            learned = self.schedule.interference
+            are_similar = interference.are_similarly_sensitive(learned, one, other)
+            self.similar_images[one, other] = are_similar
+        return self.similar_images[one, other]
+
+    def suitable_for(self, image: str) -> list[InstanceState]:
+        """Return the instances whose serving tasks suit an image.
+
+        The largest group on an instance has to match the image. An instance without
+        serving tasks suits only an image that tolerates most fillers.
+        """
+        if image not in self.suitable:
+            learned = self.schedule.interference
+            may_use_empty = interference.tolerates_most(learned, image)
+            self.suitable[image] = [
+                self.schedule.instances[instance_id]
+                for instance_id, groups in self.groups.items()
+                if (self._suits(image, groups) if groups else may_use_empty)
+            ]
+        return self.suitable[image]
+
+    def _suits(self, image: str, groups: list[list[RunState]]) -> bool:
+        largest = max(groups, key=_total_cpu)[0].stage.image
+        return self.are_similar(image, largest)
+
+
 def regroup_serving_tasks(schedule: Schedule, now: dt.datetime) -> list[Effect]:
     """Stop one misplaced serving task, so that it starts on a matching instance.
 
@@ -40,10 +117,10 @@
     if not _is_filler_waiting(schedule, now):
         return []
     schedule.regroup_attempted_at = now
-    for run, job, stage in _misplaced_runs(schedule, now):
-        if not _has_matching_instance(schedule, run, job, stage, now):
-            continue
-        return move_run(run, MOVE_REASON)
+    attempt = RegroupingAttempt(schedule, now)
+    for run, job, stage in _misplaced_runs(attempt):
+        if _has_matching_instance(attempt, run, job, stage):
+            return move_run(run, MOVE_REASON)
     return []
 
 
@@ -58,43 +135,25 @@
 
 
 def _misplaced_runs(
-    schedule: Schedule, now: dt.datetime
+    attempt: RegroupingAttempt,
 ) -> t.Iterator[tuple[RunState, JobState, StageState]]:
     """Yield the runs of the smallest group on each instance with several groups.
 
     Only runs that may be moved now, and of images with known effects.
     """
-    learned = schedule.interference
-    for state in schedule.instances.values():
-        groups = _group_by_sensitivity(learned, filler_control.serving_runs(state))
+    schedule = attempt.schedule
+    for groups in attempt.groups.values():
         if len(groups) < 2:
             continue
         for run in min(groups, key=_total_cpu):
             job = schedule.jobs[run.key.job_id]
             stage = job.stages[run.key.occurrence, run.key.stage]
-            if interference.has_known_effects(learned, run.stage.image) and _may_move(
-                run, stage, now
-            ):
+            if interference.has_known_effects(
+                schedule.interference, run.stage.image
+            ) and _may_move(run, stage, attempt.now):
                 yield run, job, stage
 
 
-def _group_by_sensitivity(
-    learned: interference.Interference, serving: list[RunState]
-) -> list[list[RunState]]:
-    """Group runs whose images are sensitive to the same fillers."""
-    groups: list[list[RunState]] = []
-    for run in serving:
-        for group in groups:
-            if interference.are_similarly_sensitive(
-                learned, group[0].stage.image, run.stage.image
-            ):
-                group.append(run)
-                break
-        else:
-            groups.append([run])
-    return groups
-
-
 def _total_cpu(runs: list[RunState]) -> int:
     return sum(run.stage.cpu for run in runs)
 
@@ -114,30 +173,15 @@
 
 
 def _has_matching_instance(
-    schedule: Schedule,
-    run: RunState,
-    job: JobState,
-    stage: StageState,
-    now: dt.datetime,
+    attempt: RegroupingAttempt, run: RunState, job: JobState, stage: StageState
 ) -> bool:
-    """Whether another instance has room for a task, and suits its sensitivity.
-
-    The largest group on that instance has to match the task. An instance without
-    serving tasks suits only an image that tolerates most fillers.
-    """
-    learned, image = schedule.interference, run.stage.image
-    may_use_empty = interference.tolerates_most(learned, image)
-    for state in schedule.instances.values():
-        groups = _group_by_sensitivity(learned, filler_control.serving_runs(state))
-        if groups:
-            largest = max(groups, key=_total_cpu)[0].stage.image
-            is_match = interference.are_similarly_sensitive(learned, image, largest)
-        else:
-            is_match = may_use_empty
-        if (
-            is_match
-            and state.instance.instance_id != run.instance_id
-            and placement.is_usable(state, job, stage, now)
-        ):
-            return True
-    return False
+    """Whether another instance has room for a task, and suits its sensitivity."""
+    if run.stage_id not in attempt.matching:
+        usable = (
+            state.instance.instance_id
+            for state in attempt.suitable_for(stage.spec.image)
+            if placement.is_usable(state, job, stage, attempt.now)
+        )
+        # Two are enough to know one besides the run's own.
+        attempt.matching[run.stage_id] = list(itertools.islice(usable, 2))
+    return any(name != run.instance_id for name in attempt.matching[run.stage_id])
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -1,6 +1,7 @@
 """Tests of learning interference and loads, and of regrouping serving tasks."""
 
 import datetime as dt
+import itertools
 import math
 import random
 
@@ -138,12 +139,18 @@
     learning.import_effects(schedule.interference, learning.Learned(tuple(rows)))
 
 
-def mixed_schedule(has_filler=True):
-    """Return a schedule of two instances that each serve two images."""
-    schedule = make_schedule(("i1", "i2"))
+MIXED_IMAGES = (("s", "s", "t"), ("t", "t", "s"))
+
+
+def mixed_schedule(
+    has_filler=True, instance_count=2, image_sets=MIXED_IMAGES, filler=FILLER
+):
+    """Return a schedule of instances that each serve two images."""
+    names = tuple(f"i{number + 1}" for number in range(instance_count))
+    schedule = make_schedule(names)
     set_known_effects(schedule, "s", f=0.4, g=0.4, h=0.4)
     set_known_effects(schedule, "t", f=0.01, g=0.01, h=0.01)
-    layout = {"i1": ("s", "s", "t"), "i2": ("t", "t", "s")}
+    layout = dict(zip(names, itertools.cycle(image_sets), strict=False))
     for number, (name, images) in enumerate(layout.items()):
         for state in schedule.instances.values():
             state.is_reachable = state.instance.instance_id == name
@@ -155,7 +162,7 @@
         state.is_reachable = True
     list_in_service(schedule, 5)
     if has_filler:
-        add_job(schedule, FILLER, job_id=make_job_id(99))
+        add_job(schedule, filler, job_id=make_job_id(99))
         placement.place_waiting_tasks(schedule, at_seconds(5))
     return schedule
 
@@ -221,3 +228,22 @@
     assert not regrouping.regroup_serving_tasks(
         schedule, at + dt.timedelta(milliseconds=100)
     )
+
+
+def test_regrouping_compares_each_pair_of_images_once_in_an_attempt(monkeypatch):
+    monkeypatch.setattr(placement, "RESERVED_SHARE", 0.0)
+    schedule = mixed_schedule(
+        instance_count=176,
+        image_sets=(("s", "s", "t"),),
+        filler=evolve(FILLER, cpu=50000),
+    )
+    compared = []
+    function = learning.are_similarly_sensitive
+
+    def counted(learned, one, other):
+        compared.append((one, other))
+        return function(learned, one, other)
+
+    monkeypatch.setattr(learning, "are_similarly_sensitive", counted)
+    assert not regrouping.regroup_serving_tasks(schedule, at_seconds(8))
+    assert len(compared) == len(set(compared))
