--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -62,7 +62,7 @@
     SCHEDULER_FENCED = (5004, "warning", "An instance has seen a higher fence.")
     SCHEDULE_LOADED = (5005, "info", "All accepted jobs have been read.")
     SCHEDULE_SETTLED = (5006, "info", "No unknown run can exist any more.")
-    LEADER_LOAD = (5007, "info", "How busy the scheduling entry is.")
+    LEADER_LOAD = (5008, "info", "How busy the scheduling entry is.")
     JOB_ACCEPTED = (5101, "info", "A job was accepted and is stored.")
     JOB_REFUSED = (5102, "warning", "A job was refused and is not stored.")
     JOB_UNCERTAIN = (5103, "warning", "It is not known whether a job is stored.")
