Compare images and look for instances once in an attempt to regroup

Cause: an attempt to regroup serving tasks looked at every instance for every misplaced task, and grouped the tasks of each of them anew. Its cost grows with misplaced tasks times instances times the comparisons on each, in one turn of the leader's loop, up to three times a second while a filler has waited for over a second.

Why it works: within an attempt, similarity depends on two images, groups on the instance, and the instances that suit a task on its stage. Each is found once.

--- a/src/fighead/decisions/regrouping.py
+++ b/src/fighead/decisions/regrouping.py
@@ -7,10 +7,20 @@
 """
 
 import datetime as dt
+import functools
+import itertools
 import typing as t
 
 from . import filler_control, interference, placement
-from .schedule_state import Effect, JobState, RunPhase, RunState, Schedule, StageState
+from .schedule_state import (
+    Effect,
+    InstanceState,
+    JobState,
+    RunPhase,
+    RunState,
+    Schedule,
+    StageState,
+)
 from .stopping import move_run
 
 #: Shortest time between two attempts to move a task. A move takes the task out of
@@ -25,6 +35,11 @@
 #: Reason for a move, as logged.
 MOVE_REASON = "grouping serving tasks that are sensitive to the same fillers"
 
+#: Whether two serving images are sensitive to the same fillers.
+AreSimilar = t.Callable[[str, str], bool]
+#: Instances, each with its serving runs grouped by sensitivity.
+Groupings = t.Sequence[tuple[InstanceState, list[list[RunState]]]]
+
 
 def regroup_serving_tasks(schedule: Schedule, now: dt.datetime) -> list[Effect]:
     """Stop one misplaced serving task, so that it starts on a matching instance.
@@ -40,10 +55,24 @@
     if not _is_filler_waiting(schedule, now):
         return []
     schedule.regroup_attempted_at = now
-    for run, job, stage in _misplaced_runs(schedule, now):
-        if not _has_matching_instance(schedule, run, job, stage, now):
-            continue
-        return move_run(run, MOVE_REASON)
+    are_similar = functools.cache(
+        functools.partial(interference.are_similarly_sensitive, schedule.interference)
+    )
+    groupings = [
+        (state, _group_by_sensitivity(are_similar, filler_control.serving_runs(state)))
+        for state in schedule.instances.values()
+    ]
+    # What suits a task suits all tasks of its stage.
+    matches_by_stage: dict[interference.StageId, list[str]] = {}
+    for run, job, stage in _misplaced_runs(schedule, groupings, now):
+        if run.stage_id not in matches_by_stage:
+            found = _matching_instances(
+                schedule, groupings, are_similar, job, stage, now
+            )
+            # One of two is another instance than that of the run.
+            matches_by_stage[run.stage_id] = list(itertools.islice(found, 2))
+        if any(name != run.instance_id for name in matches_by_stage[run.stage_id]):
+            return move_run(run, MOVE_REASON)
     return []
 
 
@@ -58,15 +87,14 @@
 
 
 def _misplaced_runs(
-    schedule: Schedule, now: dt.datetime
+    schedule: Schedule, groupings: Groupings, now: dt.datetime
 ) -> t.Iterator[tuple[RunState, JobState, StageState]]:
     """Yield the runs of the smallest group on each instance with several groups.
 
     Only runs that may be moved now, and of images with known effects.
     """
     learned = schedule.interference
-    for state in schedule.instances.values():
-        groups = _group_by_sensitivity(learned, filler_control.serving_runs(state))
+    for _, groups in groupings:
         if len(groups) < 2:
             continue
         for run in min(groups, key=_total_cpu):
@@ -79,15 +107,13 @@
 
 
 def _group_by_sensitivity(
-    learned: interference.Interference, serving: list[RunState]
+    are_similar: AreSimilar, serving: list[RunState]
 ) -> list[list[RunState]]:
     """Group runs whose images are sensitive to the same fillers."""
     groups: list[list[RunState]] = []
     for run in serving:
         for group in groups:
-            if interference.are_similarly_sensitive(
-                learned, group[0].stage.image, run.stage.image
-            ):
+            if are_similar(group[0].stage.image, run.stage.image):
                 group.append(run)
                 break
         else:
@@ -113,31 +139,25 @@
     )
 
 
-def _has_matching_instance(
+def _matching_instances(
     schedule: Schedule,
-    run: RunState,
+    groupings: Groupings,
+    are_similar: AreSimilar,
     job: JobState,
     stage: StageState,
     now: dt.datetime,
-) -> bool:
-    """Whether another instance has room for a task, and suits its sensitivity.
+) -> t.Iterator[str]:
+    """Yield the IDs of instances with room for a task, that suit its sensitivity.
 
-    The largest group on that instance has to match the task. An instance without
+    The largest group on such an instance has to match the task. An instance without
     serving tasks suits only an image that tolerates most fillers.
     """
-    learned, image = schedule.interference, run.stage.image
-    may_use_empty = interference.tolerates_most(learned, image)
-    for state in schedule.instances.values():
-        groups = _group_by_sensitivity(learned, filler_control.serving_runs(state))
+    image = stage.spec.image
+    may_use_empty = interference.tolerates_most(schedule.interference, image)
+    for state, groups in groupings:
         if groups:
-            largest = max(groups, key=_total_cpu)[0].stage.image
-            is_match = interference.are_similarly_sensitive(learned, image, largest)
+            is_match = are_similar(image, max(groups, key=_total_cpu)[0].stage.image)
         else:
             is_match = may_use_empty
-        if (
-            is_match
-            and state.instance.instance_id != run.instance_id
-            and placement.is_usable(state, job, stage, now)
-        ):
-            return True
-    return False
+        if is_match and placement.is_usable(state, job, stage, now):
+            yield state.instance.instance_id
