Ignore notices of jobs that were accepted before the term

A late notice started tasks of a completed job, or of a completed stage, again.

Cause: an entry notifies the leader of a job that it has accepted, once and without an answer. The connections to peers queue messages while a link is down, so that a notice may arrive in a later term. The new schedule doesn't know the ended job and adds it, or adds it without progress before the load, which then skips it.

Why it works: revisions of the store rise, and the fence is the revision at which the term began. A job with a lower revision is in the load if it has not ended. After a re-election, the watch of jobs delivers such a job.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -351,9 +351,12 @@
                 reply.callback(self._answer(message))
                 return
             case m.JobTold(record, revision):
-                self._apply_effects(
-                    job_lifecycle.add_job(self.schedule, record, revision, now)
-                )
+                # Jobs accepted before the term are loaded, with their progress; one
+                # that the load lacks has ended.
+                if revision > self.schedule.fence:
+                    self._apply_effects(
+                        job_lifecycle.add_job(self.schedule, record, revision, now)
+                    )
             case m.CancelTold(job_id):
                 self._apply_effects(job_lifecycle.cancel_job(self.schedule, job_id))
             case StateLoaded():
