Test a claim of the leader key whose answer arrives after its watch event

The store's answers to transactions are delayed by 50 ms, so that the watch reports the new leader key first.

--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -35,6 +35,7 @@
     """Keeps keys, leases and the history of changes.
 
     :param delay: Time that each call takes.
+    :param answer_delay: Time that the answer to a transaction takes after its effect.
     :param grant_delay: Further time that granting a lease takes; the n-th grant
         takes n times as long.
     :param is_unavailable: Whether all calls and watches fail as unavailable.
@@ -48,6 +49,7 @@
 
     clock: object
     delay: dt.timedelta = dt.timedelta(milliseconds=4)
+    answer_delay: dt.timedelta = dt.timedelta()
     grant_delay: dt.timedelta = dt.timedelta()
     is_unavailable: bool = False
     lose_answers: int = 0
@@ -102,6 +104,8 @@
         if self._is_refused(req):
             raise StoreUnavailableError("the leader is refused", "wait")
         result = self._execute(req)
+        if isinstance(req, Txn) and self.answer_delay:
+            await sleep(self.clock, self.answer_delay)
         if isinstance(req, Txn) and self.lose_answers:
             self.lose_answers -= 1
             raise StoreOutcomeUnknownError("lost", "repeat the transaction")
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -100,3 +100,13 @@
     advance(reactor, 3)
     assert entry.elections == [(1, False), (2, True)]
     assert entry.depositions == 0
+
+
+def test_an_entry_leads_although_the_watch_overtakes_the_answer_to_its_claim(
+    reactor, clock, store
+):
+    store.answer_delay = dt.timedelta(milliseconds=50)
+    entries = [Entry(f"e{n}", store, clock) for n in range(3)]
+    advance(reactor, 3)
+    assert len(find_leaders(entries)) == 1
+    assert [term for entry in entries for term, _ in entry.elections] == [1]
