Lead although the watch reports the election before the answer

Cause: an entry ignored the answer to its claim unless the election was newer than the one it knew. If the watch had reported the same election first, the entry held the leader key without leading, and claimed the key again for another term.

Why it works: the answer is outdated only if a later election is known. Fences differ between elections, so an equal one is the entry's own.

Measured on the test: elected once, for term 1.

--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -403,13 +403,16 @@
 
     def _handle_elected(self, elected: Elected) -> None:
         leader = elected.leader
-        if self._is_resigned or not election.is_newer(self.view.leader, leader):
+        known = self.view.leader
+        # The watch may report this election before its answer arrives.
+        is_outdated = known is not None and election.is_newer(leader, known)
+        if self._is_resigned or is_outdated:
             return
         is_uninterrupted = (
             self._is_leading
             and self._own_leader is not None
-            and self.view.leader is not None
-            and self.view.leader.nonce == self._nonce
+            and known is not None
+            and known.nonce == self._nonce
         )
         self._lease, self.confirmed_at = elected.lease, elected.sent_at
         self._renewed_at = elected.sent_at
