--- a/src/fighead/decisions/regrouping.py
+++ b/src/fighead/decisions/regrouping.py
@@ -7,13 +7,11 @@
 """
 
 import datetime as dt
+import functools
 import itertools
 import typing as t
 
-from attrs import define, field
-
 from . import filler_control, interference, placement
-from .interference import StageId
 from .schedule_state import (
     Effect,
     InstanceState,
@@ -37,70 +35,10 @@
 #: Reason for a move, as logged.
 MOVE_REASON = "grouping serving tasks that are sensitive to the same fillers"
 
-
-@define(eq=False)
-class RegroupingAttempt:
-    """One search for a task to move, and the values computed once during it.
-
-    :param groups: Serving runs on each instance, grouped by the fillers to which their
-        images are sensitive, by instance ID.
-    :param similar_images: Whether two serving images are similarly sensitive.
-    :param suitable: Instances whose serving tasks suit an image, by image.
-    :param matching: IDs of up to two suitable instances with room for a stage, by ID
-        of the stage.
-    """
-
-    schedule: Schedule
-    now: dt.datetime
-    groups: dict[str, list[list[RunState]]] = field(factory=dict)
-    similar_images: dict[tuple[str, str], bool] = field(factory=dict)
-    suitable: dict[str, list[InstanceState]] = field(factory=dict)
-    matching: dict[StageId, list[str]] = field(factory=dict)
-
-    def __attrs_post_init__(self) -> None:
-        self.groups = {
-            instance_id: self._group_by_sensitivity(state)
-            for instance_id, state in self.schedule.instances.items()
-        }
-
-    def _group_by_sensitivity(self, state: InstanceState) -> list[list[RunState]]:
-        groups: list[list[RunState]] = []
-        for run in filler_control.serving_runs(state):
-            for group in groups:
-                if self.are_similar(group[0].stage.image, run.stage.image):
-                    group.append(run)
-                    break
-            else:
-                groups.append([run])
-        return groups
-
-    def are_similar(self, one: str, other: str) -> bool:
-        """Whether two serving images are known to be sensitive to the same fillers."""
-        if (one, other) not in self.similar_images:
-            learned = self.schedule.interference
-            are_similar = interference.are_similarly_sensitive(learned, one, other)
-            self.similar_images[one, other] = are_similar
-        return self.similar_images[one, other]
-
-    def suitable_for(self, image: str) -> list[InstanceState]:
-        """Return the instances whose serving tasks suit an image.
-
-        The largest group on an instance has to match the image. An instance without
-        serving tasks suits only an image that tolerates most fillers.
-        """
-        if image not in self.suitable:
-            learned = self.schedule.interference
-            may_use_empty = interference.tolerates_most(learned, image)
-            self.suitable[image] = [
-                self.schedule.instances[instance_id]
-                for instance_id, groups in self.groups.items()
-                if (self._suits(image, groups) if groups else may_use_empty)
-            ]
-        return self.suitable[image]
-
-    def _suits(self, image: str, groups: list[list[RunState]]) -> bool:
-        largest = max(groups, key=_total_cpu)[0].stage.image
-        return self.are_similar(image, largest)
+#: Whether two serving images are sensitive to the same fillers.
+AreSimilar = t.Callable[[str, str], bool]
+#: Instances, each with its serving runs grouped by sensitivity.
+Groupings = t.Sequence[tuple[InstanceState, list[list[RunState]]]]
 
 
 def regroup_serving_tasks(schedule: Schedule, now: dt.datetime) -> list[Effect]:
@@ -117,9 +55,28 @@
     if not _is_filler_waiting(schedule, now):
         return []
     schedule.regroup_attempted_at = now
-    attempt = RegroupingAttempt(schedule, now)
-    for run, job, stage in _misplaced_runs(attempt):
-        if _has_matching_instance(attempt, run, job, stage):
+    are_similar = functools.cache(
+        functools.partial(interference.are_similarly_sensitive, schedule.interference)
+    )
+    groupings = [
+        (state, _group_by_sensitivity(are_similar, filler_control.serving_runs(state)))
+        for state in schedule.instances.values()
+    ]
+    find_suitable = functools.cache(
+        functools.partial(_suitable_instances, schedule, groupings, are_similar)
+    )
+    # What suits a task suits all tasks of its stage.
+    matches_by_stage: dict[interference.StageId, list[str]] = {}
+    for run, job, stage in _misplaced_runs(schedule, groupings, now):
+        if run.stage_id not in matches_by_stage:
+            found = (
+                state.instance.instance_id
+                for state in find_suitable(stage.spec.image)
+                if placement.is_usable(state, job, stage, now)
+            )
+            # One of two is another instance than that of the run.
+            matches_by_stage[run.stage_id] = list(itertools.islice(found, 2))
+        if any(name != run.instance_id for name in matches_by_stage[run.stage_id]):
             return move_run(run, MOVE_REASON)
     return []
 
@@ -135,25 +92,40 @@
 
 
 def _misplaced_runs(
-    attempt: RegroupingAttempt,
+    schedule: Schedule, groupings: Groupings, now: dt.datetime
 ) -> t.Iterator[tuple[RunState, JobState, StageState]]:
     """Yield the runs of the smallest group on each instance with several groups.
 
     Only runs that may be moved now, and of images with known effects.
     """
-    schedule = attempt.schedule
-    for groups in attempt.groups.values():
+    learned = schedule.interference
+    for _, groups in groupings:
         if len(groups) < 2:
             continue
         for run in min(groups, key=_total_cpu):
             job = schedule.jobs[run.key.job_id]
             stage = job.stages[run.key.occurrence, run.key.stage]
-            if interference.has_known_effects(
-                schedule.interference, run.stage.image
-            ) and _may_move(run, stage, attempt.now):
+            if interference.has_known_effects(learned, run.stage.image) and _may_move(
+                run, stage, now
+            ):
                 yield run, job, stage
 
 
+def _group_by_sensitivity(
+    are_similar: AreSimilar, serving: list[RunState]
+) -> list[list[RunState]]:
+    """Group runs whose images are sensitive to the same fillers."""
+    groups: list[list[RunState]] = []
+    for run in serving:
+        for group in groups:
+            if are_similar(group[0].stage.image, run.stage.image):
+                group.append(run)
+                break
+        else:
+            groups.append([run])
+    return groups
+
+
 def _total_cpu(runs: list[RunState]) -> int:
     return sum(run.stage.cpu for run in runs)
 
@@ -172,16 +144,21 @@
     )
 
 
-def _has_matching_instance(
-    attempt: RegroupingAttempt, run: RunState, job: JobState, stage: StageState
-) -> bool:
-    """Whether another instance has room for a task, and suits its sensitivity."""
-    if run.stage_id not in attempt.matching:
-        usable = (
-            state.instance.instance_id
-            for state in attempt.suitable_for(stage.spec.image)
-            if placement.is_usable(state, job, stage, attempt.now)
+def _suitable_instances(
+    schedule: Schedule, groupings: Groupings, are_similar: AreSimilar, image: str
+) -> list[InstanceState]:
+    """Return the instances that suit the sensitivity of an image.
+
+    The largest group on such an instance has to match the image. An instance without
+    serving tasks suits only an image that tolerates most fillers.
+    """
+    may_use_empty = interference.tolerates_most(schedule.interference, image)
+    return [
+        state
+        for state, groups in groupings
+        if (
+            are_similar(image, max(groups, key=_total_cpu)[0].stage.image)
+            if groups
+            else may_use_empty
         )
-        # Two are enough to know one besides the run's own.
-        attempt.matching[run.stage_id] = list(itertools.islice(usable, 2))
-    return any(name != run.instance_id for name in attempt.matching[run.stage_id])
+    ]
