Report each transaction of a request to the recorder

The recorder makes the transactions of a request one after the other and reported all of them after the last: with 80 endings at 300 ms a call the first is stored at 0.3 s and was reported at 4.8 s.

Each transaction is now reported when it is made, and endings go first, since clients wait for them. The scheduler shows those endings and takes over the new revisions at once. Only the last report carries the end sequences and lets the next request start, so ends are acknowledged as before, once all writes with their effects are stored; a request that ends with LeadershipLost acknowledges none.

There is still one transaction at a time. With several, an answer that is lost or late would have to be settled beside others of the same request; not done here.

--- a/src/fighead/tasks/recorder.py
+++ b/src/fighead/tasks/recorder.py
@@ -62,8 +62,10 @@
 class RecordJobs:
     """Requests writes under a fence.
 
-    The answer is one :class:`JobsRecorded` or one :class:`LeadershipLost`.
+    Each transaction is answered with a :class:`JobsRecorded`, until the last or one
+    :class:`LeadershipLost`.
 
+    :param writes: At least one write, at most one of each job.
     :param end_sequences: Highest sequence number of the run ends whose effects are
         stored by these or earlier writes, by identity of the incarnation.
     """
@@ -75,17 +77,20 @@
 
 @frozen
 class JobsRecorded:
-    """All writes of a :class:`RecordJobs` have been made.
+    """Some writes of a :class:`RecordJobs` have been made.
 
     :param revisions: New store revisions of progress records, by job ID.
     :param missing_job_ids: Jobs to be ended whose records were already deleted.
-    :param end_sequences: As in the :class:`RecordJobs`.
+    :param end_sequences: As in the :class:`RecordJobs` if all its writes have been
+        made, otherwise empty.
+    :param is_last: Whether all writes of the :class:`RecordJobs` have been made.
     """
 
     writes: tuple[JobWrite, ...]
     revisions: dict[str, int] = field(factory=dict)
     missing_job_ids: tuple[str, ...] = ()
     end_sequences: dict[str, int] = field(factory=dict)
+    is_last: bool = False
 
 
 @frozen
@@ -97,8 +102,9 @@
 class RecorderTask:
     """Stores progress and endings, one transaction at a time.
 
-    A write whose answer was lost is retried. Each write expects a revision, so that
-    a delayed one can't overwrite a later one.
+    Endings go first, since clients wait for them; each transaction is reported when
+    it has been made. A write whose answer was lost is retried. Each write expects a
+    revision, so that a delayed one can't overwrite a later one.
     """
 
     store: StoreClient
@@ -110,12 +116,15 @@
         """Process requests one after the other until cancelled."""
         while True:
             request = await self.mailbox.get()
-            recorded = JobsRecorded(request.writes, end_sequences=request.end_sequences)
-            for batch in _split_into_batches(request.writes):
-                recorded = await self._write(request.fence, batch, recorded)
+            batches = _split_into_batches(request.writes)
+            for number, batch in enumerate(batches, start=1):
+                recorded = await self._write(request.fence, batch, JobsRecorded(batch))
                 if recorded is None:
                     break
-            if recorded is not None:
+                if number == len(batches):
+                    recorded = evolve(
+                        recorded, end_sequences=request.end_sequences, is_last=True
+                    )
                 self.report(recorded)
 
     async def _write(
@@ -139,19 +148,17 @@
         return recorded
 
 
-def _split_into_batches(
-    writes: tuple[JobWrite, ...],
-) -> t.Iterator[tuple[JobWrite, ...]]:
-    batch: list[JobWrite] = []
-    free_entries = MAX_TXN_ENTRIES - 1
-    for write in writes:
+def _split_into_batches(writes: tuple[JobWrite, ...]) -> list[tuple[JobWrite, ...]]:
+    """Split writes into transactions, endings before progress."""
+    batches: list[list[JobWrite]] = []
+    free_entries = 0
+    for write in sorted(writes, key=lambda w: isinstance(w.value, JobProgress)):
         if write.txn_entries > free_entries:
-            yield tuple(batch)
-            batch, free_entries = [], MAX_TXN_ENTRIES - 1
-        batch.append(write)
+            batches.append([])
+            free_entries = MAX_TXN_ENTRIES - 1
+        batches[-1].append(write)
         free_entries -= write.txn_entries
-    if batch:
-        yield tuple(batch)
+    return [tuple(batch) for batch in batches]
 
 
 def _make_txn(fence: int, batch: tuple[JobWrite, ...]) -> Txn:
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -738,7 +738,8 @@
                 agent.mailbox.offer(agent_messages.Acknowledge(sequence))
 
     def _handle_recorded(self, msg: JobsRecorded) -> None:
-        self._is_writing = False
+        if msg.is_last:
+            self._is_writing = False
         for write in msg.writes:
             job = self.schedule.jobs.get(write.job_id)
             if job is None:
