Examine only the listings that a message changes

A listing that arrives is now examined alone; an index from the awaited job to instances tells which listings a finished look-up concerns; all are examined once after the load. A listing is still applied only when each of its jobs is known or absent, and a newer one takes the place of the pending one of its instance. A record that can't be read is looked up again with the next listing, no longer at once and without end.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -53,6 +53,13 @@
 from .call import Call
 from .fleet import Fleet, FleetRecorded, FleetTask, RecordFleet
 from .job_lookup import JobLookedUp, JobLookupTask, LookUpJobs
+from .pending_listings import (
+    PendingListings,
+    await_jobs,
+    put_listing,
+    remove_listing,
+    resolve_job,
+)
 from .recorder import JobsRecorded, JobWrite, LeadershipLost, RecorderTask, RecordJobs
 from .sweeper import SweeperTask
 from .watch import (
@@ -173,7 +180,7 @@
     _requested_fleet: Fleet | None = None
     _deferreds: list[t.Any] = field(factory=list)
     _is_loaded: bool = False
-    _pending_listings: dict[str, agent_messages.ListingReceived] = field(factory=dict)
+    _pending: PendingListings = field(factory=PendingListings)
     _job_ids_in_lookup: set[str] = field(factory=set)
     _absent_job_ids: set[str] = field(factory=set)
     _acknowledged_sequences: dict[str, int] = field(factory=dict)
@@ -339,7 +346,9 @@
 
         Only meaningful until jobs are loaded: pending listings are removed later.
         """
-        return bool(self.agents) and self._pending_listings.keys() >= self.agents.keys()
+        return bool(self.agents) and self._pending.by_instance.keys() >= (
+            self.agents.keys()
+        )
 
     def _handle_measured(self, msg: t.Any) -> None:
         timed(self.steady_s, self._counters.messages.add, self._handle, msg)
@@ -524,7 +533,8 @@
             since_election_ms=self.schedule.ms_since_election(now),
             **_describe_load(msg),
         )
-        self._apply_pending_listings(now)
+        for instance_id in tuple(self._pending.by_instance):
+            self._check_listing(instance_id, now)
 
     def _restore_job(
         self, kv: KeyValue, progress_kv: KeyValue | None, now: dt.datetime
@@ -551,9 +561,10 @@
         match msg:
             case agent_messages.ListingReceived():
                 self._counters.listings += 1
-                self._pending_listings[instance_id] = msg
+                put_listing(self._pending, instance_id, msg)
                 instance_tracking.record_instance_contact(state, msg.leases_end_at)
-                self._apply_pending_listings(now)
+                if self._is_loaded:
+                    self._check_listing(instance_id, now)
             case agent_messages.CallFailed(_, reason, leases_end_at):
                 instance_tracking.extend_lease_bound(state, leases_end_at)
                 if state.is_reachable:
@@ -601,30 +612,32 @@
         if agent is not None:
             agent.stop()
             self._acknowledged_sequences.pop(agent.identity, None)
-        self._pending_listings.pop(instance_id, None)
+        remove_listing(self._pending, instance_id)
 
-    def _apply_pending_listings(self, now: dt.datetime) -> None:
-        """Apply the pending listings whose jobs are all known or absent.
+    def _check_listing(self, instance_id: str, now: dt.datetime) -> None:
+        """Apply a pending listing if all its jobs are known or absent.
 
         Other jobs are looked up in the store first.
         """
-        if not self._is_loaded:
-            return
-        for instance_id, msg in list(self._pending_listings.items()):
-            unknown = (
-                run_updates.find_unknown_jobs(self.schedule, msg.listing)
-                - self._absent_job_ids
+        listing = self._pending.by_instance[instance_id].msg.listing
+        unknown = (
+            run_updates.find_unknown_jobs(self.schedule, listing) - self._absent_job_ids
+        )
+        if unknown:
+            await_jobs(self._pending, instance_id, unknown)
+            self._look_up_jobs(unknown)
+        else:
+            self._apply_listing(instance_id, now)
+
+    def _apply_listing(self, instance_id: str, now: dt.datetime) -> None:
+        pending = remove_listing(self._pending, instance_id)
+        state = self.schedule.instances.get(instance_id)
+        if pending is not None and state is not None:
+            msg = pending.msg
+            effects = run_updates.apply_listing(
+                self.schedule, state, msg.listing, msg.sent_at, now
             )
-            if unknown:
-                self._look_up_jobs(unknown)
-                continue
-            del self._pending_listings[instance_id]
-            state = self.schedule.instances.get(instance_id)
-            if state is not None:
-                effects = run_updates.apply_listing(
-                    self.schedule, state, msg.listing, msg.sent_at, now
-                )
-                self._apply_effects(effects)
+            self._apply_effects(effects)
 
     def _look_up_jobs(self, job_ids: set[str]) -> None:
         new_ids = job_ids - self._job_ids_in_lookup
@@ -638,7 +651,12 @@
             self._restore_job(msg.record, msg.progress, now)
         elif len(self._absent_job_ids) < MAX_ABSENT_JOBS:
             self._absent_job_ids.add(msg.job_id)
-        self._apply_pending_listings(now)
+        if msg.job_id in self._absent_job_ids or self._is_known(msg.job_id):
+            for instance_id in resolve_job(self._pending, msg.job_id):
+                self._apply_listing(instance_id, now)
+
+    def _is_known(self, job_id: str) -> bool:
+        return job_id in self.schedule.jobs or job_id in self.schedule.ended_phases
 
     # Orders and writes.
 
