Apply listings however many removed jobs they name

Once MAX_ABSENT_JOBS removed jobs were remembered, a further one was looked up again and again and its listing never applied: the ends of that instance were not taken over nor acknowledged, and a new leader did not settle on it.

The oldest remembered job is now forgotten. A pending listing keeps what was found absent for it, and hands it to the newer listing that takes its place, so it waits for each job once, also if instances are listed more often than their jobs are looked up. A forgotten job costs one read for the next listing that names it after that.

--- a/src/fighead/tasks/pending_listings.py
+++ b/src/fighead/tasks/pending_listings.py
@@ -10,10 +10,13 @@
     """The latest listing of an instance, which has not been applied yet.
 
     :param awaited_job_ids: Jobs that are being looked up for it.
+    :param absent_job_ids: Jobs that were looked up for it, or for an earlier listing of
+        the instance in its place, and that the store does not contain.
     """
 
     msg: ListingReceived
     awaited_job_ids: set[str] = field(factory=set)
+    absent_job_ids: set[str] = field(factory=set)
 
 
 @define(eq=False)
@@ -31,9 +34,16 @@
 def put_listing(
     pending: PendingListings, instance_id: str, msg: ListingReceived
 ) -> None:
-    """Add a listing, in place of an earlier one of the same instance."""
-    remove_listing(pending, instance_id)
-    pending.by_instance[instance_id] = PendingListing(msg)
+    """Add a listing, in place of an earlier one of the same instance.
+
+    The earlier one's absent jobs are kept, so that an instance that is listed more
+    often than its jobs are looked up does not wait for ever.
+    """
+    earlier = remove_listing(pending, instance_id)
+    absent_job_ids = earlier.absent_job_ids if earlier is not None else set()
+    pending.by_instance[instance_id] = PendingListing(
+        msg, absent_job_ids=absent_job_ids
+    )
 
 
 def remove_listing(pending: PendingListings, instance_id: str) -> PendingListing | None:
@@ -54,16 +64,17 @@
         pending.instance_ids_by_job.setdefault(job_id, set()).add(instance_id)
 
 
-def resolve_job(pending: PendingListings, job_id: str) -> list[str]:
-    """End the wait for a job.
+def resolve_job(pending: PendingListings, job_id: str, *, is_absent: bool) -> list[str]:
+    """End the wait for a job that is known now, or that the store does not contain.
 
     Returns the instances whose listings now wait for no job.
     """
-    instance_ids = sorted(pending.instance_ids_by_job.pop(job_id, ()))
-    for instance_id in instance_ids:
-        pending.by_instance[instance_id].awaited_job_ids.discard(job_id)
-    return [
-        instance_id
-        for instance_id in instance_ids
-        if not pending.by_instance[instance_id].awaited_job_ids
-    ]
+    ready_ids = []
+    for instance_id in sorted(pending.instance_ids_by_job.pop(job_id, ())):
+        listing = pending.by_instance[instance_id]
+        listing.awaited_job_ids.discard(job_id)
+        if is_absent:
+            listing.absent_job_ids.add(job_id)
+        if not listing.awaited_job_ids:
+            ready_ids.append(instance_id)
+    return ready_ids
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -85,7 +85,8 @@
 MIN_WATCH_INTERVAL = dt.timedelta(milliseconds=300)
 #: Interval at which learned interference is stored for the next scheduler.
 LEARNED_WRITE_INTERVAL = dt.timedelta(seconds=5)
-#: Maximum number of remembered IDs of jobs that the store does not contain.
+#: Maximum number of remembered IDs of jobs that the store does not contain. One that is
+#: forgotten is looked up again for the next listing that names it.
 MAX_ABSENT_JOBS = 10_000
 
 
@@ -182,7 +183,7 @@
     _is_loaded: bool = False
     _pending: PendingListings = field(factory=PendingListings)
     _job_ids_in_lookup: set[str] = field(factory=set)
-    _absent_job_ids: set[str] = field(factory=set)
+    _absent_job_ids: dict[str, None] = field(factory=dict)
     _acknowledged_sequences: dict[str, int] = field(factory=dict)
     _is_writing: bool = False
     _flushed_at: dt.datetime | None = None
@@ -619,10 +620,11 @@
 
         Other jobs are looked up in the store first.
         """
-        listing = self._pending.by_instance[instance_id].msg.listing
-        unknown = (
-            run_updates.find_unknown_jobs(self.schedule, listing) - self._absent_job_ids
-        )
+        pending = self._pending.by_instance[instance_id]
+        unknown = run_updates.find_unknown_jobs(self.schedule, pending.msg.listing)
+        pending.absent_job_ids &= unknown
+        pending.absent_job_ids |= unknown & self._absent_job_ids.keys()
+        unknown -= pending.absent_job_ids
         if unknown:
             await_jobs(self._pending, instance_id, unknown)
             self._look_up_jobs(unknown)
@@ -649,12 +651,20 @@
         self._job_ids_in_lookup.discard(msg.job_id)
         if msg.record is not None:
             self._restore_job(msg.record, msg.progress, now)
-        elif len(self._absent_job_ids) < MAX_ABSENT_JOBS:
-            self._absent_job_ids.add(msg.job_id)
-        if msg.job_id in self._absent_job_ids or self._is_known(msg.job_id):
-            for instance_id in resolve_job(self._pending, msg.job_id):
+        else:
+            self._remember_absent_job(msg.job_id)
+        is_absent = msg.record is None
+        if is_absent or self._is_known(msg.job_id):
+            for instance_id in resolve_job(
+                self._pending, msg.job_id, is_absent=is_absent
+            ):
                 self._apply_listing(instance_id, now)
 
+    def _remember_absent_job(self, job_id: str) -> None:
+        while len(self._absent_job_ids) >= MAX_ABSENT_JOBS:
+            del self._absent_job_ids[next(iter(self._absent_job_ids))]
+        self._absent_job_ids[job_id] = None
+
     def _is_known(self, job_id: str) -> bool:
         return job_id in self.schedule.jobs or job_id in self.schedule.ended_phases
 
