--- a/src/fighead/tasks/recorder.py
+++ b/src/fighead/tasks/recorder.py
@@ -79,6 +79,7 @@
 class JobsRecorded:
     """Some writes of a :class:`RecordJobs` have been made.
 
+    :param fence: Fence of the :class:`RecordJobs`.
     :param revisions: New store revisions of progress records, by job ID.
     :param missing_job_ids: Jobs to be ended whose records were already deleted.
     :param end_sequences: As in the :class:`RecordJobs` if all its writes have been
@@ -86,6 +87,7 @@
     :param is_last: Whether all writes of the :class:`RecordJobs` have been made.
     """
 
+    fence: int
     writes: tuple[JobWrite, ...]
     revisions: dict[str, int] = field(factory=dict)
     missing_job_ids: tuple[str, ...] = ()
@@ -95,7 +97,12 @@
 
 @frozen
 class LeadershipLost:
-    """The leader's key has changed since the writes were requested."""
+    """The leader's key has changed since the writes were requested.
+
+    :param fence: Fence of the :class:`RecordJobs`.
+    """
+
+    fence: int
 
 
 @define(eq=False)
@@ -118,7 +125,9 @@
             request = await self.mailbox.get()
             batches = _split_into_batches(request.writes)
             for number, batch in enumerate(batches, start=1):
-                recorded = await self._write(request.fence, batch, JobsRecorded(batch))
+                recorded = await self._write(
+                    request.fence, batch, JobsRecorded(request.fence, batch)
+                )
                 if recorded is None:
                     break
                 if number == len(batches):
@@ -142,7 +151,7 @@
                 return _add_revisions(recorded, batch, result.revision)
             stored = {kv.key: kv for kv in result.kvs}
             if _mod_revision(stored, JOB_LEADER_KEY) != fence:
-                self.report(LeadershipLost())
+                self.report(LeadershipLost(fence))
                 return None
             batch, recorded = _reconcile(batch, stored, recorded)
         return recorded
