Ignore answers to writes that were requested before a re-election

What callers could see: a leader whose key was renewed at a new revision gives up the leadership at once, so nothing starts until the next election; and after a loss of that leader a task that was done runs again (TWICE). Cause: after a re-election a second request is queued while the first is under way. The first one's refusal was reported under the new fence, and its last answer ended the wait for the second, so that ends were acknowledged whose effects only the second stores. Fix: answers carry the fence of their request; only those of the current one end the wait or depose the leader. Both tests of tests/test_reelection.py failed before and pass now.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -379,9 +379,11 @@
                 self._handle_recorded(msg)
             case FleetRecorded(fleet):
                 instance_tracking.set_stored_fleet(self.schedule, fleet.instances)
-            case LeadershipLost():
-                self._is_writing = False
-                self._notify_fence_refused(self.schedule.fence)
+            case LeadershipLost(fence):
+                # Requests under an earlier fence were made again under the current one.
+                if fence == self.schedule.fence:
+                    self._is_writing = False
+                    self._notify_fence_refused(fence)
             case InheritedRunsBound(revision):
                 self.schedule.no_inherited_runs_after = revision
             case Reelected(fence):
@@ -766,7 +768,7 @@
                 agent.mailbox.offer(agent_messages.Acknowledge(sequence))
 
     def _handle_recorded(self, msg: JobsRecorded) -> None:
-        if msg.is_last:
+        if msg.is_last and msg.fence == self.schedule.fence:
             self._is_writing = False
         for write in msg.writes:
             job = self.schedule.jobs.get(write.job_id)
