Test timers of the reactor under a stepped wall clock

A daemon and a command are run with time.time stepped by an hour. All four cases fail: ahead, timers of 60 s are due at once; back, timers of 0.3 s never are. Twisted's reactor counts time.time.

--- /dev/null
+++ b/tests/test_clock.py
@@ -0,0 +1,88 @@
+"""Tests of the clocks of a process, on the real reactor under a stepped wall clock."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+#: Runs the coroutine ``work`` under the reactor of a program, steps the wall clock a
+#: tenth of a second later, and prints what ``report`` returns half a second after that.
+#: Threads take the times, because the timers of the reactor are what is tested.
+SCRIPT_START = """
+import datetime as dt, json, os, sys, threading, time
+
+step_s, step, read_time = float(sys.argv[1]), [0.0], time.time
+time.time = lambda: read_time() + step[0]
+
+from fighead.clock import Timeout, sleep, with_timeout
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+SHORT, LONG = dt.timedelta(seconds=0.3), dt.timedelta(seconds=60)
+seen = []
+
+def watch(name, fut):
+    fut.addCallbacks(lambda _: seen.append(name), lambda f: seen.append(name))
+
+def finish(clock, started_at):
+    elapsed_s = (clock.now() - started_at).total_seconds()
+    print(json.dumps({"seen": sorted(set(seen)), "ticks": seen.count("tick"),
+                      "elapsed_s": elapsed_s}), flush=True)
+    os._exit(0)
+
+def step_and_finish(reactor, clock, started_at):
+    time.sleep(0.1)
+    step[0] = step_s
+    reactor.callFromThread(lambda: None)
+    time.sleep(0.6)
+    reactor.callFromThread(finish, clock, started_at)
+
+def start(reactor, clock):
+    watch("short sleep", sleep(clock, SHORT))
+    watch("long sleep", sleep(clock, LONG))
+    watch("short timeout", with_timeout(clock, Deferred(), SHORT))
+    watch("long timeout", with_timeout(clock, Deferred(), LONG))
+    restarted = Timeout(clock, SHORT)
+    watch("restarted timeout", restarted.apply(Deferred()))
+    reactor.callLater(0.2, restarted.restart, LONG)
+    reactor.callLater(0.2, seen.append, "short call")
+    reactor.callLater(60, seen.append, "long call")
+    LoopingCall(lambda: seen.append("tick")).start(0.1)
+    args = (reactor, clock, clock.now())
+    threading.Thread(target=step_and_finish, args=args, daemon=True).start()
+"""
+
+DAEMON_SCRIPT = (
+    SCRIPT_START
+    + """
+from fighead.runtime import make_clock, reactor, run_until_stopped
+clock = make_clock()
+reactor.callWhenRunning(start, reactor, clock)
+run_until_stopped(reactor.stop)
+"""
+)
+
+COMMAND_SCRIPT = (
+    SCRIPT_START
+    + """
+from fighead.console import run_command
+async def main(reactor, clock):
+    start(reactor, clock)
+    await Deferred()
+run_command(main)
+"""
+)
+
+
+@pytest.mark.parametrize(
+    "script", [DAEMON_SCRIPT, COMMAND_SCRIPT], ids=["daemon", "command"]
+)
+@pytest.mark.parametrize("step_s", [3600, -3600], ids=["ahead", "back"])
+def test_a_step_of_the_wall_clock_moves_no_timer(script, step_s):
+    args = [sys.executable, "-c", script, str(step_s)]
+    done = subprocess.run(args, capture_output=True, text=True, timeout=20, check=True)
+    result = json.loads(done.stdout)
+    assert result["seen"] == ["short call", "short sleep", "short timeout", "tick"]
+    assert 0.6 <= result["elapsed_s"] < 5
+    assert result["ticks"] >= 4
