Count all durations on the steady clock

Callers saw tasks run twice and accepted jobs that were not known when the clocks of entries stepped during a fault of the store. Twisted's reactor counts time.time, so a step ahead let leases, time-outs and waits lapse at once and a step back stopped them. runtime.py now puts the reactor on CLOCK_BOOTTIME before anything is scheduled, and every program takes reactor and clock from there. The monotonic clock would stand still while a machine is suspended and its leases run on.

The four cases of test_clock.py failed before (all timers due, or none) and pass.

--- a/src/fighead/__init__.py
+++ b/src/fighead/__init__.py
@@ -1,10 +1,10 @@
 """fighead schedules latency-critical and batch work on shared instances.
 
-To run an entry, give it settings, a clock and a reactor:
+To run an entry, give it settings, and the clock and the reactor of
+:mod:`fighead.runtime`, which count steady time:
 
     cfg = load_settings("entry.ini")
-    clock = ReactorClock(reactor, datetime.datetime.now(datetime.UTC))
-    Entry(cfg, clock, reactor, on_end=reactor.stop).start()
+    Entry(cfg, make_clock(), reactor, on_end=reactor.stop).start()
 
 Public names are imported lazily, so that a daemon loads only the modules that it
 needs.
--- a/src/fighead/clock.py
+++ b/src/fighead/clock.py
@@ -4,11 +4,21 @@
 """
 
 import datetime as dt
+import time
 import typing as t
 
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
+#: Clock of all durations. ``CLOCK_BOOTTIME`` goes on while the machine is suspended, as
+#: do leases elsewhere; systems without it have the monotonic clock.
+STEADY_CLOCK_ID: int = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
+def read_steady_s() -> float:
+    """Return the seconds of the steady clock, which steps of the time of day leave."""
+    return time.clock_gettime(STEADY_CLOCK_ID)
+
 
 class Clock(t.Protocol):
     """Source of the current time and of delayed calls.
@@ -28,10 +38,11 @@
 class ReactorClock:
     """A :class:`Clock` over a Twisted reactor or a test's ``task.Clock``.
 
-    The time is ``started_at`` plus the time elapsed on the reactor's monotonic
-    clock, so a later step of the wall clock can't move a deadline.
+    The time is ``started_at`` plus the time elapsed on the reactor's clock. The
+    reactor of :mod:`.runtime` counts steady time, so a later step of the wall clock
+    can't move a deadline.
 
-    :param reactor: Source of monotonic seconds and delayed calls.
+    :param reactor: Source of seconds that never decrease, and of delayed calls.
     :param started_at: Wall-clock time in UTC at construction.
 
     .. versionadded:: 0.1
--- a/src/fighead/console.py
+++ b/src/fighead/console.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import react
 
-from .clock import Clock, ReactorClock, sleep
+from .clock import Clock, sleep
 from .codec import to_json
 from .exceptions import FigheadError
 from .load.client import LoadClient
@@ -16,6 +16,7 @@
 from .load.file import load_plan
 from .load.history import History, LoadVerdict, check_history
 from .load.table import KindResult, render, summarize
+from .runtime import make_clock, reactor
 
 #: Exit code of a command that failed with a :exc:`.FigheadError`.
 EXIT_REFUSED = 2
@@ -26,21 +27,16 @@
 Main = t.Callable[[t.Any, Clock], t.Coroutine[t.Any, t.Any, int]]
 
 
-def make_clock(reactor: t.Any) -> Clock:
-    """Return a clock on ``reactor`` that starts at the wall-clock time."""
-    return ReactorClock(reactor, dt.datetime.now(dt.UTC))
-
-
 def run_command(main: Main) -> None:
-    """Run ``main`` under a reactor and exit with the code that it returns.
+    """Run ``main`` under the reactor and exit with the code that it returns.
 
     A :exc:`.FigheadError` is printed, and the exit code is :data:`EXIT_REFUSED`.
     """
 
-    def start(reactor: t.Any) -> Deferred:
-        return ensureDeferred(_exit_with(main(reactor, make_clock(reactor))))
+    def start(_reactor: t.Any) -> Deferred:
+        return ensureDeferred(_exit_with(main(reactor, make_clock())))
 
-    react(start)
+    react(start, _reactor=reactor)
 
 
 async def _exit_with(coroutine: t.Coroutine[t.Any, t.Any, int]) -> None:
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -3,11 +3,12 @@
 import enum
 import os
 import stat
-import time
 import typing as t
 
 import structlog
 
+from .clock import read_steady_s
+
 #: Limit on the average rate. A scheduler at the current sites logs two lines for
 #: each of 65 starts a second, and 2.4 times as many at peak load.
 LINES_PER_S = 400
@@ -156,12 +157,10 @@
     :data:`BURST_LINES`.
 
     :param fd: File descriptor to write to; a pipe is made non-blocking.
-    :param now: Source of monotonic seconds.
+    :param now: Source of steady seconds.
     """
 
-    def __init__(
-        self, fd: int = 1, now: t.Callable[[], float] = time.monotonic
-    ) -> None:
+    def __init__(self, fd: int = 1, now: t.Callable[[], float] = read_steady_s) -> None:
         self._fd = fd
         self._now = now
         self._tokens = float(BURST_LINES)
--- a/src/fighead/process_load.py
+++ b/src/fighead/process_load.py
@@ -5,6 +5,8 @@
 
 from attrs import define, field, frozen
 
+from .clock import read_steady_s
+
 R = t.TypeVar("R")
 
 
@@ -12,7 +14,7 @@
 class Reading:
     """The clocks of a process, read together, in seconds.
 
-    :param steady_s: Monotonic time, with any origin.
+    :param steady_s: Time of the steady clock, with any origin.
     :param wall_s: Unix time.
     :param cpu_s: Processor time used so far.
     """
@@ -26,7 +28,7 @@
 class ProcessClocks:
     """Functions that read the clocks of a process, in seconds."""
 
-    steady_s: t.Callable[[], float] = time.monotonic
+    steady_s: t.Callable[[], float] = read_steady_s
     wall_s: t.Callable[[], float] = time.time
     cpu_s: t.Callable[[], float] = time.process_time
 
@@ -70,7 +72,7 @@
 ) -> R:
     """Call ``fn`` and record its duration in seconds, also if it fails.
 
-    :param steady_s: Source of monotonic seconds.
+    :param steady_s: Source of steady seconds.
     """
     started_s = steady_s()
     try:
--- a/src/fighead/runtime.py
+++ b/src/fighead/runtime.py
@@ -1,4 +1,8 @@
-"""The Twisted reactor of a daemon: clock, signal handling and shutdown."""
+"""The Twisted reactor of all programs: clock, signal handling and shutdown.
+
+The reactor counts the time of day by default. Importing this module puts it on the
+steady clock, which is possible only before a call is scheduled.
+"""
 
 import datetime as dt
 import signal
@@ -6,9 +10,10 @@
 
 from twisted.internet import reactor as default_reactor
 
-from .clock import ReactorClock
+from .clock import ReactorClock, read_steady_s
 
 reactor: t.Any = default_reactor
+reactor.seconds = read_steady_s
 
 
 def make_clock() -> ReactorClock:
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -2,13 +2,12 @@
 
 import datetime as dt
 import random
-import time
 import typing as t
 
 from attrs import define, field, frozen
 
 from .. import job_message as m
-from ..clock import Clock, sleep
+from ..clock import Clock, read_steady_s, sleep
 from ..codec import from_json, to_json
 from ..decisions import (
     instance_tracking,
@@ -150,7 +149,7 @@
     :param on_fence_refused: Called with the fence of a term that an instance or the
         store refused.
     :param status_time: How long the outcome of an ended job must be available.
-    :param steady_s: Source of monotonic seconds, to measure durations.
+    :param steady_s: Source of steady seconds, to measure durations.
     :param agents: Agent of each instance, by instance ID.
     """
 
@@ -163,7 +162,7 @@
     on_fence_refused: t.Callable[[int], None]
     metrics: JobMetrics
     status_time: dt.timedelta
-    steady_s: t.Callable[[], float] = time.monotonic
+    steady_s: t.Callable[[], float] = read_steady_s
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("scheduler", 65536))
     agents: dict[str, AgentTask] = field(factory=dict)
     _recorder: RecorderTask = field(init=False)
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -9,11 +9,11 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import react
 
-from fighead import console
 from fighead.codec import to_json
 from fighead.load.client import LoadClient
 from fighead.load.drive import drive
 from fighead.load.file import load_plan
+from fighead.runtime import make_clock
 
 
 async def run(reactor, clock, plan_path, entries, out, seed):
@@ -27,7 +27,7 @@
 
 def main(reactor):
     plan_path, out, seed, *entries = sys.argv[1:]
-    clock = console.make_clock(reactor)
+    clock = make_clock()
     return ensureDeferred(run(reactor, clock, plan_path, entries, out, int(seed)))
 
 
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -3,9 +3,12 @@
 import json
 import subprocess
 import sys
+import time
 
 import pytest
 
+from fighead.clock import read_steady_s
+
 #: Runs the coroutine ``work`` under the reactor of a program, steps the wall clock a
 #: tenth of a second later, and prints what ``report`` returns half a second after that.
 #: Threads take the times, because the timers of the reactor are what is tested.
@@ -86,3 +89,15 @@
     assert result["seen"] == ["short call", "short sleep", "short timeout", "tick"]
     assert 0.6 <= result["elapsed_s"] < 5
     assert result["ticks"] >= 4
+
+
+def test_time_of_a_suspended_machine_counts(monkeypatch):
+    read_clock, suspended_s = time.clock_gettime, 5.0
+
+    def read_after_suspension(clock_id):
+        is_counted = clock_id in (time.CLOCK_BOOTTIME, time.CLOCK_REALTIME)
+        return read_clock(clock_id) + (suspended_s if is_counted else 0.0)
+
+    before_s = read_steady_s()
+    monkeypatch.setattr(time, "clock_gettime", read_after_suspension)
+    assert read_steady_s() - before_s >= suspended_s
