Test due times and stamps of entries with a wrong time of day

An entry that starts while its time of day is wrong by an hour keeps the error for life: occurrences start an hour early or late, jobs are stamped wrong, a new leader misjudges their age, and its sweeper deletes endings early.

--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -46,6 +46,8 @@
 )
 #: Step in which the simulated clock advances.
 STEP_S = 0.02
+#: Error of the time of day of a machine whose clock is right.
+NO_ERROR = dt.timedelta()
 #: Longest delay of a late call. Its sender has given up on it by then.
 MAX_CALL_DELAY_S = 12
 
@@ -85,13 +87,22 @@
 
 @define(eq=False)
 class GatedClock:
-    """The clock of one entry; its delayed calls run through the gate."""
+    """The clock of one entry; its delayed calls run through the gate.
+
+    :param start_error: By how much the time of day was wrong when the entry started.
+    :param wall_error: By how much the time of day is wrong now.
+    """
 
     clock: ReactorClock
     gate: Gate
+    start_error: dt.timedelta = dt.timedelta()
+    wall_error: dt.timedelta = dt.timedelta()
 
     def now(self):
-        return self.clock.now()
+        return self.clock.now() + self.start_error
+
+    def wall_now(self):
+        return self.clock.now() + self.wall_error
 
     def call_later(self, delay, fn):
         return GatedCall(self, delay, fn)
@@ -305,6 +316,7 @@
     gate: Gate
     store: GatedStore
     entry: JobEntry
+    clock: GatedClock
 
 
 @define(eq=False)
@@ -380,10 +392,11 @@
     def fails(self, order):
         return (order.task.job_id, order.task.index) in self.failing_tasks
 
-    def start_entry(self, name):
+    def start_entry(self, name, clock_error=NO_ERROR):
+        """Start an entry on a machine whose time of day is wrong by ``clock_error``."""
         gate = Gate()
         store = GatedStore(self.store, gate)
-        clock = GatedClock(self.clock, gate)
+        clock = GatedClock(self.clock, gate, clock_error, clock_error)
         address = ListenAddress("127.0.0.1", 1)
         cfg = JobSettings(
             name,
@@ -418,7 +431,7 @@
             make_peer,
             ProcessClocks(self.reactor.seconds, self.reactor.seconds, lambda: 0.0),
         )
-        self.entries[name] = EntryProcess(gate, store, entry)
+        self.entries[name] = EntryProcess(gate, store, entry, clock)
         entry.start()
 
     def advance(self, seconds):
@@ -449,6 +462,11 @@
         for name in entry_names:
             self.entries[name].gate.is_dead = True
 
+    def set_wall_clocks(self, error, *entry_names):
+        """Step the time of day of entries, by default of all, to a given error."""
+        for name in entry_names or self.entries:
+            self.entries[name].clock.wall_error = error
+
     def crash_instance(self, name):
         """Crash an instance and register its next incarnation."""
         self.instances[name].crash()
@@ -486,7 +504,7 @@
         process = self.entries[name]
 
         async def send():
-            deadline = self.clock.now() + dt.timedelta(seconds=3)
+            deadline = process.clock.now() + dt.timedelta(seconds=3)
             outcome = await commands.submit_job(
                 process.entry.front_context, queue, job_id, spec, deadline
             )
@@ -503,7 +521,7 @@
         process = self.entries[self.rng.choice(self.live_entries())]
 
         async def send():
-            deadline = self.clock.now() + dt.timedelta(seconds=3)
+            deadline = process.clock.now() + dt.timedelta(seconds=3)
             outcome = await commands.cancel_job(
                 process.entry.front_context, job_id, deadline
             )
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -1,12 +1,15 @@
 """Jobs on complete entries without sockets, under injected faults."""
 
+import datetime as dt
 import random
 
 import pytest
 from attrs import evolve
 
-from fighead.job import JobPhase, JobSpec, Stage
-from job_cluster import JobCluster, has_ended
+from fighead.codec import from_json
+from fighead.job import JobPhase, JobRecord, JobSpec, Stage
+from fighead.store import JOBS_PREFIX
+from job_cluster import NO_ERROR, START_TIME, JobCluster, has_ended
 
 SHORT_STAGE = Stage(count=3, cpu=2000, memory_mb=100, estimate_ms=400)
 LONG_STAGE = Stage(
@@ -348,6 +351,125 @@
     return lambda: None
 
 
+HOUR = dt.timedelta(hours=1)
+
+
+def make_occurrences(first_due_s, count=1):
+    """Return a job whose occurrences are due from a time in the cluster's seconds."""
+    due_at = START_TIME + dt.timedelta(seconds=first_due_s)
+    return JobSpec("o", (SHORT_STAGE,), int(due_at.timestamp() * 1000), 3000, count)
+
+
+def find_start_times_s(cluster):
+    """Return the time of the first start of each occurrence, in seconds."""
+    times = {}
+    for event in cluster.history:
+        if event.event == "started":
+            at_s = (event.at - START_TIME).total_seconds()
+            times.setdefault(event.task.occurrence, at_s)
+    return [times[occurrence] for occurrence in sorted(times)]
+
+
+@pytest.mark.parametrize("error", [HOUR, -HOUR], ids=["ahead", "back"])
+def test_an_entry_started_with_a_wrong_clock_starts_occurrences_in_time(error):
+    cluster = JobCluster(entry_names=())
+    for name in ("e1", "e2", "e3"):
+        cluster.start_entry(name, error)
+    cluster.advance(1.5)
+    cluster.set_wall_clocks(NO_ERROR)
+    cluster.submit(job_id(1), make_occurrences(8, count=2))
+    cluster.advance(15)
+    assert find_start_times_s(cluster) == pytest.approx([8, 11], abs=0.3)
+    assert not cluster.find_breaches()
+
+
+@pytest.mark.parametrize("error", [HOUR, -HOUR], ids=["ahead", "back"])
+def test_a_new_leader_started_with_a_wrong_clock_knows_the_age_of_a_job(error):
+    cluster = JobCluster(entry_names=("e1", "e2"))
+    cluster.submit(job_id(1), make_occurrences(600))
+    cluster.advance(1)
+    cluster.kill_entries("e1", "e2")
+    cluster.start_entry("e3", error)
+    cluster.set_wall_clocks(NO_ERROR)
+    cluster.advance(19)
+    process = cluster.entries["e3"]
+    job = process.entry.scheduler.schedule.jobs[job_id(1)]
+    age_s = (process.clock.now() - job.accepted_at).total_seconds()
+    assert age_s == pytest.approx(20, abs=0.3)
+
+
+@pytest.mark.parametrize("error", [HOUR, -HOUR], ids=["ahead", "back"])
+def test_an_entry_started_with_a_wrong_clock_stamps_jobs_with_the_right_time(error):
+    cluster = JobCluster(entry_names=())
+    cluster.start_entry("e1", error)
+    cluster.set_wall_clocks(NO_ERROR)
+    cluster.advance(1.5)
+    cluster.submit(job_id(1), make_occurrences(600))
+    cluster.advance(1)
+    record = from_json(cluster.store.items[JOBS_PREFIX + job_id(1)].value, JobRecord)
+    accepted_s = cluster.accepted_at[job_id(1)].timestamp()
+    assert record.accepted_ms / 1000 == pytest.approx(accepted_s, abs=0.3)
+
+
+@pytest.mark.parametrize(("error_s", "starts_s"), [(4, [6, 9]), (-4, [14, 17])])
+def test_occurrences_start_by_the_stepped_time_of_day(cluster, error_s, starts_s):
+    cluster.submit(job_id(1), make_occurrences(10, count=2))
+    cluster.advance(1)
+    cluster.set_wall_clocks(dt.timedelta(seconds=error_s))
+    cluster.advance(20)
+    assert find_start_times_s(cluster) == pytest.approx(starts_s, abs=0.3)
+    assert not cluster.find_breaches()
+
+
+@pytest.mark.parametrize("error", [HOUR, -HOUR], ids=["ahead", "back"])
+def test_a_step_after_an_occurrence_has_started_starts_nothing_again(cluster, error):
+    cluster.submit(job_id(1), make_occurrences(3))
+    cluster.advance(2)
+    cluster.set_wall_clocks(error)
+    cluster.advance(3)
+    cluster.set_wall_clocks(NO_ERROR)
+    cluster.advance(5)
+    starts = [event for event in cluster.history if event.event == "started"]
+    assert len(starts) == SHORT_STAGE.count
+    assert not cluster.find_breaches()
+
+
+@pytest.mark.parametrize("fault", ["election", "store"])
+@pytest.mark.parametrize("error", [HOUR, -HOUR], ids=["ahead", "back"])
+def test_clocks_stepped_during_a_fault_break_no_guarantee(cluster, fault, error):
+    for number in range(6):
+        cluster.submit(job_id(number), JobSpec("x", (LONG_STAGE, SHORT_STAGE)))
+    cluster.advance(1)
+    leader = cluster.leader()
+    if fault == "election":
+        cluster.kill_entries(leader)
+    else:
+        cluster.entries[leader].store.is_cut = True
+    cluster.advance(0.5)
+    cluster.set_wall_clocks(error)
+    cluster.advance(6)
+    cluster.entries[leader].store.is_cut = False
+    cluster.set_wall_clocks(NO_ERROR)
+    cluster.advance(70)
+    assert not cluster.find_breaches()
+    assert len(cluster.accepted_at) == 6
+    for accepted_job_id in cluster.accepted_at:
+        assert cluster.find_phase(accepted_job_id) is JobPhase.COMPLETED
+
+
+@pytest.mark.parametrize("stored_error", [HOUR, -HOUR, NO_ERROR])
+@pytest.mark.parametrize("swept_error", [HOUR, -HOUR, NO_ERROR])
+def test_an_ended_job_stays_known_despite_steps_of_the_clock(
+    cluster, stored_error, swept_error
+):
+    cluster.submit(job_id(1), TWO_STAGE_JOB)
+    cluster.set_wall_clocks(stored_error)
+    cluster.advance(8)
+    cluster.set_wall_clocks(swept_error)
+    cluster.advance(125)
+    assert cluster.find_phase(job_id(1)) is JobPhase.COMPLETED
+
+
 #: Seeds that once broke a guarantee. 290: an acknowledgement meant for the previous
 #: incarnation of an instance was sent to the next. 370, 445, 459: agents of a deposed
 #: leader kept running and deposed every later one.
--- a/tests/test_sweeper.py
+++ b/tests/test_sweeper.py
@@ -2,6 +2,7 @@
 
 import datetime as dt
 
+import pytest
 from twisted.internet.task import Clock
 
 from fighead.clock import ReactorClock
@@ -10,9 +11,11 @@
 from fighead.mailbox import spawn
 from fighead.store import JOB_ENDINGS_PREFIX, JOB_LEADER_KEY
 from fighead.tasks.sweeper import SweeperTask
+from job_cluster import NO_ERROR, Gate, GatedClock
 from memory_store import MemoryStore
 
 START = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
+HOUR = dt.timedelta(hours=1)
 
 
 def test_old_endings_are_removed_by_the_leader_only():
@@ -32,3 +35,24 @@
     for _ in range(620):
         reactor.advance(0.1)
     assert len(store.items) == 21
+
+
+@pytest.mark.parametrize(
+    ("start_error", "wall_error"), [(HOUR, NO_ERROR), (NO_ERROR, HOUR)]
+)
+def test_an_ending_is_kept_while_one_of_the_clocks_is_ahead(start_error, wall_error):
+    reactor = Clock()
+    true_clock = ReactorClock(reactor, START)
+    store = MemoryStore(true_clock)
+    fence = store.put(JOB_LEADER_KEY, "{}").revision
+    ending = JobEnding(JobPhase.COMPLETED, "q", int(START.timestamp() * 1000))
+    store.put(f"{JOB_ENDINGS_PREFIX}{1:016x}", to_json(ending))
+    clock = GatedClock(true_clock, Gate(), start_error, wall_error)
+    spawn(SweeperTask(store, clock, dt.timedelta(seconds=120), fence).run())
+    for _ in range(620):
+        reactor.advance(0.1)
+    assert len(store.items) == 2
+    clock.start_error = clock.wall_error = NO_ERROR
+    for _ in range(4200):
+        reactor.advance(0.1)
+    assert len(store.items) == 1
