Take due times and stamps from the present time of day

Callers of an entry that started while its time of day was wrong by an hour saw occurrences start an hour early or late for as long as it led; it stamped jobs wrong, misjudged their age and deleted endings early. The clock's now() is the time of day at the start plus steady time, so it keeps such an error for life.

Clock.wall_now() gives the present time of day, for due times and stamps only. The scheduler keeps its distance from now() in the schedule, so that decisions still see one time. Stamps of ends take the later of both clocks and the sweeper the earlier: a step of one of them can't delete an ending early.

--- a/src/fighead/clock.py
+++ b/src/fighead/clock.py
@@ -20,9 +20,16 @@
     return time.clock_gettime(STEADY_CLOCK_ID)
 
 
+def read_wall_time() -> dt.datetime:
+    """Return the time of day in UTC, which may step ahead and back."""
+    return dt.datetime.now(dt.UTC)
+
+
 class Clock(t.Protocol):
     """Source of the current time and of delayed calls.
 
+    Durations, deadlines and ages within a process are measured with :meth:`now`.
+
     .. versionadded:: 0.1
     """
 
@@ -30,6 +37,13 @@
         """Return the current time in UTC; it never decreases within a process."""
         ...
 
+    def wall_now(self) -> dt.datetime:
+        """Return the time of day in UTC, which may step.
+
+        It is for due times, and for stamps that other processes read.
+        """
+        ...
+
     def call_later(self, delay: dt.timedelta, fn: t.Callable[[], None]) -> IDelayedCall:
         """Call ``fn`` once after ``delay``; the returned call can be cancelled."""
         ...
@@ -44,13 +58,21 @@
 
     :param reactor: Source of seconds that never decrease, and of delayed calls.
     :param started_at: Wall-clock time in UTC at construction.
+    :param read_wall_time: Returns the time of day; by default, it is that of
+        :meth:`now`, as if it never stepped.
 
     .. versionadded:: 0.1
     """
 
-    def __init__(self, reactor: IReactorTime, started_at: dt.datetime) -> None:
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        started_at: dt.datetime,
+        read_wall_time: t.Callable[[], dt.datetime] | None = None,
+    ) -> None:
         self._reactor = reactor
         self._started_at = started_at
+        self._read_wall_time = read_wall_time or self.now
         self._origin_s = reactor.seconds()
 
     def now(self) -> dt.datetime:
@@ -58,6 +80,10 @@
         elapsed_s = self._reactor.seconds() - self._origin_s
         return self._started_at + dt.timedelta(seconds=elapsed_s)
 
+    def wall_now(self) -> dt.datetime:
+        """Return the time of day in UTC, which may step."""
+        return self._read_wall_time()
+
     def call_later(self, delay: dt.timedelta, fn: t.Callable[[], None]) -> IDelayedCall:
         """Call ``fn`` from the reactor after ``delay``, at once if it is negative."""
         return self._reactor.callLater(max(0.0, delay.total_seconds()), fn)
--- a/src/fighead/commands/apply.py
+++ b/src/fighead/commands/apply.py
@@ -113,7 +113,7 @@
         current.number + 1,
         change.inventory,
         change.author,
-        clock.now(),
+        clock.wall_now(),
         change.change_id,
         lines[:MAX_SUMMARY_LINES],
     )
--- a/src/fighead/commands/job.py
+++ b/src/fighead/commands/job.py
@@ -88,7 +88,7 @@
     spec: JobSpec,
     deadline: dt.datetime,
 ) -> Accepted | NotAccepted | Uncertain:
-    accepted_ms = int(context.clock.now().timestamp() * 1000)
+    accepted_ms = int(context.clock.wall_now().timestamp() * 1000)
     record = JobRecord(job_id, queue.name, queue.upstream, spec, accepted_ms)
     txn = Txn(
         (Compare(JOBS_PREFIX + job_id, 0), Compare(JOB_ENDINGS_PREFIX + job_id, 0)),
--- a/src/fighead/decisions/job_lifecycle.py
+++ b/src/fighead/decisions/job_lifecycle.py
@@ -36,7 +36,8 @@
     )
     job = JobState(record, queue, revision, _make_stages(record))
     job.progress_revision = progress_revision
-    age = dt.timedelta(milliseconds=now.timestamp() * 1000 - record.accepted_ms)
+    wall_ms = schedule.wall_time(now).timestamp() * 1000
+    age = dt.timedelta(milliseconds=wall_ms - record.accepted_ms)
     # Clocks differ between entries; an implausible age counts as zero.
     is_plausible = dt.timedelta() < age < dt.timedelta(hours=1)
     job.accepted_at = now - age if is_plausible else now
--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -222,7 +222,7 @@
 def _waiting_stages(
     schedule: Schedule, now: dt.datetime
 ) -> list[tuple[JobState, StageState]]:
-    now_ms = now.timestamp() * 1000
+    now_ms = schedule.wall_time(now).timestamp() * 1000
     found = [
         (job, stage)
         for job in schedule.jobs.values()
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -290,6 +290,7 @@
     :param interference: Learned interference between images.
     :param log_duration_ratios: Typical natural logarithm of actual to estimated run
         time, by queue.
+    :param wall_offset: By how much the time of day is ahead of the entry's clock.
     :param regroup_attempted_at: When regrouping last looked for a serving task to move
         for a waiting filler, whether or not it found one.
     """
@@ -309,6 +310,7 @@
     is_settled: bool = False
     interference: Interference = field(factory=Interference)
     log_duration_ratios: dict[str, float] = field(factory=dict)
+    wall_offset: dt.timedelta = dt.timedelta()
     regroup_attempted_at: dt.datetime | None = None
 
     def fence_for(self, state: InstanceState) -> int:
@@ -322,6 +324,10 @@
             state.restart_count, INCARNATIONS_PER_TERM - 1
         )
 
+    def wall_time(self, now: dt.datetime) -> dt.datetime:
+        """Return the time of day at ``now``, for due times and stamps."""
+        return now + self.wall_offset
+
     def ms_since_election(self, now: dt.datetime) -> int:
         """Return the milliseconds since the start of the term."""
         return int((now - self.elected_at).total_seconds() * 1000)
--- a/src/fighead/process_load.py
+++ b/src/fighead/process_load.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field, frozen
 
-from .clock import read_steady_s
+from .clock import read_steady_s, read_wall_time
 
 R = t.TypeVar("R")
 
@@ -29,7 +29,7 @@
     """Functions that read the clocks of a process, in seconds."""
 
     steady_s: t.Callable[[], float] = read_steady_s
-    wall_s: t.Callable[[], float] = time.time
+    wall_s: t.Callable[[], float] = lambda: read_wall_time().timestamp()
     cpu_s: t.Callable[[], float] = time.process_time
 
     def read(self) -> Reading:
--- a/src/fighead/runtime.py
+++ b/src/fighead/runtime.py
@@ -4,13 +4,12 @@
 steady clock, which is possible only before a call is scheduled.
 """
 
-import datetime as dt
 import signal
 import typing as t
 
 from twisted.internet import reactor as default_reactor
 
-from .clock import ReactorClock, read_steady_s
+from .clock import ReactorClock, read_steady_s, read_wall_time
 
 reactor: t.Any = default_reactor
 reactor.seconds = read_steady_s
@@ -18,7 +17,7 @@
 
 def make_clock() -> ReactorClock:
     """Return a clock over the reactor that starts at the system time."""
-    return ReactorClock(reactor, dt.datetime.now(dt.UTC))
+    return ReactorClock(reactor, read_wall_time(), read_wall_time)
 
 
 def run_until_stopped(
--- a/src/fighead/tasks/load.py
+++ b/src/fighead/tasks/load.py
@@ -23,8 +23,7 @@
     The load of the scheduler is read by a function: an answer by message would be as
     late as the messages whose delay it should show.
 
-    :param clocks: Clocks of the process, which are not those of ``clock``: a timer is
-        late only by the steady clock.
+    :param clocks: Clocks of the process, the steady one that of ``clock``.
     :param count_calls: Returns the calls sent since the start of the process.
     :param take_scheduler_load: Returns the load of the scheduler and starts its next
         interval; ``None`` while the entry is not the leader.
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -343,8 +343,13 @@
     def _handle_measured(self, msg: t.Any) -> None:
         timed(self.steady_s, self._counters.messages.add, self._handle, msg)
 
-    def _handle(self, msg: t.Any) -> None:
+    def _read_clock(self) -> dt.datetime:
         now = self.clock.now()
+        self.schedule.wall_offset = self.clock.wall_now() - now
+        return now
+
+    def _handle(self, msg: t.Any) -> None:
+        now = self._read_clock()
         match msg:
             case Call(message, reply):
                 reply.callback(self._answer(message))
@@ -675,7 +680,7 @@
             )
 
     def _place_tasks(self) -> None:
-        now = self.clock.now()
+        now = self._read_clock()
         if self.may_act():
             effects = timed(
                 self.steady_s,
@@ -703,7 +708,12 @@
             self.schedule.jobs[job_id] for job_id in sorted(self.schedule.unsaved_jobs)
         ]
         self.schedule.unsaved_jobs.clear()
-        writes = tuple(_make_write(job, now) for job in jobs if not job.is_end_stored)
+        # The later of both clocks: a time of day that is behind must not make an end
+        # seem past its retention.
+        ended_at = max(now, self.schedule.wall_time(now))
+        writes = tuple(
+            _make_write(job, ended_at) for job in jobs if not job.is_end_stored
+        )
         if not writes:
             self._acknowledge_ends(end_sequences)
             return
@@ -787,10 +797,10 @@
     }
 
 
-def _make_write(job: JobState, now: dt.datetime) -> JobWrite:
+def _make_write(job: JobState, ended_at: dt.datetime) -> JobWrite:
     value: JobProgress | JobEnding
     if job.is_ended:
-        ended_ms = int(now.timestamp() * 1000)
+        ended_ms = int(ended_at.timestamp() * 1000)
         value = JobEnding(job.phase, job.record.queue, ended_ms, job.reason)
     else:
         value = job_lifecycle.build_progress(job)
--- a/src/fighead/tasks/sweeper.py
+++ b/src/fighead/tasks/sweeper.py
@@ -44,7 +44,9 @@
 
     async def _sweep(self) -> None:
         found = await read_all(self.store, JOB_ENDINGS_PREFIX)
-        limit = self.clock.now() - self.status_time * RETENTION_FACTOR
+        # The earlier of both clocks: one that is ahead must not shorten the retention.
+        now = min(self.clock.now(), self.clock.wall_now())
+        limit = now - self.status_time * RETENTION_FACTOR
         expired = [kv for kv in found.kvs if _ended_before(kv, limit)]
         batch_size = (MAX_TXN_ENTRIES - 1) // 2
         for start in range(0, len(expired), batch_size):
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -9,15 +9,19 @@
 
 from fighead.clock import read_steady_s
 
-#: Runs the coroutine ``work`` under the reactor of a program, steps the wall clock a
-#: tenth of a second later, and prints what ``report`` returns half a second after that.
-#: Threads take the times, because the timers of the reactor are what is tested.
+#: Defines ``start``, which sets timers on the reactor of a program, steps the wall
+#: clock 0.1 s later and prints what has fired 0.6 s after that. A thread takes these
+#: times, because the timers of the reactor are what is tested.
 SCRIPT_START = """
 import datetime as dt, json, os, sys, threading, time
 
 step_s, step, read_time = float(sys.argv[1]), [0.0], time.time
 time.time = lambda: read_time() + step[0]
 
+import fighead.clock
+read_wall_time = fighead.clock.read_wall_time
+fighead.clock.read_wall_time = lambda: read_wall_time() + dt.timedelta(seconds=step[0])
+
 from fighead.clock import Timeout, sleep, with_timeout
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
@@ -29,9 +33,12 @@
     fut.addCallbacks(lambda _: seen.append(name), lambda f: seen.append(name))
 
 def finish(clock, started_at):
-    elapsed_s = (clock.now() - started_at).total_seconds()
-    print(json.dumps({"seen": sorted(set(seen)), "ticks": seen.count("tick"),
-                      "elapsed_s": elapsed_s}), flush=True)
+    print(json.dumps({
+        "seen": sorted(set(seen)),
+        "ticks": seen.count("tick"),
+        "elapsed_s": (clock.now() - started_at).total_seconds(),
+        "wall_elapsed_s": (clock.wall_now() - started_at).total_seconds(),
+    }), flush=True)
     os._exit(0)
 
 def step_and_finish(reactor, clock, started_at):
@@ -88,6 +95,7 @@
     result = json.loads(done.stdout)
     assert result["seen"] == ["short call", "short sleep", "short timeout", "tick"]
     assert 0.6 <= result["elapsed_s"] < 5
+    assert 0.6 <= result["wall_elapsed_s"] - step_s < 5
     assert result["ticks"] >= 4
 
 
