Check that no other module reads the clocks of the system

A scan of src/fighead for reads of clocks and imports of a reactor outside clock.py and runtime.py. Time stamps of log lines are structlog's and stay.

--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -1,6 +1,8 @@
 """Tests of the clocks of a process, on the real reactor under a stepped wall clock."""
 
 import json
+import pathlib
+import re
 import subprocess
 import sys
 import time
@@ -9,6 +11,20 @@
 
 from fighead.clock import read_steady_s
 
+SOURCES = pathlib.Path(__file__).parents[1] / "src" / "fighead"
+#: What reads a clock of the system, or takes a reactor that may count the time of day.
+#: The time stamps of log lines are structlog's.
+CLOCK_READS = re.compile(
+    r"""\b(?: time\.(?:time|monotonic|perf_counter|clock_gettime)(?:_ns)?\b
+           | time\.(?:gmtime|localtime|ctime|strftime)\b
+           | (?:datetime|date)\.(?:now|utcnow|today)\b
+           | from\ time\ import
+           | import\ reactor\b | reactor\.seconds\b )""",
+    re.VERBOSE,
+)
+#: The modules that may do so.
+CLOCK_MODULES = {"clock.py", "runtime.py"}
+
 #: Defines ``start``, which sets timers on the reactor of a program, steps the wall
 #: clock 0.1 s later and prints what has fired 0.6 s after that. A thread takes these
 #: times, because the timers of the reactor are what is tested.
@@ -109,3 +125,14 @@
     before_s = read_steady_s()
     monkeypatch.setattr(time, "clock_gettime", read_after_suspension)
     assert read_steady_s() - before_s >= suspended_s
+
+
+def test_no_other_module_reads_the_clocks_of_the_system():
+    found = [
+        f"{path.relative_to(SOURCES)}:{number}: {line.strip()}"
+        for path in sorted(SOURCES.rglob("*.py"))
+        if str(path.relative_to(SOURCES)) not in CLOCK_MODULES
+        for number, line in enumerate(path.read_text("utf-8").splitlines(), 1)
+        if CLOCK_READS.search(line)
+    ]
+    assert not found
