--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -2,13 +2,12 @@
 
 import datetime as dt
 import random
-import time
 import typing as t
 
 from attrs import define, field, frozen
 
 from .. import job_message as m
-from ..clock import Clock, sleep
+from ..clock import Clock, read_steady_s, sleep
 from ..codec import from_json, to_json
 from ..decisions import (
     instance_tracking,
@@ -158,7 +157,7 @@
     :param on_fence_refused: Called with the fence of a term that an instance or the
         store refused.
     :param status_time: How long the outcome of an ended job must be available.
-    :param steady_s: Source of monotonic seconds, to measure durations.
+    :param steady_s: Source of steady seconds, to measure durations.
     :param agents: Agent of each instance, by instance ID.
     """
 
@@ -171,7 +170,7 @@
     on_fence_refused: t.Callable[[int], None]
     metrics: JobMetrics
     status_time: dt.timedelta
-    steady_s: t.Callable[[], float] = time.monotonic
+    steady_s: t.Callable[[], float] = read_steady_s
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("scheduler", 65536))
     agents: dict[str, AgentTask] = field(factory=dict)
     _recorder: RecorderTask = field(init=False)
@@ -354,8 +353,13 @@
     def _handle_measured(self, msg: t.Any) -> None:
         timed(self.steady_s, self._counters.messages.add, self._handle, msg)
 
-    def _handle(self, msg: t.Any) -> None:
+    def _read_clock(self) -> dt.datetime:
         now = self.clock.now()
+        self.schedule.wall_offset = self.clock.wall_now() - now
+        return now
+
+    def _handle(self, msg: t.Any) -> None:
+        now = self._read_clock()
         match msg:
             case Call(message, reply):
                 reply.callback(self._answer(message))
@@ -709,7 +713,7 @@
             )
 
     def _place_tasks(self) -> None:
-        now = self.clock.now()
+        now = self._read_clock()
         if self.may_act():
             effects = timed(
                 self.steady_s,
@@ -737,7 +741,12 @@
             self.schedule.jobs[job_id] for job_id in sorted(self.schedule.unsaved_jobs)
         ]
         self.schedule.unsaved_jobs.clear()
-        writes = tuple(_make_write(job, now) for job in jobs if not job.is_end_stored)
+        # The later of both clocks: a time of day that is behind must not make an end
+        # seem past its retention.
+        ended_at = max(now, self.schedule.wall_time(now))
+        writes = tuple(
+            _make_write(job, ended_at) for job in jobs if not job.is_end_stored
+        )
         if not writes:
             self._acknowledge_ends(end_sequences)
             return
@@ -822,10 +831,10 @@
     }
 
 
-def _make_write(job: JobState, now: dt.datetime) -> JobWrite:
+def _make_write(job: JobState, ended_at: dt.datetime) -> JobWrite:
     value: JobProgress | JobEnding
     if job.is_ended:
-        ended_ms = int(now.timestamp() * 1000)
+        ended_ms = int(ended_at.timestamp() * 1000)
         value = JobEnding(job.phase, job.record.queue, ended_ms, job.reason)
     else:
         value = job_lifecycle.build_progress(job)
