Keep the line of a hand-over at any rate of lines

Like the other lines that tell which entry schedules, leader_handed_over was dropped when a leader logged more than the limit, so a log could show a change of leader without its reason. Found in the read-through; test_log.py checks all kept numbers.

--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -136,6 +136,7 @@
         Event.LEADER_FOLLOWED,
         Event.SCHEDULE_LOADED,
         Event.SCHEDULE_SETTLED,
+        Event.LEADER_HANDED_OVER,
         Event.LEADER_LOAD,
     )
 )
