Log lost and regained contact with the store, and failed renewals

Cause: the error of a renewal was swallowed, and the contact reported by the watch was only kept. Fix: 5404 with what=renew, and 2003 and 2004 at each change. Both new tests failed before.

--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -208,9 +208,8 @@
     def _handle_config_watch(self, msg: Snapshot | Changes | StoreContact) -> None:
         if isinstance(msg, StoreContact):
             self._relaying_store.set_store_reached(msg.is_reached)
-            if msg.is_reached and not self._is_store_reached:
-                self._store_reached_at = self.clock.now()
-            self._is_store_reached = msg.is_reached
+            if msg.is_reached != self._is_store_reached:
+                self._record_store_contact(msg.is_reached)
             return
         kvs = (
             msg.kvs
@@ -225,6 +224,12 @@
                     continue
                 self._apply_config(cfg, "store")
 
+    def _record_store_contact(self, is_reached: bool) -> None:
+        self._is_store_reached = is_reached
+        if is_reached:
+            self._store_reached_at = self.clock.now()
+        log_event(Event.STORE_BACK if is_reached else Event.STORE_AWAY)
+
     def _apply_config(self, cfg: JobConfig, source: str) -> None:
         current = self.front_context.config
         if current is not None and cfg.version <= current.version:
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -440,7 +440,9 @@
         sent_at = self.clock.now()
         try:
             result = await self.store.call(LeaseKeepAlive(lease), RENEWAL_TIMEOUT)
-        except StoreError:
+        except StoreError as exc:
+            # The next renewal follows before the lease expires.
+            log_event(Event.STORE_CALL_FAILED, what="renew", reason=exc.message)
             return
         if lease == self._lease:
             self.mailbox.offer(RenewalAnswered(result.ttl_s > 0, sent_at))
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -5,6 +5,7 @@
 
 import pytest
 from attrs import evolve
+from structlog.testing import capture_logs
 
 from fighead.codec import from_json
 from fighead.job import JobPhase, JobRecord, JobSpec, Stage
@@ -82,6 +83,19 @@
     assert not cluster.find_breaches()
 
 
+def test_an_entry_logs_when_it_loses_and_regains_the_store(cluster):
+    cluster.advance(1)
+    store = cluster.entries["e1"].store
+    with capture_logs() as lines:
+        store.is_cut = True
+        cluster.advance(8)
+        store.is_cut = False
+        cluster.advance(4)
+    names = [line["event_name"] for line in lines]
+    assert names.count("store_away") == names.count("store_back") == 1
+    assert names.index("store_away") < names.index("store_back")
+
+
 def test_a_leader_deposed_while_frozen_breaks_no_guarantee(cluster):
     cluster.submit(job_id(1), JobSpec("x", (LONG_STAGE, LONG_STAGE)))
     cluster.advance(1)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+from structlog.testing import capture_logs
 from twisted.internet.task import Clock
 
 from fighead.clock import ReactorClock
@@ -110,3 +111,14 @@
     advance(reactor, 3)
     assert len(find_leaders(entries)) == 1
     assert [term for entry in entries for term, _ in entry.elections] == [1]
+
+
+def test_failed_renewals_are_logged(reactor, clock, store):
+    entries = [Entry(f"e{n}", store, clock) for n in range(3)]
+    advance(reactor, 3)
+    (leader,) = find_leaders(entries)
+    store.refuse_leader(leader.task.me.name)
+    with capture_logs() as lines:
+        advance(reactor, 1.2)
+    failures = [line for line in lines if line["event_name"] == "store_call_failed"]
+    assert [line["what"] for line in failures if line["what"] == "renew"]
