Test the stop of an entry whose final ledger write goes wrong

An entry on a driven clock is told to stop while its periodic write of the burn ledger waits for the store. In all three cases the entry never ends: the second removal of a bucket raises ValueError, an unforeseen error of the final write ends the drain, and so does an answer that never comes.

--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,118 @@
+"""Tests of the planned stop of an entry, with a driven clock and an in-memory store."""
+
+import datetime as dt
+
+import pytest
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.testing import MemoryReactorClock
+
+from fighead.clock import ReactorClock
+from fighead.entry import LEDGER_WRITE_INTERVAL, Entry
+from fighead.ledger import BUCKET_LENGTH, Verdict
+from fighead.settings import EntrySettings, ListenAddress
+from fighead.store import BURN_PREFIX, Txn
+from fighead.tasks.peer import PeerTask
+from fighead.tasks.store import StoreTask
+from memory_store import MemoryStore
+
+#: The bucket that is open at the start ends before the first periodic write.
+START = dt.datetime(2026, 1, 1, tzinfo=dt.UTC) + BUCKET_LENGTH - dt.timedelta(seconds=9)
+SETTINGS = EntrySettings(
+    "e1",
+    "a",
+    ListenAddress("127.0.0.1", 1),
+    ListenAddress("127.0.0.1", 2),
+    "tcp://127.0.0.1:3",
+    "http://127.0.0.1:4",
+    "token",
+    drain_timeout=dt.timedelta(seconds=10),
+    plain=True,
+    seed=1,
+)
+
+
+class FailingStore(MemoryStore):
+    """Fails with an unforeseen error when a bucket is written."""
+
+    async def call(self, req, timeout):
+        if isinstance(req, Txn) and is_bucket_write(req):
+            raise ValueError("The answer can't be decoded.")
+        return await super().call(req, timeout)
+
+
+class SilentStore(MemoryStore):
+    """Never answers the write of a bucket."""
+
+    async def call(self, req, timeout):
+        if isinstance(req, Txn) and is_bucket_write(req):
+            await Deferred()
+        return await super().call(req, timeout)
+
+
+def is_bucket_write(txn):
+    return any(change.key.startswith(BURN_PREFIX) for change in txn.success)
+
+
+@pytest.fixture
+def reactor():
+    return MemoryReactorClock()
+
+
+@pytest.fixture
+def start_entry(reactor, monkeypatch):
+    clock = ReactorClock(reactor, START)
+
+    def start(store_class):
+        store = store_class(clock, delay=dt.timedelta(seconds=0.5))
+
+        async def serve(task):
+            while True:
+                call = await task.mailbox.get()
+                answer = ensureDeferred(store.call(call.request, None))
+                answer.addCallbacks(call.reply.callback, call.reply.errback)
+
+        async def idle(task):
+            pass
+
+        monkeypatch.setattr(StoreTask, "run", serve)
+        monkeypatch.setattr(PeerTask, "run", idle)
+        monkeypatch.setattr(PeerTask, "stop", lambda task: None)
+        ends = []
+        entry = Entry(SETTINGS, clock, reactor, lambda: ends.append(clock.now()))
+        entry.start()
+        return entry, store, ends
+
+    return start
+
+
+def advance(reactor, seconds):
+    for _ in range(round(seconds * 100)):
+        reactor.advance(0.01)
+
+
+def stop_during_periodic_write(reactor, entry):
+    entry.ledger.count("u", "k", Verdict.GOOD)
+    before_write = LEDGER_WRITE_INTERVAL.total_seconds() - 0.8
+    advance(reactor, before_write)
+    entry.ledger.count("u", "k", Verdict.BAD)
+    entry.stop()
+    advance(reactor, 30)
+
+
+def test_an_entry_stops_although_its_final_ledger_write_meets_the_periodic_one(
+    reactor, start_entry
+):
+    entry, store, ends = start_entry(MemoryStore)
+    stop_during_periodic_write(reactor, entry)
+    buckets = [key for key in store.items if key.startswith(BURN_PREFIX)]
+    assert len(buckets) == 2
+    assert len(ends) == 1
+
+
+@pytest.mark.parametrize("store_class", [FailingStore, SilentStore])
+def test_an_entry_stops_although_its_final_ledger_write_fails(
+    reactor, start_entry, store_class
+):
+    entry, store, ends = start_entry(store_class)
+    stop_during_periodic_write(reactor, entry)
+    assert len(ends) == 1
