Write the burn ledger from one task

The periodic and the final write of the ledger ran as two coroutines: both took the first closed bucket and waited for the store, and the second removal raised ValueError, which ended the drain before the entry's end was scheduled.

The ledger's writer is a task of its own now. It handles the periodic tick and the request of the planned stop one at a time and alone removes buckets, so two writes can't overlap.

--- a/src/fighead/entry.py
+++ b/src/fighead/entry.py
@@ -14,32 +14,28 @@
 from .decisions import member_state as member_states
 from .decisions.dispatch import DispatchState
 from .decisions.ownership import instance_resource, line_resource
-from .exceptions import MailboxFullError, PeerUnreachableError, StoreError
+from .exceptions import MailboxFullError, PeerUnreachableError
 from .front_context import FrontContext
 from .fronts.caller import CallerFront
 from .fronts.operator import MAX_BODY_BYTES, OperatorFront
 from .fronts.site import make_site
-from .ledger import BurnLedger, make_bucket_write
+from .ledger import BurnLedger
 from .log import Event, log_event
 from .mailbox import spawn
 from .metric import Metrics
 from .model import Member
 from .settings import EntrySettings, ListenAddress
-from .store import LeaseGrant, Txn
 from .tasks.call import call
+from .tasks.ledger import CloseLedger, LedgerTask
 from .tasks.member import MemberTask
 from .tasks.peer import CurveKeys, PeerTask
-from .tasks.store import StoreTask, ask_store
+from .tasks.store import StoreTask
 from .tasks.supervisor import SupervisorTask
 
 #: Interval at which peers are probed. Also the time within which they must answer.
 PROBE_INTERVAL = dt.timedelta(seconds=1)
 #: Interval at which timer lag is measured.
 LAG_SAMPLE_INTERVAL = dt.timedelta(milliseconds=100)
-#: Interval at which closed buckets of the burn ledger are written to the store.
-LEDGER_WRITE_INTERVAL = dt.timedelta(seconds=20)
-#: TTL of the lease with which stored buckets of the burn ledger expire.
-LEDGER_LEASE_TTL_S = 4 * 24 * 3600
 DRAIN_POLL_INTERVAL = dt.timedelta(milliseconds=100)
 #: Time for the load balancer to notice that the entry is not ready. Also the
 #: shortest time allowed for the release of claims.
@@ -62,6 +58,7 @@
     on_end: t.Callable[[], None]
     front_context: FrontContext = field(init=False)
     ledger: BurnLedger = field(init=False)
+    ledger_task: LedgerTask = field(init=False)
     member: MemberTask = field(init=False)
     peer: PeerTask = field(init=False)
     supervisor: SupervisorTask = field(init=False)
@@ -70,7 +67,6 @@
     _ports: list[t.Any] = field(factory=list)
     _is_stopping: bool = False
     _is_finished: bool = False
-    _ledger_lease: int = 0
 
     def __attrs_post_init__(self) -> None:
         cfg = self.cfg
@@ -96,6 +92,7 @@
             DispatchState(m.View(cfg.name)),
         )
         self.ledger = BurnLedger(cfg.name, self.clock)
+        self.ledger_task = LedgerTask(self.ledger, self.clock, self.store.mailbox)
         self.member = self._make_member(metrics)
         self.supervisor = SupervisorTask(
             cfg.name,
@@ -132,11 +129,16 @@
 
     def start(self) -> None:
         """Listen on all addresses and start the tasks."""
-        tasks = (self.store, self.peer, self.supervisor, self.member)
+        tasks = (
+            self.store,
+            self.peer,
+            self.supervisor,
+            self.member,
+            self.ledger_task,
+        )
         for task in tasks:
             spawn(task.run())
         spawn(self._probe_periodically())
-        spawn(self._write_ledger_periodically())
         spawn(self._measure_lag_periodically())
         caller_front = CallerFront(
             self.front_context,
@@ -190,8 +192,7 @@
         deadline = self.clock.now() + self.cfg.drain_timeout
         while self.front_context.in_flight and self.clock.now() < deadline:
             await sleep(self.clock, DRAIN_POLL_INTERVAL)
-        self.ledger.close_bucket()
-        await self._write_ledger()
+        await call(self.ledger_task.mailbox, CloseLedger())
         await self.member.mailbox.put(member_states.FrontDrained())
         time_left = deadline - self.clock.now()
         # Claims that can't be deleted because the store is unreachable expire with
@@ -337,30 +338,6 @@
                 self.front_context.check_limiter, lag
             )
 
-    async def _write_ledger_periodically(self) -> None:
-        while True:
-            await sleep(self.clock, LEDGER_WRITE_INTERVAL)
-            self.ledger.current_bucket()
-            await self._write_ledger()
-
-    async def _write_ledger(self) -> None:
-        while self.ledger.closed:
-            bucket = self.ledger.closed[0]
-            try:
-                if not self._ledger_lease:
-                    granted = await ask_store(
-                        self.store.mailbox, LeaseGrant(LEDGER_LEASE_TTL_S)
-                    )
-                    self._ledger_lease = granted.lease
-                put = make_bucket_write(bucket, self._ledger_lease)
-                await ask_store(self.store.mailbox, Txn(success=(put,)))
-            except StoreError:
-                # The bucket stays in the ledger and is retried at the next write,
-                # with a new lease in case the lease was the cause.
-                self._ledger_lease = 0
-                return
-            self.ledger.closed.remove(bucket)
-
 
 def _raise_unreachable_on_timeout(failure: t.Any) -> t.Any:
     failure.trap(TimeoutError)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,10 +7,11 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from fighead.clock import ReactorClock
-from fighead.entry import LEDGER_WRITE_INTERVAL, Entry
+from fighead.entry import Entry
 from fighead.ledger import BUCKET_LENGTH, Verdict
 from fighead.settings import EntrySettings, ListenAddress
 from fighead.store import BURN_PREFIX, Txn
+from fighead.tasks.ledger import LEDGER_WRITE_INTERVAL
 from fighead.tasks.peer import PeerTask
 from fighead.tasks.store import StoreTask
 from memory_store import MemoryStore
