Stop an entry although its final ledger write goes wrong

An entry that was told to stop never ended if the final write of the burn ledger raised an error other than that of an unreachable store, or if its answer never came: the end of the drain waited for the write without a limit and failed with it.

The entry now logs an error of the final write and waits for it until the drain timeout at the longest, but at least for the shortest time that the release of claims gets; then the drain goes on. The task passes errors on to the request that it serves.

test_an_entry_stops_although_its_final_ledger_write_fails failed for an error and for a missing answer, with no end of the entry within 30 s of the driven clock, and passes.

--- a/src/fighead/entry.py
+++ b/src/fighead/entry.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 from twisted.internet.defer import Deferred
 from twisted.internet.ssl import DefaultOpenSSLContextFactory
+from twisted.python import log
 
 from . import message as m
 from .clock import Clock, sleep, with_timeout
@@ -192,13 +193,22 @@
         deadline = self.clock.now() + self.cfg.drain_timeout
         while self.front_context.in_flight and self.clock.now() < deadline:
             await sleep(self.clock, DRAIN_POLL_INTERVAL)
-        await call(self.ledger_task.mailbox, CloseLedger())
+        await self._close_ledger(deadline)
         await self.member.mailbox.put(member_states.FrontDrained())
         time_left = deadline - self.clock.now()
         # Claims that can't be deleted because the store is unreachable expire with
         # the lease.
         self.clock.call_later(max(time_left, DRAIN_DELAY), self._finish)
 
+    async def _close_ledger(self, deadline: dt.datetime) -> None:
+        """Write the rest of the ledger; an error or a late answer is only logged."""
+        time_left = max(deadline - self.clock.now(), DRAIN_DELAY)
+        try:
+            answer = call(self.ledger_task.mailbox, CloseLedger())
+            await with_timeout(self.clock, answer, time_left)
+        except Exception:
+            log.err(None, "The rest of the burn ledger was not written.")
+
     def _finish(self) -> None:
         if self._is_finished:
             return
--- a/src/fighead/tasks/ledger.py
+++ b/src/fighead/tasks/ledger.py
@@ -62,8 +62,12 @@
                 await self._write_closed()
             case Call(CloseLedger(), reply):
                 self.ledger.close_bucket()
-                await self._write_closed()
-                reply.callback(None)
+                try:
+                    await self._write_closed()
+                except Exception as exc:
+                    reply.errback(exc)
+                else:
+                    reply.callback(None)
 
     async def _write_closed(self) -> None:
         while self.ledger.closed:
