Test the answer to a dropped claim that arrives after a new holder's claim

An entry on a driven clock hands its line to a preferred entry, and the store's watch reports the new claim before the answer to the deletion of the old one. The entry then shows the line as unclaimed.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,4 +1,4 @@
-"""Tests of the planned stop of an entry, with a driven clock and an in-memory store."""
+"""Tests of the assembled entry, with a driven clock and an in-memory store."""
 
 import datetime as dt
 
@@ -7,11 +7,22 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from fighead.clock import ReactorClock
+from fighead.codec import to_json
+from fighead.decisions import ownership
 from fighead.entry import Entry
 from fighead.ledger import BUCKET_LENGTH, Verdict
+from fighead.model import Inventory, Member, Revision, Upstream
 from fighead.settings import EntrySettings, ListenAddress
-from fighead.store import BURN_PREFIX, Txn
+from fighead.store import (
+    BURN_PREFIX,
+    CLAIMS_PREFIX,
+    CONTROL_PREFIX,
+    CURRENT_REVISION_KEY,
+    MEMBERS_PREFIX,
+    Txn,
+)
 from fighead.tasks.ledger import LEDGER_WRITE_INTERVAL
+from fighead.tasks.member import ClaimValue, MemberTask
 from fighead.tasks.peer import PeerTask
 from fighead.tasks.store import StoreTask
 from memory_store import MemoryStore
@@ -72,10 +83,20 @@
                 answer = ensureDeferred(store.call(call.request, None))
                 answer.addCallbacks(call.reply.callback, call.reply.errback)
 
+        async def stream(task, start_revision):
+            after = start_revision - 1
+            while True:
+                wait = dt.timedelta(seconds=10)
+                batch = await store.watch(CONTROL_PREFIX, after, wait)
+                if batch.events:
+                    task._handle_batch(batch)
+                after = batch.revision
+
         async def idle(task):
             pass
 
         monkeypatch.setattr(StoreTask, "run", serve)
+        monkeypatch.setattr(MemberTask, "_stream_changes", stream)
         monkeypatch.setattr(PeerTask, "run", idle)
         monkeypatch.setattr(PeerTask, "stop", lambda task: None)
         ends = []
@@ -91,6 +112,14 @@
         reactor.advance(0.01)
 
 
+def advance_until(reactor, condition):
+    for _ in range(300):
+        if condition():
+            return
+        advance(reactor, 0.1)
+    raise AssertionError("The condition was not met in 30 s.")
+
+
 def stop_during_periodic_write(reactor, entry):
     entry.ledger.count("u", "k", Verdict.GOOD)
     before_write = LEDGER_WRITE_INTERVAL.total_seconds() - 0.8
@@ -117,3 +146,33 @@
     entry, store, ends = start_entry(store_class)
     stop_during_periodic_write(reactor, entry)
     assert len(ends) == 1
+
+
+def find_preferred_member(inventory, me):
+    zones = ownership.zones_by_resource(inventory)
+    for number in range(100):
+        other = Member(f"other{number}", "a", "tcp://127.0.0.1:5", applied_revision=1)
+        if ownership.assign_owners(zones, (me, other))["line/u"] == other.name:
+            return other
+    raise AssertionError("No name is preferred.")
+
+
+def test_the_claim_of_a_new_holder_stays_when_the_answer_to_the_own_drop_is_late(
+    reactor, start_entry
+):
+    entry, store, ends = start_entry(MemoryStore)
+    inventory = Inventory(("a",), {}, {}, {"u": Upstream("u")})
+    store.put(CURRENT_REVISION_KEY, to_json(Revision(1, inventory)))
+    key = CLAIMS_PREFIX + "line/u"
+    advance(reactor, 10)
+    assert key in store.items
+    other = find_preferred_member(inventory, entry.member.state.me)
+    store.put(MEMBERS_PREFIX + other.name, to_json(other))
+    store.answer_delay = dt.timedelta(seconds=5)
+    advance_until(reactor, lambda: key not in store.items)
+    store.put(key, to_json(ClaimValue(other.name, "1")))
+    advance(reactor, 3)
+    claim = entry.front_context.view.claims["line/u"]
+    assert claim.owner == other.name
+    advance(reactor, 5)
+    assert entry.front_context.view.claims.get("line/u") == claim
