Name the epoch in the answer to a dropped claim

The answer to the deletion named the resource alone. If the watch reported the new holder's claim before that answer, the entry removed the new claim from its view.

ClaimDropped now carries the epoch of the deleted claim. Epochs are create revisions, so a claim of a higher epoch is a later one and stays, and of the entry's own claims only the one of that epoch is forgotten; a newer one was written a second time.

The drain test names the epochs of its claims, as the message requires; its checks are the same.

--- a/src/fighead/decisions/member.py
+++ b/src/fighead/decisions/member.py
@@ -12,7 +12,7 @@
 from .lifecycle import EntryStage
 from .member_claims import (
     balance_claims,
-    forget_own_claim,
+    handle_claim_dropped,
     handle_claim_failed,
     handle_claim_won,
     handle_lease_expired,
@@ -120,9 +120,8 @@
             return handle_claim_won(state, msg)
         case ClaimFailed(resource):
             return Step(handle_claim_failed(state, resource))
-        case ClaimDropped(resource):
-            claims = state.claims.discard(resource)
-            return Step(forget_own_claim(evolve(state, claims=claims), resource))
+        case ClaimDropped():
+            return Step(handle_claim_dropped(state, msg))
         case InstanceSuperseded():
             return handle_superseded(state, msg)
         case ResourceClosed(resource):
--- a/src/fighead/decisions/member_claims.py
+++ b/src/fighead/decisions/member_claims.py
@@ -10,6 +10,7 @@
 from . import Step, lifecycle, ownership
 from .lifecycle import ClaimStage, EntryStage
 from .member_state import (
+    ClaimDropped,
     ClaimWon,
     CloseResource,
     DropClaim,
@@ -128,6 +129,17 @@
     return Step(state, (OpenResource(msg.resource, msg.epoch),))
 
 
+def handle_claim_dropped(state: MemberState, msg: ClaimDropped) -> MemberState:
+    """Forget a claim that was deleted; one of a higher epoch, of any entry, stays."""
+    claim = state.claims.get(msg.resource)
+    if claim is not None and claim.epoch <= msg.epoch:
+        state = evolve(state, claims=state.claims.discard(msg.resource))
+    own_claim = state.own_claims.get(msg.resource)
+    if own_claim is None or own_claim.epoch != msg.epoch:
+        return state
+    return forget_own_claim(state, msg.resource)
+
+
 def forget_own_claim(state: MemberState, resource: str) -> MemberState:
     """Stop tracking an own claim; the claim in the store is not touched."""
     return evolve(state, own_claims=state.own_claims.discard(resource))
--- a/src/fighead/decisions/member_state.py
+++ b/src/fighead/decisions/member_state.py
@@ -144,9 +144,10 @@
 
 @frozen
 class ClaimDropped:
-    """Message: a claim of this entry has been deleted from the store."""
+    """Message: this entry's claim of the given epoch is no longer in the store."""
 
     resource: str
+    epoch: int
 
 
 @frozen
--- a/src/fighead/tasks/member.py
+++ b/src/fighead/tasks/member.py
@@ -218,7 +218,8 @@
         txn = delete_if_unchanged(CLAIMS_PREFIX + effect.resource, effect.epoch)
         await write_with_retries(self.store, self.clock, self.random, txn)
         log_event(Event.CLAIM_RELEASED, resource=effect.resource)
-        await self.mailbox.put(member_state.ClaimDropped(effect.resource))
+        dropped = member_state.ClaimDropped(effect.resource, effect.epoch)
+        await self.mailbox.put(dropped)
 
     async def _watch_control(self) -> None:
         while True:
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -100,19 +100,29 @@
 
 def test_drain_closes_all_claims_and_then_ends_the_entry():
     state = win_all_claims(load_control(make_state()))
-    held = set(state.own_claims)
+    held = state.own_claims
     step = member.decide(state, m.Stop(), NOW)
     closed = {e.resource for e in step.effects if type(e) is states.CloseResource}
-    assert closed == held
+    assert closed == set(held)
     state = member.decide(step.state, states.FrontDrained(), NOW).state
     for resource in held:
         state = member.decide(state, states.ResourceClosed(resource), NOW).state
-        step = member.decide(state, states.ClaimDropped(resource), NOW)
+        dropped = states.ClaimDropped(resource, held[resource].epoch)
+        step = member.decide(state, dropped, NOW)
         state = step.state
     assert any(isinstance(effect, states.EndEntry) for effect in step.effects)
     assert state.stage is EntryStage.STOPPED
 
 
+def test_late_answer_to_a_drop_keeps_a_newer_own_claim():
+    # Regression: the claim was forgotten and written a second time.
+    state = load_control(make_state()).state
+    assert state.own_claims["instance/i0"].stage is ClaimStage.CLAIMING
+    step = member.decide(state, states.ClaimDropped("instance/i0", 15), NOW)
+    assert "instance/i0" not in claimed_resources(step)
+    assert step.state.own_claims["instance/i0"].stage is ClaimStage.CLAIMING
+
+
 def test_second_stop_is_ignored():
     state = member.decide(make_state(), m.Stop(), NOW).state
     assert member.decide(state, m.Stop(), NOW).state == state
