Test that a filler without an instance holds back no other of its image

A filler is skipped in a round if one of its image with no more processor demand found no instance, whatever kept that one out: its label, its memory, its GPU, its limit per instance or its upstream.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 import datetime as dt
 
+import pytest
 from attrs import evolve
 
 from fighead.decisions import (
@@ -269,6 +270,34 @@
     assert place_tasks(schedule, 2) == [("i1", task_key(job_id=make_job_id(9)))]
 
 
+@pytest.mark.parametrize(
+    "first",
+    [
+        evolve(FILLER, required_label="none"),
+        evolve(FILLER, memory_mb=10**9),
+        evolve(FILLER, gpu=1),
+        evolve(FILLER, count=3, max_per_instance=1),
+    ],
+    ids=["label", "memory", "gpu", "limit-per-instance"],
+)
+def test_a_filler_without_an_instance_holds_back_no_other_of_its_image(first):
+    schedule = make_schedule(("i1", "i2"))
+    urgent = add_job(schedule, first, job_id=make_job_id(1))
+    urgent.queue = evolve(urgent.queue, priority=0)
+    add_job(schedule, FILLER, job_id=make_job_id(2))
+    *of_first, last = [task.job_id for _, task in place_tasks(schedule)]
+    assert len(of_first) < first.count and set(of_first) <= {make_job_id(1)}
+    assert last == make_job_id(2)
+
+
+def test_a_filler_of_another_upstream_holds_back_no_filler_of_its_image():
+    schedule = make_schedule()
+    other = add_job(schedule, FILLER, job_id=make_job_id(1))
+    other.queue = evolve(other.queue, upstream="other")
+    add_job(schedule, FILLER, job_id=make_job_id(2))
+    assert [task.job_id for _, task in place_tasks(schedule)] == [make_job_id(2)]
+
+
 def test_serving_tasks_of_one_image_share_an_instance():
     schedule = make_schedule(("i1", "i2", "i3"))
     add_job(schedule, SERVING, job_id=make_job_id(1))
