Parse HTTP responses with httptools

A target or header with a line break was found only after a connection had been taken from the pool, which then never got it back, and the call was told as one that may have run. Change: httptools parses responses, requests are encoded in one go and checked before a connection is taken; such a call is told as not sent. A response has a limit of 16 MiB. Result: tests of the pool with answers in pieces, broken, doubled and endless.

--- a/src/fighead/http_client.py
+++ b/src/fighead/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client with connection pools, built on Twisted and h11.
+"""HTTP/1.1 client with connection pools, built on Twisted and httptools.
 
 A scheduler makes a call for every start and every end of a task, so connections
 are reused. Each carries one call at a time, without pipelining. The error of a
@@ -7,9 +7,10 @@
 
 import collections
 import datetime as dt
+import re
 import typing as t
 
-import h11
+import httptools
 from attrs import define, field, frozen
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
@@ -24,6 +25,15 @@
 CONNECT_TIMEOUT = dt.timedelta(milliseconds=600)
 
 
+#: Size in bytes at which a response is rejected: several times that of the largest
+#: page of the store.
+MAX_RESPONSE_BYTES = 16 << 20
+#: Status codes below this one announce a later response.
+FIRST_FINAL_STATUS = 200
+_TARGET = re.compile(r"[!-~]+")
+_HEADER_VALUE = re.compile(r"[ -~]*")
+
+
 class HttpNotSentError(Exception):
     """The call failed before any byte of the request was sent."""
 
@@ -36,6 +46,7 @@
 class HttpRequest:
     """An HTTP request.
 
+    :param method: Method, in capitals.
     :param target: Path and query.
     :param body: Encoded body; unless empty, it is sent as ``application/json``.
     :param headers: Headers besides ``Host``, ``Content-Length`` and
@@ -56,22 +67,50 @@
     body: bytes
 
 
+def encode_request(req: HttpRequest, host: str) -> bytes:
+    """Encode a request for a connection that is kept open.
+
+    :param host: Value of the ``Host`` header.
+    :raises HttpNotSentError: If the target or the value of a header contains a
+        character that could end it early.
+
+    >>> encode_request(HttpRequest("GET", "/a"), "10.0.0.1:80")
+    b'GET /a HTTP/1.1\\r\\nHost: 10.0.0.1:80\\r\\nContent-Length: 0\\r\\n\\r\\n'
+    """
+    if not _TARGET.fullmatch(req.target):
+        raise HttpNotSentError(f"{req.target!r} is not the target of a request.")
+    lines = [
+        f"{req.method} {req.target} HTTP/1.1",
+        f"Host: {host}",
+        f"Content-Length: {len(req.body)}",
+    ]
+    if req.body:
+        lines.append("Content-Type: application/json")
+    for name, value in req.headers:
+        if not _HEADER_VALUE.fullmatch(value):
+            raise HttpNotSentError(f"{value!r} is not a value of the header {name}.")
+        lines.append(f"{name}: {value}")
+    return "\r\n".join([*lines, "", ""]).encode() + req.body
+
+
 class _Connection(Protocol):
     """A connection that carries at most one call at a time.
 
-    :param host: Value of the ``Host`` header.
+    The methods named ``on_...`` are called by the parser.
+
     :param release: Called when the connection is free for the next call, and when
         it is closed.
     """
 
-    def __init__(self, host: str, release: t.Callable[["_Connection"], None]) -> None:
-        self._host = host
+    def __init__(self, release: t.Callable[["_Connection"], None]) -> None:
         self._release = release
-        self._h11 = h11.Connection(our_role=h11.CLIENT)
+        self._parser = httptools.HttpResponseParser(self)
         self._pending: Deferred[HttpResponse] | None = None
         self._on_data: t.Callable[[], None] = _ignore_data
-        self._status = 0
+        self._response: HttpResponse | None = None
         self._chunks: list[bytes] = []
+        self._received_bytes = 0
+        self._keeps_open = True
         self.is_open = False
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -79,59 +118,54 @@
         self.transport.setTcpNoDelay(True)
 
     def send(
-        self, req: HttpRequest, on_data: t.Callable[[], None]
+        self, data: bytes, on_data: t.Callable[[], None]
     ) -> Deferred[HttpResponse]:
-        """Send a request; cancelling the deferred aborts the connection.
+        """Send an encoded request; cancelling the deferred aborts the connection.
 
         :param on_data: Called whenever a part of the response arrives.
         """
         self._pending = Deferred(lambda _: self.transport.abortConnection())
         self._on_data = on_data
-        headers = [
-            ("Host", self._host),
-            ("Content-Length", str(len(req.body))),
-            *req.headers,
-        ]
-        if req.body:
-            headers.append(("Content-Type", "application/json"))
-        head = h11.Request(method=req.method, target=req.target, headers=headers)
-        data = self._h11.send(head)
-        if req.body:
-            data += self._h11.send(h11.Data(data=req.body))
-        data += self._h11.send(h11.EndOfMessage()) or b""
+        self._received_bytes = 0
         self.transport.write(data)
         return self._pending
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._on_data()
+        self._received_bytes += len(data)
+        if self._pending is None:
+            self._abort("The peer sent data without a request.")
+            return
+        if self._received_bytes > MAX_RESPONSE_BYTES:
+            self._abort(f"The response exceeds {MAX_RESPONSE_BYTES} bytes.")
+            return
         try:
-            self._h11.receive_data(data)
-            self._read_events()
-        except h11.RemoteProtocolError as exc:
-            self._fail(HttpLostError(f"The peer sent no valid HTTP: {exc}."))
-            self.transport.abortConnection()
-
-    def _read_events(self) -> None:
-        while True:
-            event = self._h11.next_event()
-            match event:
-                case h11.Response(status_code=status):
-                    self._status = status
-                case h11.Data(data=chunk):
-                    self._chunks.append(bytes(chunk))
-                case h11.EndOfMessage():
-                    self._finish()
-                    return
-                case h11.NEED_DATA | h11.PAUSED | h11.ConnectionClosed():
-                    return
-
-    def _finish(self) -> None:
-        response = HttpResponse(self._status, b"".join(self._chunks))
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            self._abort(f"The peer sent no valid HTTP: {exc}.")
+            return
+        if self._response is not None:
+            self._finish(self._response)
+
+    def on_body(self, body: bytes) -> None:
+        self._chunks.append(body)
+
+    def on_message_begin(self) -> None:
+        if self._response is not None:
+            raise ValueError("A second response follows the first.")
+
+    def on_message_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status >= FIRST_FINAL_STATUS:
+            self._response = HttpResponse(status, b"".join(self._chunks))
+            self._keeps_open = self._parser.should_keep_alive()
         self._chunks = []
+
+    def _finish(self, response: HttpResponse) -> None:
+        self._response = None
         pending, self._pending = self._pending, None
         self._on_data = _ignore_data
-        if self._h11.our_state is h11.DONE and (self._h11.their_state is h11.DONE):
-            self._h11.start_next_cycle()
+        if self._keeps_open:
             self._release(self)
         else:
             self.is_open = False
@@ -139,6 +173,11 @@
         if pending is not None and not pending.called:
             pending.callback(response)
 
+    def _abort(self, reason: str) -> None:
+        self.is_open = False
+        self._fail(HttpLostError(reason))
+        self.transport.abortConnection()
+
     def connectionLost(self, reason: t.Any = connectionDone) -> None:  # noqa: N802
         self.is_open = False
         self._release(self)
@@ -146,6 +185,7 @@
 
     def _fail(self, exc: Exception) -> None:
         pending, self._pending = self._pending, None
+        self._on_data = _ignore_data
         if pending is not None and not pending.called:
             pending.errback(exc)
 
@@ -246,6 +286,7 @@
         progress: "_Progress",
         on_data: t.Callable[[], None],
     ) -> HttpResponse:
+        data = encode_request(req, address)
         pool = self._pools.setdefault(address, _AddressPool())
         while not pool.idle and pool.open_count >= self.max_per_address:
             permit: Deferred[None] = Deferred(pool.waiting.remove)
@@ -254,13 +295,13 @@
         conn = pool.idle.pop() if pool.idle else await self._connect(address, pool)
         self.calls += 1
         progress.is_sent = True
-        return await conn.send(req, on_data)
+        return await conn.send(data, on_data)
 
     async def _connect(self, address: str, pool: _AddressPool) -> _Connection:
         pool.open_count += 1
         self.connections += 1
         host, _, port = address.rpartition(":")
-        conn = _Connection(address, lambda c: self._release(address, pool, c))
+        conn = _Connection(lambda c: self._release(address, pool, c))
         endpoint = TCP4ClientEndpoint(
             self.reactor, host, int(port), CONNECT_TIMEOUT.total_seconds()
         )
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,14 +1,20 @@
-"""Tests of the counts of calls that a connection pool keeps."""
+"""Tests of the connection pool: counts of calls, and answers that are not HTTP."""
 
 import datetime as dt
 
 import pytest
 from twisted.internet import error
-from twisted.internet.testing import MemoryReactorClock
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
 from fighead.clock import ReactorClock
-from fighead.http_client import HttpNotSentError, HttpPool, HttpRequest
+from fighead.http_client import (
+    MAX_RESPONSE_BYTES,
+    HttpLostError,
+    HttpNotSentError,
+    HttpPool,
+    HttpRequest,
+)
 from fighead.process_load import CallCounts
 
 START = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
@@ -55,3 +61,123 @@
     reactor.advance(2.1)
     assert failures == [HttpNotSentError]
     assert pool.counts() == CallCounts(connections=1, timed_out=1)
+
+
+class Transport(StringTransport):
+    """A transport that tells its protocol when it is aborted."""
+
+    def setTcpNoDelay(self, enabled):  # noqa: N802
+        pass
+
+    def abortConnection(self):  # noqa: N802
+        super().abortConnection()
+        self.protocol.connectionLost(Failure(error.ConnectionAborted()))
+
+    def loseConnection(self):  # noqa: N802
+        super().loseConnection()
+        self.protocol.connectionLost(Failure(error.ConnectionDone()))
+
+
+def connect(reactor):
+    """Complete the latest connection attempt; return its protocol."""
+    protocol = reactor.tcpClients[-1][2].buildProtocol(None)
+    transport = Transport()
+    transport.protocol = protocol
+    protocol.makeConnection(transport)
+    return protocol
+
+
+def ask(pool, req=None):
+    """Send a request; return a list that receives the response or the failure."""
+    results = []
+    req = req or HttpRequest("POST", "/call", b"{}", (("Fighead-Target", "i-1"),))
+    fut = pool.request("10.0.0.1:80", req, dt.timedelta(seconds=2))
+    fut.addCallbacks(results.append, lambda failure: results.append(failure.type))
+    return results
+
+
+OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
+def test_a_response_is_read_in_any_pieces_and_the_connection_used_again(reactor, pool):
+    results = ask(pool)
+    protocol = connect(reactor)
+    for n in range(len(OK_RESPONSE)):
+        protocol.dataReceived(OK_RESPONSE[n : n + 1])
+    assert [(r.status, r.body) for r in results] == [(200, b"{}")]
+    more = ask(pool)
+    protocol.dataReceived(b"HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n")
+    protocol.dataReceived(b"3\r\nabc\r\n0\r\n\r\n")
+    assert [(r.status, r.body) for r in more] == [(503, b"abc")]
+    assert pool.counts() == CallCounts(sent=2, connections=1)
+
+
+def test_an_interim_response_is_no_answer(reactor, pool):
+    results = ask(pool)
+    protocol = connect(reactor)
+    protocol.dataReceived(b"HTTP/1.1 100 Continue\r\n\r\n")
+    assert results == []
+    protocol.dataReceived(OK_RESPONSE)
+    assert results[0].status == 200
+
+
+def test_a_connection_that_the_server_closes_is_not_used_again(reactor, pool):
+    results = ask(pool)
+    head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    connect(reactor).dataReceived(head)
+    assert results[0].status == 200
+    ask(pool)
+    assert pool.connections == 2
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"garbage\r\n\r\n",
+        b"\x00" * 64,
+        b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        OK_RESPONSE + OK_RESPONSE,
+    ],
+)
+def test_an_answer_that_is_not_http_fails_the_call_as_lost(reactor, pool, data):
+    results = ask(pool)
+    connect(reactor).dataReceived(data)
+    assert results == [HttpLostError]
+    # The next call opens a connection of its own.
+    ask(pool)
+    assert pool.connections == 2
+
+
+def test_an_endless_answer_fails_the_call_as_lost(reactor, pool):
+    results = ask(pool)
+    protocol = connect(reactor)
+    protocol.dataReceived(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    piece = b"100000\r\n" + b"x" * 0x100000 + b"\r\n"
+    for _ in range(MAX_RESPONSE_BYTES // 0x100000 + 1):
+        if not results:
+            protocol.dataReceived(piece)
+    assert results == [HttpLostError]
+
+
+def test_data_without_a_request_close_the_connection(reactor, pool):
+    ask(pool)
+    protocol = connect(reactor)
+    protocol.dataReceived(OK_RESPONSE)
+    protocol.dataReceived(OK_RESPONSE)
+    ask(pool)
+    assert pool.connections == 2
+
+
+@pytest.mark.parametrize(
+    "req",
+    [
+        HttpRequest("GET", "/a b"),
+        HttpRequest("GET", "/a\r\nX: y"),
+        HttpRequest("GET", "/a", headers=(("X", "y\r\nZ: 1"),)),
+        HttpRequest("GET", "/a", headers=(("X", "\N{SNOWMAN}"),)),
+    ],
+)
+def test_a_request_that_can_not_be_encoded_is_not_sent(reactor, pool, req):
+    assert ask(pool, req) == [HttpNotSentError]
+    assert pool.counts() == CallCounts(failed=1)
