Treat answers of instances that say too little as unknown

A listing with a missing or ill-typed field raised in the polling loop of its agent, which ended: the instance's leases were never renewed again. A start answered with 200 and an unreadable body raised too and stayed ordered. Any status but 200 counted as a refusal. A start whose first attempt got no answer was placed elsewhere once the second was refused, although the first may still be carried out. Change: an answer that can't be decoded, or has a status that says nothing, counts as none. After an attempt without an answer only an answer that the run exists settles a start; otherwise it is stopped first.

--- a/src/fighead/platform/instance.py
+++ b/src/fighead/platform/instance.py
@@ -32,13 +32,26 @@
 )
 
 Json = dict[str, t.Any]
-
+T = t.TypeVar("T")
+
+#: Raised when a body lacks a field, or when a field has an unexpected type or value.
+DECODE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 #: Prefix of the keys under which instances register themselves.
 INSTANCES_PREFIX = "servers/"
 OK = 200
 OTHER_INCARNATION_STATUS = 421
 TARGET_INSTANCE_HEADER = "Fighead-Target-Instance"
 UNHEALTHY_STATUSES = (429, 503)
+#: Statuses of a call that certainly had no effect.
+REFUSED_STATUSES = (400, 409, OTHER_INCARNATION_STATUS, *UNHEALTHY_STATUSES)
+_ENCODER = json.JSONEncoder(separators=(",", ":"), check_circular=False)
 #: Refusals by the ``Reason`` of the response.
 _REFUSAL_BY_REASON = {
     "fence": RefusalReason.FENCED,
@@ -81,7 +94,7 @@
             body["Checkpoint"] = order.checkpoint
         if order.ticket:
             body["Ticket"] = order.ticket
-        return int((await self._post("run-start", body, timeout))["ClockMs"])
+        return await self._call("run-start", body, timeout, _decode_clock)
 
     async def stop(self, order: StopRun, fence: int, timeout: dt.timedelta) -> None:
         """Stop a run; if its start arrives only later, the instance refuses it.
@@ -95,7 +108,7 @@
             "Run": order.number,
             "Fence": fence,
         }
-        await self._post("run-stop", body, timeout)
+        await self._call("run-stop", body, timeout, _decode_nothing)
 
     async def set_pace(self, order: PaceRun, fence: int, timeout: dt.timedelta) -> None:
         """Set the speed of a run to a percentage of its full speed.
@@ -108,7 +121,7 @@
             "Percent": order.percent,
             "Fence": fence,
         }
-        await self._post("pace", body, timeout)
+        await self._call("pace", body, timeout, _decode_nothing)
 
     async def renew_and_list(
         self,
@@ -132,13 +145,24 @@
             body["DeadlineMs"] = lease_until_ms
         if wait:
             body["WaitMs"] = int(wait.total_seconds() * 1000)
-        return _decode_listing(await self._post("hold", body, wait + timeout))
+        return await self._call("hold", body, wait + timeout, _decode_listing)
+
+    async def _call(
+        self,
+        call: str,
+        body: Json,
+        timeout: dt.timedelta,
+        decode: t.Callable[[Json], T],
+    ) -> T:
+        """Send a call and decode its answer.
 
-    async def _post(self, call: str, body: Json, timeout: dt.timedelta) -> Json:
+        An answer that can't be decoded may follow a call that took effect, so it
+        counts as a call without an answer.
+        """
         req = HttpRequest(
             "POST",
             f"/fighead/{call}",
-            json.dumps(body, separators=(",", ":")).encode(),
+            _ENCODER.encode(body).encode(),
             ((TARGET_INSTANCE_HEADER, self.instance.instance_id),),
         )
         try:
@@ -151,17 +175,31 @@
             raise WorkerUnreachableError(
                 str(exc), "No action needed: the call is retried."
             ) from exc
-        return self._decode_response(response)
+        answer = self._decode_response(response)
+        try:
+            return decode(answer)
+        except DECODE_ERRORS as exc:
+            raise WorkerUnreachableError(
+                f"Instance {self.instance.instance_id} answered {call} with a body "
+                f"that can't be read: {exc!r}.",
+                "No action needed: the call is retried.",
+            ) from exc
 
     def _decode_response(self, response: HttpResponse) -> Json:
         body = _parse_body(response)
-        if response.status != OK:
+        if response.status in REFUSED_STATUSES:
             raise WorkerRefusedError(
                 f"Instance {self.instance.instance_id} refused the call with status "
                 f"{response.status}.",
-                "No action needed: the scheduler places the task again.",
+                "No action needed: the task is placed again.",
                 _decode_refusal(response.status, body).value,
             )
+        if response.status != OK:
+            raise WorkerUnreachableError(
+                f"Instance {self.instance.instance_id} answered with status "
+                f"{response.status}, which doesn't tell whether the call took effect.",
+                "No action needed: the call is retried.",
+            )
         # After a restart, a later incarnation answers at the same address and id.
         if _decode_incarnation(body) not in ("", self.instance.incarnation):
             raise WorkerRefusedError(
@@ -175,7 +213,7 @@
 def _parse_body(response: HttpResponse) -> Json:
     try:
         body = json.loads(response.body) if response.body else {}
-    except ValueError:
+    except (ValueError, RecursionError):
         body = {}
     return body if isinstance(body, dict) else {}
 
@@ -185,7 +223,7 @@
         return RefusalReason.OTHER_INCARNATION
     if status in UNHEALTHY_STATUSES:
         return RefusalReason.UNHEALTHY
-    return _REFUSAL_BY_REASON.get(body.get("Reason", ""), RefusalReason.INVALID)
+    return _REFUSAL_BY_REASON.get(str(body.get("Reason")), RefusalReason.INVALID)
 
 
 def _decode_incarnation(body: Json) -> str:
@@ -211,9 +249,17 @@
     return TaskKey(job_id, int(occurrence), int(stage), int(index))
 
 
+def _decode_nothing(body: Json) -> None:
+    """Ignore the body of an answer whose status says all."""
+
+
+def _decode_clock(body: Json) -> int:
+    return _expect_number(body["ClockMs"])
+
+
 def _decode_listing(body: Json) -> Listing:
     return Listing(
-        int(body["ClockMs"]),
+        _expect_number(body["ClockMs"]),
         tuple(_decode_listed_run(row) for row in body.get("Running", ())),
         tuple(_decode_end(row) for row in body.get("Finished", ())),
     )
@@ -222,12 +268,24 @@
 def _decode_listed_run(row: t.Sequence[t.Any]) -> ListedRun:
     task, number, checkpoint, percent = row[:4]
     usage = row[4] if len(row) > 4 else 0
-    return ListedRun(decode_task(task), number, checkpoint, int(percent), int(usage))
+    return ListedRun(
+        decode_task(task),
+        _expect_number(number),
+        _expect_text(checkpoint),
+        _expect_number(percent),
+        _expect_number(usage),
+    )
 
 
 def _decode_end(row: t.Sequence[t.Any]) -> RunEnd:
     sequence, task, number, kind, checkpoint = row[:5]
-    return RunEnd(sequence, decode_task(task), number, EndKind(kind), checkpoint)
+    return RunEnd(
+        _expect_number(sequence),
+        decode_task(task),
+        _expect_number(number),
+        EndKind(kind),
+        _expect_text(checkpoint),
+    )
 
 
 def decode_instance(key: str, value: str) -> RegisteredInstance | None:
@@ -256,7 +314,7 @@
             # Minimum time in ms that a draining instance has left; absent otherwise.
             _expect_number(body.get("RemainingMs", 0)),
         )
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -7,7 +7,12 @@
 
 from ..clock import Clock, sleep
 from ..decisions.instance_tracking import latest_lease_expiry
-from ..exceptions import WorkerError, WorkerRefusedError, WorkerUnreachableError
+from ..exceptions import (
+    WorkerError,
+    WorkerNotReachedError,
+    WorkerRefusedError,
+    WorkerUnreachableError,
+)
 from ..job import TaskKey
 from ..mailbox import Mailbox, spawn
 from ..run import Listing, PaceRun, RefusalReason, RegisteredInstance, StartRun, StopRun
@@ -311,7 +316,13 @@
         self._report_failed_call(exc.message)
 
     async def _send_start(self, order: StartRun) -> None:
+        """Send a start until it is answered, at most ``MAX_START_ATTEMPTS`` times.
+
+        A start without an answer may be carried out later, also after a repetition
+        was refused, so only a stop settles it.
+        """
         refusal: RefusalReason | None = None
+        is_uncertain = False
         lease_until_ms = self._extend_leases()
         for _ in range(MAX_START_ATTEMPTS):
             if not self.may_act() or self._is_stopped:
@@ -322,6 +333,7 @@
             except WorkerRefusedError as exc:
                 refusal = RefusalReason(exc.reason)
             except WorkerUnreachableError as exc:
+                is_uncertain |= not isinstance(exc, WorkerNotReachedError)
                 self._report_failed_call(exc.message)
                 await sleep(self.clock, RETRY_PAUSE)
                 continue
@@ -331,6 +343,9 @@
                     refusal = None
                     continue
                 return
+            if is_uncertain and refusal not in (None, RefusalReason.STALE):
+                # The refusal says nothing about the attempt without an answer.
+                break
             self._report_start_answer(order, refusal)
             return
         self.report(StartUnanswered(self.identity, order.task, order.number))
--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,100 @@
+"""The agent of one instance: unanswered starts."""
+
+import datetime as dt
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock as TimerClock
+
+from fighead.clock import ReactorClock
+from fighead.exceptions import (
+    WorkerNotReachedError,
+    WorkerRefusedError,
+    WorkerUnreachableError,
+)
+from fighead.job import TaskKey
+from fighead.run import RefusalReason, RegisteredInstance, StartRun
+from fighead.tasks.agent import AgentTask, StartAnswered, StartUnanswered
+
+START_TIME = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
+LEASE = dt.timedelta(seconds=5)
+TASK = TaskKey("a" * 16, 0, 0, 0)
+LOST = WorkerUnreachableError("The answer was lost.", "Retry.")
+NOT_SENT = WorkerNotReachedError("No connection.", "Retry.")
+
+
+def refused(reason):
+    return WorkerRefusedError("Refused.", "Retry.", reason.value)
+
+
+class ScriptedInstance:
+    """Answers starts with the results of a script, and listings when told to."""
+
+    def __init__(self, start_results=()):
+        self.instance = RegisteredInstance("i-1", "1", "10.0.0.1:80", "u")
+        self.start_results = list(start_results)
+        self.listing_calls = []
+
+    async def start(self, order, lease_until_ms, fence, timeout):
+        result = self.start_results.pop(0)
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+    async def renew_and_list(self, fence, acknowledged, lease_until_ms, wait, timeout):
+        answer = Deferred()
+        self.listing_calls.append((acknowledged, answer))
+        return await answer
+
+
+@pytest.fixture
+def timer():
+    return TimerClock()
+
+
+def start_agent(timer, instance):
+    """Start an agent; return it and the list of its reports."""
+    reports = []
+    clock = ReactorClock(timer, START_TIME)
+    agent = AgentTask(instance, clock, LEASE, 1, lambda: True, reports.append)
+    agent.start()
+    return agent, reports
+
+
+def start_results(timer, results):
+    """Return the reports on a start that meets ``results``, one an attempt."""
+    agent, reports = start_agent(timer, ScriptedInstance(results))
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.1] * 20)
+    kinds = (StartAnswered, StartUnanswered)
+    return [report for report in reports if isinstance(report, kinds)]
+
+
+@pytest.mark.parametrize(
+    "reason",
+    [
+        RefusalReason.NO_ROOM,
+        RefusalReason.LATE,
+        RefusalReason.UNHEALTHY,
+        RefusalReason.INVALID,
+        RefusalReason.OTHER_INCARNATION,
+    ],
+)
+def test_a_refusal_does_not_settle_an_earlier_attempt_without_an_answer(timer, reason):
+    (report,) = start_results(timer, [LOST, refused(reason)])
+    assert report == StartUnanswered("i-1/1", TASK, 1)
+
+
+def test_a_refusal_settles_a_start_whose_first_attempt_was_not_sent(timer):
+    reason = RefusalReason.NO_ROOM
+    (report,) = start_results(timer, [NOT_SENT, refused(reason)])
+    assert report == StartAnswered("i-1/1", TASK, 1, reason)
+
+
+@pytest.mark.parametrize(
+    ("second", "refusal"), [(5, None), (refused(RefusalReason.STALE), "stale")]
+)
+def test_an_answer_that_the_run_exists_settles_the_start(timer, second, refusal):
+    (report,) = start_results(timer, [LOST, second])
+    assert isinstance(report, StartAnswered)
+    assert (report.refusal is None) == (refusal is None)
--- /dev/null
+++ b/tests/test_platform_instance.py
@@ -0,0 +1,133 @@
+"""Answers of the platform's instances that can't be read, or say too little."""
+
+import datetime as dt
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.defer import Deferred, succeed
+
+from fighead.exceptions import WorkerError, WorkerRefusedError, WorkerUnreachableError
+from fighead.http_client import HttpResponse
+from fighead.job import TaskKey
+from fighead.platform.instance import PlatformInstanceClient, decode_instance
+from fighead.run import Listing, RegisteredInstance, StartRun, StopRun
+
+TIMEOUT = dt.timedelta(seconds=1)
+TASK = TaskKey("5c0e7a21d94b36f8", 0, 0, 1)
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner)
+    ),
+    max_leaves=12,
+)
+LISTING = {
+    "ClockMs": 5,
+    "Running": [["5c0e7a21d94b36f8.0.0.1", 1, "", 40, 900]],
+    "Finished": [[1, "5c0e7a21d94b36f8.0.0.2", 1, "done", ""]],
+}
+
+
+class Pool:
+    """Answers each request with the same response."""
+
+    def __init__(self, status, body):
+        self.response = HttpResponse(status, body)
+
+    def request(self, _address, _req, _timeout):
+        return succeed(self.response)
+
+
+def result_of(coroutine):
+    """Return what a coroutine that needs no reactor returns or raises."""
+    results = []
+    Deferred.fromCoroutine(coroutine).addBoth(results.append)
+    (result,) = results
+    if hasattr(result, "raiseException"):
+        result.raiseException()
+    return result
+
+
+def make_client(status, body):
+    instance = RegisteredInstance("i-1", "", "10.0.0.1:80", "u")
+    return PlatformInstanceClient(Pool(status, body), instance)
+
+
+def list_runs(client):
+    return result_of(client.renew_and_list(1, 0, 0, dt.timedelta(), TIMEOUT))
+
+
+def start(client):
+    return result_of(client.start(StartRun(TASK, 1, "x"), 100, 1, TIMEOUT))
+
+
+def test_a_listing_is_read():
+    listing = list_runs(make_client(200, json.dumps(LISTING).encode()))
+    assert listing.running[0].task == TASK and listing.ended[0].sequence == 1
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"ClockMs": None},
+        {"ClockMs": "5"},
+        {"ClockMs": float("inf")},
+        {"Running": 5},
+        {"Running": [[]]},
+        {"Running": [["5c0e.0.0", 1, "", 40]]},
+        {"Running": [["5c0e.0.0.1", "1", "", 40]]},
+        {"Running": [["5c0e.0.0.1", 1, 7, 40]]},
+        {"Finished": [[1, "5c0e.0.0.1", 1, "vanished", ""]]},
+        {"Finished": [["1", "5c0e.0.0.1", 1, "done", ""]]},
+        {"Finished": [{}]},
+    ],
+)
+def test_a_listing_that_can_not_be_read_counts_as_unanswered(change):
+    with pytest.raises(WorkerUnreachableError):
+        list_runs(make_client(200, json.dumps(LISTING | change).encode()))
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[" * 100_000, b"null", b"[1]"])
+def test_a_start_answered_with_an_unreadable_body_may_have_run(body):
+    with pytest.raises(WorkerUnreachableError):
+        start(make_client(200, body))
+
+
+@pytest.mark.parametrize("status", [500, 502, 504, 404, 204])
+def test_other_statuses_do_not_say_that_a_start_had_no_effect(status):
+    with pytest.raises(WorkerUnreachableError):
+        start(make_client(status, b"{}"))
+
+
+@pytest.mark.parametrize("status", [400, 409, 421, 429, 503])
+@pytest.mark.parametrize("body", [b"", b'{"Reason":["room"]}', b'{"Reason":7}', b"x"])
+def test_a_refusal_without_a_known_reason_is_a_refusal(status, body):
+    with pytest.raises(WorkerRefusedError):
+        start(make_client(status, body))
+
+
+def test_a_stop_is_answered_by_its_status_alone():
+    client = make_client(200, b"no JSON")
+    assert result_of(client.stop(StopRun(TASK, 1), 1, TIMEOUT)) is None
+
+
+@given(JSON_VALUES)
+def test_any_body_of_a_listing_is_read_or_refused(value):
+    try:
+        found = list_runs(make_client(200, json.dumps(value).encode()))
+    except WorkerError:
+        return
+    assert isinstance(found, Listing)
+
+
+@given(JSON_VALUES, JSON_VALUES)
+def test_any_registration_is_read_or_names_no_instance(value, field):
+    for body in (value, {"State": "ready", "Capacity": field, "Labels": field}):
+        found = decode_instance("servers/a", json.dumps(body))
+        assert found is None or isinstance(found, RegisteredInstance)
+
+
+def test_a_deeply_nested_registration_names_no_instance():
+    assert decode_instance("servers/a", "[" * 100_000) is None
