Spend less on dropped log lines and on messages of peers

Change: a line that would be dropped is dropped before it is rendered; bytes in messages of peers stay bytes.

--- a/src/fighead/codec.py
+++ b/src/fighead/codec.py
@@ -29,7 +29,22 @@
     return converter
 
 
+def _make_wire_converter() -> cattrs.Converter:
+    """Return a converter that leaves bytes as they are; JSON needs them as text."""
+    converter = _make_converter()
+    converter.register_unstructure_hook(bytes, lambda data: data)
+    converter.register_structure_hook(bytes, _expect_bytes)
+    return converter
+
+
+def _expect_bytes(data: t.Any, _: type) -> bytes:
+    if not isinstance(data, bytes):
+        raise TypeError(f"expected bytes, got {type(data).__name__}")
+    return data
+
+
 _CONVERTER = _make_converter()
+_WIRE_CONVERTER = _make_wire_converter()
 
 
 def to_json(value: t.Any) -> str:
@@ -53,7 +68,7 @@
 
 def to_wire(value: t.Any) -> bytes:
     """Encode a message for a peer as msgpack, tagged with its class name."""
-    body = _CONVERTER.unstructure(value)
+    body = _WIRE_CONVERTER.unstructure(value)
     return msgpack.packb((type(value).__name__, body))
 
 
@@ -65,7 +80,7 @@
     """
     try:
         name, body = msgpack.unpackb(frame)
-        return _CONVERTER.structure(body, registry[name])
+        return _WIRE_CONVERTER.structure(body, registry[name])
     except Exception as exc:
         raise RequestError(
             f"A message from a peer can't be decoded: {_describe_error(exc)}.",
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -142,10 +142,12 @@
 )
 
 
+_LOGGER = structlog.get_logger()
+
+
 def log_event(event: Event, **fields: t.Any) -> None:
     """Log ``event`` with ``fields``, which must hold no secrets or request bodies."""
-    logger = structlog.get_logger()
-    write = getattr(logger, event.level)
+    write = getattr(_LOGGER, event.level)
     write(event.text, number=event.number, event_name=event.name.lower(), **fields)
 
 
@@ -186,10 +188,22 @@
 
     error = critical = failure = warning
 
-    def _write(self, message: str, min_tokens: float) -> None:
+    def admits(self, is_kept: bool) -> bool:
+        """Whether a line could be written now; one that could not counts as dropped.
+
+        :param is_kept: Whether the line may overdraw the bucket.
+        """
+        return self._admits(-float(BURST_LINES) if is_kept else 0.0)
+
+    def _admits(self, min_tokens: float) -> bool:
         self._refill()
         if self._tokens <= min_tokens or not self._flush():
             self.dropped_lines += 1
+            return False
+        return True
+
+    def _write(self, message: str, min_tokens: float) -> None:
+        if not self._admits(min_tokens):
             return
         self._tokens -= 1
         if self.dropped_lines:
@@ -216,6 +230,19 @@
         return not self._unwritten
 
 
+def drop_excess(
+    logger: t.Any, method: str, fields: structlog.typing.EventDict
+) -> structlog.typing.EventDict:
+    """Drop a line that the writer would drop, before it is rendered.
+
+    :raises structlog.DropEvent: If the line is dropped.
+    """
+    is_kept = method not in ("info", "debug") or fields.get("number") in KEPT_NUMBERS
+    if not logger.admits(is_kept):
+        raise structlog.DropEvent
+    return fields
+
+
 def _make_renderer() -> structlog.typing.Processor:
     """Return a processor that renders a line as JSON and says whether to keep it."""
     render = structlog.processors.JSONRenderer(default=str)
@@ -232,6 +259,7 @@
 def make_processors() -> list[structlog.typing.Processor]:
     """Return the processors that turn an event into a call of the writer."""
     return [
+        drop_excess,
         structlog.contextvars.merge_contextvars,
         structlog.processors.add_log_level,
         structlog.processors.TimeStamper(fmt="iso", utc=True),
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -87,3 +87,23 @@
     for _ in range(3 * BURST_LINES):
         log.msg("{}", is_kept=True)
     assert log.dropped_lines == BURST_LINES
+
+
+def test_a_line_that_is_dropped_is_not_rendered(pipe):
+    reader, writer = pipe
+    log = BoundedWriter(writer, ManualTime())
+    rendered = []
+
+    class Field:
+        def __str__(self):
+            rendered.append(self)
+            return "x"
+
+    logger = structlog.wrap_logger(log, make_processors())
+    for _ in range(BURST_LINES):
+        logger.info("x", number=Event.RUN_ORDERED.number)
+        read_lines(reader)
+    logger.info("x", number=Event.RUN_ORDERED.number, field=Field())
+    assert not rendered and log.dropped_lines == 1
+    logger.warning("x", number=Event.INSTANCE_SILENT.number, field=Field())
+    assert len(rendered) == 1
