Write endings at once, and transactions of one request side by side

A request was written one transaction after the other, and an ending waited up to 80 ms for the next request behind the progress of other jobs. Change: up to four transactions of a request are under way at once, which write different jobs; between two writes of progress endings alone are written, with no acknowledgement. A term that ends is told once, at the end of the request.

--- a/src/fighead/tasks/recorder.py
+++ b/src/fighead/tasks/recorder.py
@@ -1,9 +1,11 @@
 """The task that stores the progress and the endings of jobs."""
 
+import collections
 import datetime as dt
 import typing as t
 
 from attrs import define, evolve, field, frozen
+from twisted.internet.defer import Deferred, gatherResults
 
 from ..clock import Clock, sleep
 from ..codec import to_json
@@ -33,6 +35,9 @@
 ENDING_TXN_ENTRIES = 6
 #: Transaction entries reserved for the progress of one job.
 PROGRESS_TXN_ENTRIES = 2
+#: Maximum number of transactions of one request that are under way at once. It leaves
+#: connections to the store for watches and renewals.
+MAX_CONCURRENT_TXNS = 4
 #: Delay before a failed write is retried.
 RETRY_PAUSE = dt.timedelta(milliseconds=200)
 
@@ -62,8 +67,8 @@
 class RecordJobs:
     """Requests writes under a fence.
 
-    Each transaction is answered with a :class:`JobsRecorded`, until the last or one
-    :class:`LeadershipLost`.
+    Each transaction that was made is answered with a :class:`JobsRecorded`. Unless all
+    were made, the last answer is one :class:`LeadershipLost`.
 
     :param writes: At least one write, at most one of each job.
     :param end_sequences: Highest sequence number of the run ends whose effects are
@@ -105,10 +110,26 @@
     fence: int
 
 
+@define(eq=False)
+class _Request:
+    """A request in progress.
+
+    :param batches: Transactions that have not begun, in the order of their start.
+    :param unmade_count: Number of transactions that have not been made.
+    :param is_lost: Whether the leader's key has changed.
+    """
+
+    msg: RecordJobs
+    batches: collections.deque[tuple[JobWrite, ...]]
+    unmade_count: int
+    is_lost: bool = False
+
+
 @define(eq=False)
 class RecorderTask:
-    """Stores progress and endings, one transaction at a time.
+    """Stores progress and endings, one request after the other.
 
+    The transactions of a request write different jobs, so some are under way at once.
     Endings go first, since clients wait for them; each transaction is reported when
     it has been made. A write whose answer was lost is retried. Each write expects a
     revision, so that a delayed one can't overwrite a later one.
@@ -122,24 +143,41 @@
     async def run(self) -> None:
         """Process requests one after the other until cancelled."""
         while True:
-            request = await self.mailbox.get()
-            batches = _split_into_batches(request.writes)
-            for number, batch in enumerate(batches, start=1):
-                recorded = await self._write(
-                    request.fence, batch, JobsRecorded(request.fence, batch)
+            msg = await self.mailbox.get()
+            batches = _split_into_batches(msg.writes)
+            request = _Request(msg, collections.deque(batches), len(batches))
+            count = min(MAX_CONCURRENT_TXNS, len(batches))
+            await gatherResults(
+                [
+                    Deferred.fromCoroutine(self._write_batches(request))
+                    for _ in range(count)
+                ],
+                consumeErrors=True,
+            )
+            if request.is_lost:
+                self.report(LeadershipLost(msg.fence))
+
+    async def _write_batches(self, request: _Request) -> None:
+        while request.batches and not request.is_lost:
+            batch = request.batches.popleft()
+            recorded = await self._write(
+                request, batch, JobsRecorded(request.msg.fence, batch)
+            )
+            if recorded is None:
+                return
+            request.unmade_count -= 1
+            if request.unmade_count == 0:
+                recorded = evolve(
+                    recorded, end_sequences=request.msg.end_sequences, is_last=True
                 )
-                if recorded is None:
-                    break
-                if number == len(batches):
-                    recorded = evolve(
-                        recorded, end_sequences=request.end_sequences, is_last=True
-                    )
-                self.report(recorded)
+            self.report(recorded)
 
     async def _write(
-        self, fence: int, batch: tuple[JobWrite, ...], recorded: JobsRecorded
+        self, request: _Request, batch: tuple[JobWrite, ...], recorded: JobsRecorded
     ) -> JobsRecorded | None:
-        while batch:
+        """Write a batch; return ``None`` if the leader's key has changed."""
+        fence = request.msg.fence
+        while batch and not request.is_lost:
             txn = _make_txn(fence, batch)
             try:
                 result: TxnResult = await self.store.call(txn, STORE_TIMEOUT)
@@ -151,10 +189,10 @@
                 return _add_revisions(recorded, batch, result.revision)
             stored = {kv.key: kv for kv in result.kvs}
             if _mod_revision(stored, JOB_LEADER_KEY) != fence:
-                self.report(LeadershipLost(fence))
+                request.is_lost = True
                 return None
             batch, recorded = _reconcile(batch, stored, recorded)
-        return recorded
+        return None if batch else recorded
 
 
 def _split_into_batches(writes: tuple[JobWrite, ...]) -> list[tuple[JobWrite, ...]]:
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -73,7 +73,8 @@
 
 #: Delay between a change and the placement of tasks, so that changes are batched.
 PLACEMENT_DELAY = dt.timedelta(milliseconds=5)
-#: Minimum time between two writes of changed jobs, since each write is billed.
+#: Minimum time between two writes of progress, since each write is billed. Endings, for
+#: which clients wait, are written at once.
 MIN_FLUSH_INTERVAL = dt.timedelta(milliseconds=80)
 #: Interval at which timeouts are checked.
 TICK_INTERVAL = dt.timedelta(milliseconds=100)
@@ -731,16 +732,22 @@
         self.metrics.record_placement(duration_s)
 
     def _flush(self, now: dt.datetime) -> None:
-        """Write changed jobs, and acknowledge the run ends whose effects are stored."""
+        """Write changed jobs, and acknowledge the run ends whose effects are stored.
+
+        Between two writes of progress only endings are written. No run end is
+        acknowledged with those, since some of its effects may be progress.
+        """
         if self._is_writing or not self._is_loaded:
             return
-        if self._flushed_at is not None and now - self._flushed_at < MIN_FLUSH_INTERVAL:
-            return
-        end_sequences = self._unacknowledged_sequences()
-        jobs = [
+        is_progress_due = (
+            self._flushed_at is None or now - self._flushed_at >= MIN_FLUSH_INTERVAL
+        )
+        unsaved = [
             self.schedule.jobs[job_id] for job_id in sorted(self.schedule.unsaved_jobs)
         ]
-        self.schedule.unsaved_jobs.clear()
+        jobs = [job for job in unsaved if is_progress_due or job.is_ended]
+        end_sequences = self._unacknowledged_sequences() if is_progress_due else {}
+        self.schedule.unsaved_jobs.difference_update(job.job_id for job in jobs)
         # The later of both clocks: a time of day that is behind must not make an end
         # seem past its retention.
         ended_at = max(now, self.schedule.wall_time(now))
@@ -750,7 +757,9 @@
         if not writes:
             self._acknowledge_ends(end_sequences)
             return
-        self._is_writing, self._flushed_at = True, now
+        if is_progress_due:
+            self._flushed_at = now
+        self._is_writing = True
         self._write_requested_s = self.steady_s()
         self._recorder.mailbox.offer(
             RecordJobs(self.schedule.fence, writes, end_sequences)
