Wait for the acknowledgement before the next listing

Cause: an instance answers a listing at once while an end is not acknowledged. Change: after a listing with ends the next one waits for their acknowledgement, for 100 ms at most as before.

--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from attrs import define, field, frozen
+from twisted.internet.defer import Deferred
 
 from ..clock import Clock, sleep
 from ..decisions.instance_tracking import latest_lease_expiry
@@ -27,7 +28,8 @@
 #: Number of times a start is sent; if none is answered, the run is stopped.
 MAX_START_ATTEMPTS = 2
 #: Delay before the next listing if the last one was answered within this time and
-#: had no new end.
+#: had no new end. While an end is not acknowledged, an instance answers at once, so
+#: that the next listing waits as long for the acknowledgement.
 UNCHANGED_LISTING_DELAY = dt.timedelta(milliseconds=100)
 
 
@@ -196,6 +198,8 @@
     _leases_extended_at: dt.datetime | None = None
     _is_answering: bool = False
     _is_stopped: bool = False
+    #: Fired when all ends listed so far are acknowledged.
+    _acknowledgement: Deferred[None] | None = None
     _deferreds: t.Any = None
 
     @property
@@ -224,9 +228,7 @@
                 case PaceRun():
                     spawn(self._send_pace(order))
                 case Acknowledge(sequence):
-                    self._acknowledged_sequence = max(
-                        self._acknowledged_sequence, sequence
-                    )
+                    self._acknowledge(sequence)
                 case SetFence(fence):
                     self.fence = max(self.fence, fence)
 
@@ -246,9 +248,35 @@
                 continue
             has_new_end = self._report_listing(listing, sent_at)
             wait = LISTING_WAIT
-            if not has_new_end and self.clock.now() - sent_at < UNCHANGED_LISTING_DELAY:
+            if self._last_end_sequence > self._acknowledged_sequence:
+                await self._await_acknowledgement()
+            elif (
+                not has_new_end and self.clock.now() - sent_at < UNCHANGED_LISTING_DELAY
+            ):
                 await sleep(self.clock, UNCHANGED_LISTING_DELAY)
 
+    async def _await_acknowledgement(self) -> None:
+        """Wait until all listed ends are acknowledged, but not for long."""
+        self._acknowledgement = Deferred()
+        # The timer fires it with a result, so that no error has to be handled.
+        pending = self._acknowledgement
+        timer = self.clock.call_later(
+            UNCHANGED_LISTING_DELAY, lambda: pending.callback(None)
+        )
+        try:
+            await pending
+        finally:
+            self._acknowledgement = None
+            if timer.active():
+                timer.cancel()
+
+    def _acknowledge(self, sequence: int) -> None:
+        self._acknowledged_sequence = max(self._acknowledged_sequence, sequence)
+        is_complete = self._acknowledged_sequence >= self._last_end_sequence
+        pending = self._acknowledgement
+        if is_complete and pending is not None and not pending.called:
+            pending.callback(None)
+
     async def _request_listing(self, wait: dt.timedelta) -> Listing:
         # An instance whose answers are lost may still receive calls. Its leases are
         # not extended, so that the time of their expiry stays known.
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,4 +1,4 @@
-"""The agent of one instance: unanswered starts."""
+"""The agent of one instance: unanswered starts, and the pace of its listings."""
 
 import datetime as dt
 
@@ -13,8 +13,15 @@
     WorkerUnreachableError,
 )
 from fighead.job import TaskKey
-from fighead.run import RefusalReason, RegisteredInstance, StartRun
-from fighead.tasks.agent import AgentTask, StartAnswered, StartUnanswered
+from fighead.run import (
+    EndKind,
+    Listing,
+    RefusalReason,
+    RegisteredInstance,
+    RunEnd,
+    StartRun,
+)
+from fighead.tasks.agent import Acknowledge, AgentTask, StartAnswered, StartUnanswered
 
 START_TIME = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
 LEASE = dt.timedelta(seconds=5)
@@ -98,3 +105,53 @@
     (report,) = start_results(timer, [LOST, second])
     assert isinstance(report, StartAnswered)
     assert (report.refusal is None) == (refusal is None)
+
+
+def list_ends(instance, *sequences):
+    """Answer the latest listing with ends of these sequence numbers."""
+    ends = tuple(RunEnd(n, TASK, n, EndKind.DONE, "") for n in sequences)
+    instance.listing_calls[-1][1].callback(Listing(0, (), ends))
+
+
+def test_no_listing_is_requested_until_listed_ends_are_acknowledged(timer):
+    instance = ScriptedInstance()
+    agent, _ = start_agent(timer, instance)
+    list_ends(instance, 1, 2)
+    timer.advance(0.03)
+    assert len(instance.listing_calls) == 1
+    agent.mailbox.offer(Acknowledge(1))
+    timer.advance(0.03)
+    assert len(instance.listing_calls) == 1
+    agent.mailbox.offer(Acknowledge(2))
+    assert [sequence for sequence, _ in instance.listing_calls] == [0, 2]
+
+
+def test_listings_go_on_while_ends_can_not_be_acknowledged(timer):
+    instance = ScriptedInstance()
+    _, reports = start_agent(timer, instance)
+    for count in range(1, 11):
+        assert len(instance.listing_calls) == count
+        list_ends(instance, 1)
+        timer.pump([0.05, 0.051])
+    assert len(reports) == 10
+
+
+def test_a_listing_follows_at_once_if_its_ends_are_acknowledged_already(timer):
+    instance = ScriptedInstance()
+    agent, _ = start_agent(timer, instance)
+    list_ends(instance, 1)
+    agent.mailbox.offer(Acknowledge(1))
+    timer.advance(0.5)
+    list_ends(instance)
+    timer.advance(0.001)
+    assert len(instance.listing_calls) == 3
+
+
+def test_an_agent_that_waits_for_an_acknowledgement_can_be_stopped(timer):
+    instance = ScriptedInstance()
+    agent, _ = start_agent(timer, instance)
+    list_ends(instance, 1)
+    agent.stop()
+    timer.advance(1)
+    assert len(instance.listing_calls) == 1
+    assert not timer.getDelayedCalls()
