Limit starts without an answer, and hold back no filler that fits

Cause: on the small twin of the large fleet (22 entries of 0.12 cores on 2 Mbit/s) a round sent all starts that fitted: 184 to 308 in one pass, 0.5 to 1.2 s of work, behind which renewals waited until the lease had expired. Eight leaders fell one after the other, each with more waiting tasks. Change: a window of starts in flight (decisions/start_window.py). While it is full it follows the rate of answers, and it falls while even the quickest answers take 175 ms longer than the shortest. Tasks beyond it wait in the queue, the most urgent first. Two known failures of placement are fixed with it: a filler counts as unplaceable only if one that needs no more has found no instance, and starts to count as starved when it is skipped. Builders of schedules for tests set no limit, except where it is tested.

--- a/src/fighead/decisions/load_watch.py
+++ b/src/fighead/decisions/load_watch.py
@@ -156,6 +156,8 @@
         "instances": load.instances,
         "unsaved_jobs": load.unsaved_jobs,
         "write_age_ms": _to_ms(load.write_age_s),
+        "start_limit": load.start_limit,
+        "starts_in_flight": load.starts_in_flight,
         "store_calls": store.sent,
         "store_failed": store.failed,
         "store_timed_out": store.timed_out,
--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -11,10 +11,16 @@
 
 from attrs import define, field
 
-from ..job import JobPhase, Stage
+from ..job import JobPhase, Stage, TaskKey
 from ..log import Event
 from ..run import StartRun
-from . import filler_control, instance_health, interference, job_value
+from . import (
+    filler_control,
+    instance_health,
+    interference,
+    job_value,
+    start_window,
+)
 from .candidates import Candidates, Evaluate
 from .filler_control import FillerImpact, InstanceSlack
 from .run_updates import add_run
@@ -76,11 +82,17 @@
 def place_waiting_tasks(schedule: Schedule, now: dt.datetime) -> list[Effect]:
     """Start as many waiting tasks as fit, the most urgent jobs first.
 
-    Updates the schedule, and returns the orders to send and the notes to log.
+    The entry's limit of starts in flight ends a round early. Updates the schedule, and
+    returns the orders to send and the notes to log.
     """
     effects: list[Effect] = []
-    round_ = PlacementRound(schedule, now)
+    max_starts = schedule.start_window.free_starts()
+    if max_starts == 0:
+        return effects
+    round_ = PlacementRound(schedule, now, max_starts)
     for job, stage in _waiting_stages(schedule, now):
+        if round_.is_full():
+            break
         if stage.spec.is_gang:
             effects += _place_gang(round_, job, stage)
         else:
@@ -104,6 +116,7 @@
 class PlacementRound:
     """One round of placement, and the values cached during it.
 
+    :param max_starts: Number of starts after which the round ends; a gang may exceed it.
     :param states: All instances, in the order of the schedule.
     :param positions: Position in ``states``, by instance ID.
     :param changes: Position of the instance of each start in this round.
@@ -114,12 +127,13 @@
     :param tolerances: Share of filler images tolerated, by set of serving images.
     :param tolerant_images: Whether a serving image tolerates most filler images.
     :param similar_images: Whether two serving images are similarly sensitive.
-    :param unplaceable_cpu: Lowest processor demand in millicores, by filler image,
-        for which no instance was found in this round.
+    :param unplaceable: Fillers for which no instance was found in this round, by
+        upstream and image.
     """
 
     schedule: Schedule
     now: dt.datetime
+    max_starts: float
     states: list[InstanceState] = field(init=False)
     positions: dict[str, int] = field(init=False)
     changes: list[int] = field(factory=list)
@@ -130,7 +144,7 @@
     tolerances: dict[frozenset[str], float] = field(factory=dict)
     tolerant_images: dict[str, bool] = field(factory=dict)
     similar_images: dict[tuple[str, str], bool] = field(factory=dict)
-    unplaceable_cpu: dict[str, int] = field(factory=dict)
+    unplaceable: dict[tuple[str, str], list[Stage]] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.states = list(self.schedule.instances.values())
@@ -147,8 +161,18 @@
             found.evaluate_changed(evaluate, self.changes)
         return found
 
-    def note_start(self, state: InstanceState, stage: StageState) -> None:
-        """Take into account that a task of a stage has started on an instance."""
+    def is_full(self) -> bool:
+        """Whether no more starts may be sent in this round."""
+        return len(self.changes) >= self.max_starts
+
+    def note_start(
+        self, state: InstanceState, stage: StageState, run: tuple[TaskKey, int]
+    ) -> None:
+        """Take into account that a task of a stage has started on an instance.
+
+        :param run: Key of the task and number of its run.
+        """
+        start_window.note_start(self.schedule.start_window, run, self.now)
         self.changes.append(self.positions[state.instance.instance_id])
         self.used_cpu += stage.spec.demand.cpu
 
@@ -168,6 +192,21 @@
         tolerance = self.tolerance_of(state)
         return tolerance if tolerance >= interference.TOLERANT_SHARE else None
 
+    def is_unplaceable(self, upstream: str, spec: Stage) -> bool:
+        """Whether a filler that needs no more than this one has found no instance."""
+        return any(
+            _needs_no_more(failed, spec)
+            for failed in self.unplaceable.get((upstream, spec.image), ())
+        )
+
+    def note_unplaceable(self, upstream: str, spec: Stage) -> None:
+        """Remember a filler that has found no instance.
+
+        One with a limit per instance may have failed by that alone.
+        """
+        if not spec.max_per_instance:
+            self.unplaceable.setdefault((upstream, spec.image), []).append(spec)
+
     def slack_of(self, state: InstanceState) -> InstanceSlack:
         """Return the slack of an instance, less what this round has reserved."""
         instance_id = state.instance.instance_id
@@ -219,6 +258,20 @@
         return self.similar_images[one, other]
 
 
+def _needs_no_more(one: Stage, other: Stage) -> bool:
+    """Whether each instance that can take ``other`` can take ``one`` too.
+
+    Both are fillers of the same upstream and image, ``one`` without a limit per
+    instance.
+    """
+    return (
+        one.required_label in ("", other.required_label)
+        and one.cpu <= other.cpu
+        and one.memory_mb <= other.memory_mb
+        and one.gpu <= other.gpu
+    )
+
+
 def _waiting_stages(
     schedule: Schedule, now: dt.datetime
 ) -> list[tuple[JobState, StageState]]:
@@ -252,9 +305,12 @@
     round_: PlacementRound, job: JobState, stage: StageState
 ) -> list[Effect]:
     spec = stage.spec
-    is_unplaceable = spec.cpu >= round_.unplaceable_cpu.get(spec.image, spec.cpu + 1)
-    if spec.is_filler and is_unplaceable and not _is_starved(round_, job, stage):
-        return []
+    upstream = job.queue.upstream
+    if spec.is_filler and round_.is_unplaceable(upstream, spec):
+        first = stage.tasks[min(stage.waiting_indexes)]
+        first.waiting_since = first.waiting_since or round_.now
+        if not _is_starved(round_, job, stage):
+            return []
     effects: list[Effect] = []
     for index in sorted(stage.waiting_indexes):
         task = stage.tasks[index]
@@ -262,7 +318,7 @@
         state = _choose_instance(round_, job, stage, task)
         if state is None:
             if spec.is_filler:
-                round_.unplaceable_cpu[spec.image] = spec.cpu
+                round_.note_unplaceable(upstream, spec)
             break
         if spec.is_filler:
             filler_control.reserve_slack(
@@ -273,7 +329,9 @@
             )
         number = max(task.highest_run_number + 1, round_.schedule.first_run_number)
         effects += _start(job, stage, task, state, number, round_.now)
-        round_.note_start(state, stage)
+        round_.note_start(state, stage, (task.key, number))
+        if round_.is_full():
+            break
     return effects
 
 
@@ -531,7 +589,7 @@
     for task, state in zip(stage.tasks, chosen, strict=True):
         task.checkpoint = checkpoint
         effects += _start(job, stage, task, state, number, round_.now)
-        round_.note_start(state, stage)
+        round_.note_start(state, stage, (task.key, number))
     return effects
 
 
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -12,6 +12,7 @@
 from ..log import Event
 from ..run import PaceRun, RegisteredInstance, StartRun, StopRun
 from .interference import Interference, StageId
+from .start_window import StartWindow
 
 #: Run numbers reserved for each term, per task.
 RUNS_PER_TERM = 10_000
@@ -291,6 +292,7 @@
     :param log_duration_ratios: Typical natural logarithm of actual to estimated run
         time, by queue.
     :param wall_offset: By how much the time of day is ahead of the entry's clock.
+    :param start_window: The starts without an answer, and their limit.
     :param regroup_attempted_at: When regrouping last looked for a serving task to move
         for a waiting filler, whether or not it found one.
     """
@@ -312,6 +314,7 @@
     log_duration_ratios: dict[str, float] = field(factory=dict)
     wall_offset: dt.timedelta = dt.timedelta()
     regroup_attempted_at: dt.datetime | None = None
+    start_window: StartWindow = field(factory=StartWindow)
 
     def fence_for(self, state: InstanceState) -> int:
         """Return the fence to send with orders to an instance.
--- /dev/null
+++ b/src/fighead/decisions/start_window.py
@@ -0,0 +1,131 @@
+"""Limits the starts that have no answer yet to what this entry can carry.
+
+The load that this is built for: bursts of wide jobs, and the backlog that a scheduler
+finds after its election. Each start costs processor time and bandwidth of the entry.
+If all starts that fit are sent at once, renewals of the leader's lease and listings
+wait behind them, the lease expires, and the next scheduler finds an even larger
+backlog. With a limit, waiting tasks stay in the queue, where the most urgent go first.
+
+The limit follows the answers. While it is reached, it approaches the number that is
+answered within the delay that is tolerated. It falls while even the quickest answers
+take longer, which congestion of this entry explains and slow instances do not.
+"""
+
+import collections
+import datetime as dt
+
+from attrs import define, field
+
+from ..job import TaskKey
+
+#: Starts in flight that are always allowed, and those allowed at first.
+MIN_STARTS = 8
+INITIAL_STARTS = 32
+#: More starts than any entry has been seen to send in a second.
+MAX_STARTS = 2000
+#: By how much the quickest answers may exceed the shortest time of any answer. It is a
+#: quarter of the timeout of a renewal, which waits as long.
+MAX_ADDED_DELAY = dt.timedelta(milliseconds=175)
+#: Share of the answers that count as the quickest.
+QUICKEST_SHARE = 0.25
+#: Factor of the limit for each interval with slow answers, and largest factor of one
+#: with quick answers.
+DECREASE = 0.7
+INCREASE = 1.5
+#: How far the limit may exceed what the rate of answers suggests, so that it can rise.
+HEADROOM = 1.25
+#: Number of intervals of which the highest rate of answers counts: about a second.
+RATE_INTERVALS = 10
+#: Time after which a start counts as answered: it is repeated or stopped by then.
+MAX_FLIGHT_TIME = dt.timedelta(seconds=2)
+#: Share of the limit that must be free for the next starts, so that they are sent in
+#: groups and few rounds of placement are made while many tasks wait.
+MIN_FREE_SHARE = 0.25
+
+#: A task and the number of its run.
+StartId = tuple[TaskKey, int]
+
+
+@define(eq=False)
+class StartWindow:
+    """The starts in flight and their limit.
+
+    :param limit: Number of starts that may be in flight.
+    :param sent_at: When each start in flight was ordered.
+    :param answer_times: How long the answers of the current interval took.
+    :param shortest: Shortest time of any answer so far.
+    :param was_full: Whether the limit was reached in the current interval.
+    :param rates: Answers per second in the latest intervals.
+    :param adjusted_at: When the current interval began.
+    """
+
+    limit: float = INITIAL_STARTS
+    sent_at: dict[StartId, dt.datetime] = field(factory=dict)
+    answer_times: list[dt.timedelta] = field(factory=list)
+    shortest: dt.timedelta | None = None
+    was_full: bool = False
+    rates: collections.deque[float] = field(
+        factory=lambda: collections.deque(maxlen=RATE_INTERVALS)
+    )
+    adjusted_at: dt.datetime | None = None
+
+    def free_starts(self) -> float:
+        """Return the starts that may be sent now; 0 until a group of them is free."""
+        free = self.limit - len(self.sent_at)
+        if free < self.limit * MIN_FREE_SHARE:
+            self.was_full = True
+            return 0
+        return free
+
+
+def note_start(window: StartWindow, start: StartId, now: dt.datetime) -> None:
+    """Count a start that is being sent."""
+    window.sent_at[start] = now
+    if len(window.sent_at) >= window.limit:
+        window.was_full = True
+
+
+def note_answer(window: StartWindow, start: StartId, now: dt.datetime) -> None:
+    """Take into account that an instance has answered a start."""
+    sent_at = window.sent_at.pop(start, None)
+    if sent_at is None:
+        return
+    took = now - sent_at
+    window.answer_times.append(took)
+    if window.shortest is None or took < window.shortest:
+        window.shortest = took
+
+
+def forget_start(window: StartWindow, start: StartId) -> None:
+    """No longer count a start that gets no answer."""
+    window.sent_at.pop(start, None)
+
+
+def adjust(window: StartWindow, now: dt.datetime) -> None:
+    """Adapt the limit to the answers since the last call; called at short intervals."""
+    if window.adjusted_at is not None and now > window.adjusted_at:
+        interval_s = (now - window.adjusted_at).total_seconds()
+        window.rates.append(len(window.answer_times) / interval_s)
+    window.adjusted_at = now
+    if window.answer_times and window.shortest is not None:
+        window.limit = max(
+            float(MIN_STARTS), _next_limit(window, window.shortest + MAX_ADDED_DELAY)
+        )
+    window.answer_times.clear()
+    window.was_full = False
+    # Starts are ordered by the time at which they were sent.
+    for start, sent_at in list(window.sent_at.items()):
+        if now - sent_at < MAX_FLIGHT_TIME:
+            break
+        del window.sent_at[start]
+
+
+def _next_limit(window: StartWindow, tolerated: dt.timedelta) -> float:
+    """Return the next limit, for answers that may take the time ``tolerated``."""
+    times = sorted(window.answer_times)
+    if times[int(len(times) * QUICKEST_SHARE)] > tolerated:
+        return window.limit * DECREASE
+    if not window.was_full:
+        return window.limit
+    answered = max(window.rates, default=0.0) * tolerated.total_seconds()
+    return min(window.limit * INCREASE, answered * HEADROOM, float(MAX_STARTS))
--- a/src/fighead/process_load.py
+++ b/src/fighead/process_load.py
@@ -111,6 +111,8 @@
     :param waiting_tasks: Tasks that could run and have no run.
     :param unsaved_jobs: Changed jobs that wait for the write in progress.
     :param write_age_s: Age of the write in progress; 0 if there is none.
+    :param start_limit: Number of starts that may be without an answer.
+    :param starts_in_flight: Number of starts without an answer.
     """
 
     term: int
@@ -121,6 +123,8 @@
     instances: int
     unsaved_jobs: int
     write_age_s: float
+    start_limit: int = 0
+    starts_in_flight: int = 0
 
 
 @frozen
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -16,6 +16,7 @@
     placement,
     regrouping,
     run_updates,
+    start_window,
 )
 from ..decisions.instance_tracking import AUTHORITY_TIMEOUT, TIMER_SLACK
 from ..decisions.schedule_state import (
@@ -255,6 +256,8 @@
             len(self.schedule.instances),
             len(self.schedule.unsaved_jobs),
             write_age_s if self._is_writing else 0.0,
+            int(self.schedule.start_window.limit),
+            len(self.schedule.start_window.sent_at),
         )
 
     async def _tick_periodically(self) -> None:
@@ -586,12 +589,15 @@
             case agent_messages.InstanceRestarted():
                 self._handle_restart(instance_id)
             case agent_messages.StartAnswered(_, task, number, refusal):
+                window = self.schedule.start_window
+                start_window.note_answer(window, (task, number), now)
                 self._apply_effects(
                     run_updates.apply_start_result(
                         self.schedule, task, number, refusal, now
                     )
                 )
             case agent_messages.StartUnanswered(_, task, number):
+                start_window.forget_start(self.schedule.start_window, (task, number))
                 self._apply_effects(
                     run_updates.stop_unanswered_start(self.schedule, task, number)
                 )
@@ -678,6 +684,7 @@
     # Orders and writes.
 
     def _handle_tick(self, now: dt.datetime) -> None:
+        start_window.adjust(self.schedule.start_window, now)
         self._apply_effects(instance_tracking.update_instances(self.schedule, now))
         if self.may_act():
             effects = timed(
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -1,9 +1,11 @@
 """Builders of schedules, jobs and listings for tests of the job decisions."""
 
 import datetime as dt
+import math
 
 from fighead.decisions import instance_tracking, job_lifecycle, run_updates
 from fighead.decisions.schedule_state import Order, Schedule
+from fighead.decisions.start_window import StartWindow
 from fighead.job import Demand, JobConfig, JobRecord, JobSpec, Queue, Stage, TaskKey
 from fighead.run import EndKind, ListedRun, Listing, RegisteredInstance, RunEnd
 
@@ -18,7 +20,8 @@
 
 
 def make_schedule(instances=("i1",), queue=QUEUE, term=1, capacity=None):
-    schedule = Schedule(term, term, START)
+    """Return a schedule with no limit of starts in flight."""
+    schedule = Schedule(term, term, START, start_window=StartWindow(limit=math.inf))
     schedule.config = JobConfig(1, (queue,), ("mill",))
     for number, name in enumerate(instances):
         add_instance(schedule, name, capacity, f"r{number}")
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -127,7 +127,6 @@
     schedule: object
     now: dt.datetime
     slacks: dict = field(factory=dict)
-    unplaceable_cpu: dict = field(factory=dict)
 
     def place(self):
         effects = []
@@ -140,17 +139,11 @@
 
     def place_tasks(self, job, stage):
         spec, effects = stage.spec, []
-        lowest_cpu = self.unplaceable_cpu.get(spec.image, spec.cpu + 1)
-        is_unplaceable = spec.is_filler and spec.cpu >= lowest_cpu
-        if is_unplaceable and not self.is_starved(job, stage):
-            return []
         for index in sorted(stage.waiting_indexes):
             task = stage.tasks[index]
             task.waiting_since = task.waiting_since or self.now
             state = self.choose(job, stage, task)
             if state is None:
-                if spec.is_filler:
-                    self.unplaceable_cpu[spec.image] = spec.cpu
                 break
             if spec.is_filler:
                 slack = self.slack_of(state)
