Treat unreadable answers of the store as unknown outcomes

Cause: found by reading, shown by tests that failed first. A write answered with 200 and a body that isn't JSON was told as certainly without effect, so a client could be told that its job never runs. A body without the expected fields raised an untyped error: the asker of a read waited for ever, and a watch ended. Change: for a write such an answer, and any server error but 503, is an unknown outcome; for a read or a watch it counts as no answer and is retried.

--- a/src/fighead/platform/instance.py
+++ b/src/fighead/platform/instance.py
@@ -30,19 +30,11 @@
     StartRun,
     StopRun,
 )
+from .decoding import DECODE_ERRORS
 
 Json = dict[str, t.Any]
 T = t.TypeVar("T")
 
-#: Raised when a body lacks a field, or when a field has an unexpected type or value.
-DECODE_ERRORS = (
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
 #: Prefix of the keys under which instances register themselves.
 INSTANCES_PREFIX = "servers/"
 OK = 200
--- a/src/fighead/platform/store.py
+++ b/src/fighead/platform/store.py
@@ -41,6 +41,7 @@
     WatchEvent,
     is_write,
 )
+from .decoding import DECODE_ERRORS
 
 Json = dict[str, t.Any]
 
@@ -48,6 +49,8 @@
 NOT_FOUND = 404
 GONE = 410
 PRECONDITION_FAILED = 412
+REJECTED = 503
+FIRST_SERVER_ERROR = 500
 #: Time beyond the wait of a watch, and between two arrivals of its data, after which
 #: its call times out.
 WATCH_TIMEOUT_MARGIN = dt.timedelta(seconds=1)
@@ -79,7 +82,17 @@
         response = await self._send(
             _encode_request(req), timeout, timeout if is_large else None, is_write(req)
         )
-        return _decode_result(req, response)
+        is_uncertain = response.status >= FIRST_SERVER_ERROR
+        if is_write(req) and is_uncertain and response.status != REJECTED:
+            raise _unknown_outcome(f"its status is {response.status}")
+        try:
+            return _decode_result(req, response)
+        except DECODE_ERRORS as exc:
+            # Only a 200 and a 412 have a body that matters, and a 200 says that the
+            # request took effect.
+            if is_write(req):
+                raise _unknown_outcome(f"it can't be read: {exc!r}") from exc
+            raise _unavailable(f"the answer can't be read: {exc!r}") from exc
 
     async def watch(self, prefix: str, after: int, wait: dt.timedelta) -> WatchBatch:
         """Wait for changes under ``prefix`` after revision ``after``.
@@ -96,9 +109,12 @@
         response = await self._send(
             req, wait + WATCH_TIMEOUT_MARGIN, WATCH_TIMEOUT_MARGIN, False
         )
-        body = _decode_response(response)
-        events = tuple(_decode_event(event) for event in body["events"])
-        return WatchBatch(int(body["AtRev"]), events)
+        try:
+            body = _decode_response(response)
+            events = tuple(_decode_event(event) for event in body["events"])
+            return WatchBatch(int(body["AtRev"]), events)
+        except DECODE_ERRORS as exc:
+            raise _unavailable(f"the answer can't be read: {exc!r}") from exc
 
     async def _send(
         self,
@@ -113,13 +129,17 @@
             raise _unavailable(str(exc)) from exc
         except HttpLostError as exc:
             if may_write:
-                raise StoreOutcomeUnknownError(
-                    f"A write got no answer ({exc}).",
-                    "Read the key back or retry the same compare-and-swap.",
-                ) from exc
+                raise _unknown_outcome(str(exc)) from exc
             raise _unavailable(str(exc)) from exc
 
 
+def _unknown_outcome(reason: str) -> StoreOutcomeUnknownError:
+    return StoreOutcomeUnknownError(
+        f"A write got no answer that tells its outcome ({reason}).",
+        "Read the key back or retry the same compare-and-swap.",
+    )
+
+
 def _unavailable(reason: str) -> StoreUnavailableError:
     return StoreUnavailableError(
         f"The key-value service was not reached ({reason}).",
@@ -217,7 +237,10 @@
 
 
 def _decode_response(response: HttpResponse) -> Json:
-    """Return the body of a 200 response; with any other status nothing was done."""
+    """Return the body of a 200 response; with any other status nothing was done.
+
+    :raises ValueError: If the body isn't JSON.
+    """
     if response.status == GONE:
         raise HistoryLostError(
             "The service no longer has this history.",
@@ -228,10 +251,7 @@
             f"The service answered {response.status}.",
             "Retry later: it refuses this entry or has reached its rate limits.",
         )
-    try:
-        return json.loads(response.body) if response.body else {}
-    except ValueError as exc:
-        raise _unavailable(f"no JSON: {exc}") from exc
+    return json.loads(response.body) if response.body else {}
 
 
 def _decode_item(item: Json) -> KeyValue:
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,108 @@
+"""Answers of the platform's store that can't be read, or say too little."""
+
+import datetime as dt
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.defer import Deferred, succeed
+
+from fighead.exceptions import (
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from fighead.http_client import HttpResponse
+from fighead.platform.store import PlatformStoreClient
+from fighead.store import LeaseGrant, LeaseKeepAlive, LeaseRevoke, Put, Range, Txn
+
+TIMEOUT = dt.timedelta(seconds=1)
+TXN = Txn((), (Put("k", "v"),))
+READS = [Range("k"), Range("k", is_prefix=True), LeaseKeepAlive(5)]
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner)
+    ),
+    max_leaves=10,
+)
+
+
+class Pool:
+    """Answers each request with the same response."""
+
+    def __init__(self, status, body):
+        self.response = HttpResponse(status, body)
+
+    def request(self, *_):
+        return succeed(self.response)
+
+
+def result_of(coroutine):
+    """Return what a coroutine that needs no reactor returns or raises."""
+    results = []
+    Deferred.fromCoroutine(coroutine).addBoth(results.append)
+    (result,) = results
+    if hasattr(result, "raiseException"):
+        result.raiseException()
+    return result
+
+
+def call(req, status, body):
+    client = PlatformStoreClient(Pool(status, body), "10.0.0.1:80")
+    return result_of(client.call(req, TIMEOUT))
+
+
+def watch(body, status=200):
+    client = PlatformStoreClient(Pool(status, body), "10.0.0.1:80")
+    return result_of(client.watch("p/", 1, TIMEOUT))
+
+
+@pytest.mark.parametrize("body", [b"", b"x", b"[]", b'{"Revision":"x"}', b"[" * 99_999])
+@pytest.mark.parametrize("req", [TXN, LeaseGrant(2)])
+def test_a_write_that_was_answered_unreadably_may_have_taken_effect(req, body):
+    with pytest.raises(StoreOutcomeUnknownError):
+        call(req, 200, body)
+
+
+@pytest.mark.parametrize("status", [500, 502, 504])
+@pytest.mark.parametrize("req", [TXN, LeaseGrant(2), LeaseRevoke(5)])
+def test_other_server_errors_do_not_say_that_a_write_had_no_effect(req, status):
+    with pytest.raises(StoreOutcomeUnknownError):
+        call(req, status, b"")
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_a_rejected_write_had_no_effect(status):
+    with pytest.raises(StoreUnavailableError):
+        call(TXN, status, b"")
+
+
+@pytest.mark.parametrize("req", READS)
+@pytest.mark.parametrize("body", [b"x", b"[]", b'{"AtRev":[]}', b"[" * 99_999])
+def test_a_read_that_was_answered_unreadably_counts_as_unanswered(req, body):
+    with pytest.raises(StoreUnavailableError):
+        call(req, 200, body)
+
+
+@pytest.mark.parametrize(
+    "body", [b"x", b"[]", b'{"AtRev":1,"events":[5]}', b'{"AtRev":1,"events":[{}]}']
+)
+def test_a_watch_that_was_answered_unreadably_goes_on_later(body):
+    with pytest.raises(StoreUnavailableError):
+        watch(body)
+
+
+@given(JSON_VALUES, st.sampled_from([200, 412]))
+def test_any_answer_is_read_or_refused(value, status):
+    body = json.dumps(value).encode()
+    for req in (TXN, LeaseGrant(2), *READS):
+        try:
+            call(req, status, body)
+        except StoreError:
+            continue
+    try:
+        watch(body)
+    except StoreError:
+        return
