Refuse jobs that the scheduler can't start in time

A job stored at the leader while its mailbox was full was told as refused, and a time limit of 1e30 ms ended in a 500. Change: while the window limits the starts for a second, the leader announces how long it takes to start all that waits, by priority. A notice that finds no room is logged and left to the watch; time limits are capped.

--- a/src/fighead/commands/job.py
+++ b/src/fighead/commands/job.py
@@ -75,12 +75,45 @@
     :param deadline: When to stop waiting for the store.
     """
     started_at = context.clock.now()
-    outcome = await _store_job(context, queue, job_id, spec, deadline)
+    outcome: Accepted | NotAccepted | Uncertain | None = None
+    retry_after = context.find_retry_after(queue.priority)
+    if retry_after is not None:
+        outcome = await _refuse_unknown_job(context, queue, job_id, retry_after)
+    if outcome is None:
+        outcome = await _store_job(context, queue, job_id, spec, deadline)
     duration = context.clock.now() - started_at
     context.metrics.count_request(queue.name, type(outcome).__name__.lower(), duration)
     return outcome
 
 
+async def _refuse_unknown_job(
+    context: JobFrontContext, queue: Queue, job_id: str, retry_after: dt.timedelta
+) -> NotAccepted | None:
+    """Refuse a job that is not stored; return ``None`` if it is.
+
+    An earlier request for the same job may have been accepted at another entry.
+    """
+    reason = "More tasks are accepted than can be started in time."
+    try:
+        if await _find_any_record(context, job_id) is not None:
+            return None
+    except StoreError as exc:
+        reason = exc.message
+    log_event(
+        Event.JOB_REFUSED,
+        job=job_id,
+        queue=queue.name,
+        reason=reason,
+        retry_after_s=round(retry_after.total_seconds(), 1),
+    )
+    return NotAccepted(reason, retry_after)
+
+
+async def _find_any_record(context: JobFrontContext, job_id: str) -> KeyValue | None:
+    record = await _read_key(context, JOBS_PREFIX + job_id)
+    return record or await _read_key(context, JOB_ENDINGS_PREFIX + job_id)
+
+
 async def _store_job(
     context: JobFrontContext,
     queue: Queue,
--- a/src/fighead/decisions/start_window.py
+++ b/src/fighead/decisions/start_window.py
@@ -42,6 +42,10 @@
 #: groups and few rounds of placement are made while many tasks wait.
 MIN_FREE_SHARE = 0.25
 
+#: Longest time between two moments at which the limit is reached for both to count as
+#: one span. A late loop skips intervals.
+MAX_FULL_GAP = dt.timedelta(milliseconds=500)
+
 #: A task and the number of its run.
 StartId = tuple[TaskKey, int]
 
@@ -57,6 +61,8 @@
     :param was_full: Whether the limit was reached in the current interval.
     :param rates: Answers per second in the latest intervals.
     :param adjusted_at: When the current interval began.
+    :param full_since: Since when the limit has been reached again and again.
+    :param full_at: When it was last reached.
     """
 
     limit: float = INITIAL_STARTS
@@ -68,6 +74,16 @@
         factory=lambda: collections.deque(maxlen=RATE_INTERVALS)
     )
     adjusted_at: dt.datetime | None = None
+    full_since: dt.datetime | None = None
+    full_at: dt.datetime | None = None
+
+    def full_for(self, now: dt.datetime) -> dt.timedelta:
+        """Return for how long the limit has been reached again and again."""
+        return now - self.full_since if self.full_since else dt.timedelta()
+
+    def mean_rate(self) -> float:
+        """Return the mean number of answers per second in the latest intervals."""
+        return sum(self.rates) / len(self.rates) if self.rates else 0.0
 
     def free_starts(self) -> float:
         """Return the starts that may be sent now; 0 until a group of them is free."""
@@ -111,6 +127,11 @@
         window.limit = max(
             float(MIN_STARTS), _next_limit(window, window.shortest + MAX_ADDED_DELAY)
         )
+    if window.was_full:
+        window.full_since = window.full_since or now
+        window.full_at = now
+    elif window.full_at is not None and now - window.full_at > MAX_FULL_GAP:
+        window.full_since = None
     window.answer_times.clear()
     window.was_full = False
     # Starts are ordered by the time at which they were sent.
--- a/src/fighead/fronts/job.py
+++ b/src/fighead/fronts/job.py
@@ -31,6 +31,8 @@
 #: Time limit of a request that does not send one: the shortest time budget that
 #: clients are specified to have.
 DEFAULT_TIME_LIMIT = dt.timedelta(seconds=3)
+#: Longest time limit that is taken from a request.
+MAX_TIME_LIMIT = dt.timedelta(hours=1)
 #: Time reserved for the answer to reach the client.
 ANSWER_MARGIN = dt.timedelta(milliseconds=150)
 
@@ -198,4 +200,6 @@
                     "expected a number.",
                     "Send a number of milliseconds.",
                 ) from exc
-        return self.context.clock.now() + time_limit - ANSWER_MARGIN
+        return (
+            self.context.clock.now() + min(time_limit, MAX_TIME_LIMIT) - (ANSWER_MARGIN)
+        )
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -11,7 +11,8 @@
 from . import job_message as m
 from . import message
 from .clock import Clock, sleep, with_timeout
-from .decisions import config_request, election
+from .decisions import admission, config_request, election
+from .decisions.admission import QueuedStarts
 from .decisions.config_request import ConfigRequest
 from .decisions.election import Leader
 from .decisions.instance_tracking import AUTHORITY_TIMEOUT
@@ -90,12 +91,14 @@
     _store_reached_at: dt.datetime = field(init=False)
     _is_stopping: bool = False
     _config_request: ConfigRequest = field(factory=ConfigRequest)
+    _backlog: tuple[QueuedStarts, ...] = ()
+    _backlog_at: dt.datetime = field(init=False)
     _ports: list[t.Any] = field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         cfg = self.cfg
         self._random = random.Random(cfg.seed or None)
-        self._store_reached_at = self.clock.now()
+        self._store_reached_at = self._backlog_at = self.clock.now()
         self._relaying_store = RelayingStore(
             self.adapter.store, self.clock, self._call_store_via_peer
         )
@@ -106,6 +109,7 @@
             self._ask_scheduler,
             self._send_to_scheduler,
             self.metrics,
+            self._find_retry_after,
         )
         self.peer = self.make_peer(
             cfg.name,
@@ -301,13 +305,19 @@
                 self._announce_leader()
 
     def _announce_leader(self) -> None:
+        announcement = self._make_announcement()
         for peer in self.peer.peers():
-            self.peer.send(peer, self._make_announcement())
+            self.peer.send(peer, announcement)
 
     def _make_announcement(self) -> m.LeaderIs:
         version = self.front_context.config.version if self.front_context.config else 0
+        backlog = self.scheduler.find_backlog() if self.scheduler is not None else ()
         return m.LeaderIs(
-            self.cfg.name, self.front_context.view.leader, version, self._can_lead()
+            self.cfg.name,
+            self.front_context.view.leader,
+            version,
+            self._can_lead(),
+            backlog,
         )
 
     def _can_lead(self) -> bool:
@@ -326,7 +336,7 @@
                 self._apply_config(msg, sender)
             case m.JobTold() | m.CancelTold():
                 if self.scheduler is not None:
-                    self.scheduler.mailbox.offer(msg)
+                    self._notify_local_scheduler(self.scheduler, msg)
             case m.FindPhase() | m.CountPending():
                 return self._ask_local_scheduler(msg)
             case m.StoreAsked():
@@ -357,6 +367,7 @@
             return
         self.leadership.mailbox.offer(leadership.LeaderAnnounced(leader))
         if leader.name == sender:
+            self._backlog, self._backlog_at = msg.backlog, self.clock.now()
             # Lets the leader see whether its peers know of a later one.
             self.peer.send(sender, self._make_announcement())
 
@@ -402,8 +413,25 @@
     def _send_to_scheduler(self, msg: t.Any) -> None:
         """Send a message to the scheduler; its delivery to a peer is not guaranteed."""
         if self.scheduler is not None:
-            self.scheduler.mailbox.offer(msg)
+            self._notify_local_scheduler(self.scheduler, msg)
             return
         leader = self.front_context.view.leader
         if leader is not None:
             self.peer.send(leader.name, msg)
+
+    def _notify_local_scheduler(
+        self, scheduler: SchedulerTask, msg: m.JobTold | m.CancelTold
+    ) -> None:
+        """Notify the scheduler of what is stored; its watch reports it as well."""
+        try:
+            scheduler.mailbox.offer(msg)
+        except MailboxFullError as exc:
+            kind = type(msg).__name__
+            log_event(Event.NOTICE_DROPPED, kind=kind, reason=exc.message)
+
+    def _find_retry_after(self, priority: int) -> dt.timedelta | None:
+        if self.scheduler is not None:
+            backlog, age = self.scheduler.find_backlog(), dt.timedelta()
+        else:
+            backlog, age = self._backlog, self.clock.now() - self._backlog_at
+        return admission.find_retry_after(backlog, age, priority)
--- a/src/fighead/job_front_context.py
+++ b/src/fighead/job_front_context.py
@@ -1,5 +1,6 @@
 """State shared by the commands and queries about jobs."""
 
+import datetime as dt
 import typing as t
 
 from attrs import define, field
@@ -12,6 +13,10 @@
 from .tasks.watch import StoreClient
 
 
+def _accept_all(_priority: int) -> None:
+    """Refuse no job."""
+
+
 @define(eq=False)
 class JobFrontContext:
     """State of an entry's client front, and its access to store and scheduler.
@@ -19,6 +24,8 @@
     :param ask: Sends a request to the entry that schedules and returns its
         answer; raises :exc:`.PeerUnreachableError`.
     :param send: Sends it a message whose delivery is not guaranteed.
+    :param find_retry_after: Returns when a client may come back with a job of a
+        priority; ``None`` if the job can be accepted now.
     :param config: Configuration in force; ``None`` before the first one.
     :param view: The current leader and members.
     :param in_flight: Number of client requests being served.
@@ -30,6 +37,7 @@
     ask: t.Callable[[t.Any], Deferred[t.Any]]
     send: t.Callable[[t.Any], None]
     metrics: JobMetrics
+    find_retry_after: t.Callable[[int], dt.timedelta | None] = _accept_all
     config: JobConfig | None = None
     view: ControlView = field(factory=ControlView)
     in_flight: int = 0
--- a/src/fighead/job_message.py
+++ b/src/fighead/job_message.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from .decisions.admission import QueuedStarts
 from .decisions.election import Leader
 from .job import JobConfig, JobPhase, JobRecord
 from .store import Range, RangeResult, Txn, TxnResult
@@ -14,12 +15,14 @@
     :param leader: ``None`` if the sender knows of none.
     :param version: Version of the sender's configuration.
     :param can_lead: Whether the sender could lead now.
+    :param backlog: What the sender has yet to start, if it is the leader.
     """
 
     sender: str
     leader: Leader | None
     version: int = 0
     can_lead: bool = False
+    backlog: tuple[QueuedStarts, ...] = ()
 
 
 @frozen
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -72,6 +72,11 @@
     JOB_ENDED = (5105, "info", "A job has ended.")
     JOB_RECORDED = (5106, "info", "The end of a job is stored.")
     JOB_CANCELLING = (5107, "info", "A client cancelled a job.")
+    NOTICE_DROPPED = (
+        5108,
+        "warning",
+        "A notice to the scheduler was dropped; its watch reports the change.",
+    )
     RUN_ORDERED = (5201, "info", "A task is started at an instance.")
     RUN_ENDED = (5202, "info", "A run has ended.")
     RUN_ADOPTED = (5203, "info", "A run of an earlier scheduler goes on.")
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -10,6 +10,7 @@
 from ..clock import Clock, read_steady_s, sleep
 from ..codec import from_json, to_json
 from ..decisions import (
+    admission,
     instance_tracking,
     interference,
     job_lifecycle,
@@ -18,6 +19,7 @@
     run_updates,
     start_window,
 )
+from ..decisions.admission import QueuedStarts
 from ..decisions.instance_tracking import AUTHORITY_TIMEOUT, TIMER_SLACK
 from ..decisions.schedule_state import (
     INCARNATIONS_PER_TERM,
@@ -260,6 +262,10 @@
             len(self.schedule.start_window.sent_at),
         )
 
+    def find_backlog(self) -> tuple[QueuedStarts, ...]:
+        """Return what has yet to be started, if this entry limits the starts."""
+        return admission.find_backlog(self.schedule, self.clock.now())
+
     async def _tick_periodically(self) -> None:
         while True:
             await sleep(self.clock, TICK_INTERVAL)
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -496,8 +496,10 @@
     def submit(self, job_id, spec, queue_name="plans", entry=None):
         """Send a job to ``entry``, by default a random live one.
 
-        Returns at once; an accepting answer is recorded in ``accepted_at``.
+        Returns at once a list that receives the outcome; an accepting answer is
+        recorded in ``accepted_at``.
         """
+        outcomes = []
         self.specs[job_id] = spec
         queue = next(q for q in QUEUES if q.name == queue_name)
         name = entry or self.rng.choice(self.live_entries())
@@ -508,10 +510,12 @@
             outcome = await commands.submit_job(
                 process.entry.front_context, queue, job_id, spec, deadline
             )
+            outcomes.append(outcome)
             if isinstance(outcome, commands.Accepted):
                 self.accepted_at.setdefault(job_id, self.clock.now())
 
         spawn(send())
+        return outcomes
 
     def cancel(self, job_id):
         """Send a cancellation to a random live entry.
