Start nothing beside runs that the schedule lacks

A new scheduler that lists a run of an ended or unknown job orders its stop, but did not count what it holds until it is gone: an instance that does not guard its capacity was given more than it holds, others refuse the start. The stop was ordered again with each listing. Change: an instance takes no new runs while its latest listing has such a run, and the stop is repeated only when its time has passed. The stand-in of an instance now dates a lapse at the end of the lease, also if it was suspended; its command takes the address at which it is reached.

--- a/src/fighead/cli.py
+++ b/src/fighead/cli.py
@@ -112,7 +112,13 @@
         standin_daemon.serve_store(read_address(listen), seed)
 
     def instance(
-        self, listen: str, name: str, upstream: str, store: str, cores: int = 64
+        self,
+        listen: str,
+        name: str,
+        upstream: str,
+        store: str,
+        cores: int = 64,
+        address: str = "",
     ) -> None:
         """Run a stand-in for an instance, which registers itself in the store.
 
@@ -122,10 +128,11 @@
             upstream: Name of the upstream whose tasks it runs.
             store: IP:port of the key-value service or of its stand-in.
             cores: Number of cores; it has 4 GiB of memory for each.
+            address: IP:port at which it is reached, if not at ``listen``.
         """
         capacity = Demand(cores * MILLICORES_PER_CORE, cores * 4096, 0)
         instance = RegisteredInstance(
-            name, "", listen, upstream, "demo", capacity, ("a", "rack-1")
+            name, "", address or listen, upstream, "demo", capacity, ("a", "rack-1")
         )
         from .platform import standin_daemon
 
--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -483,10 +483,14 @@
 
 
 def accepts_runs(state: InstanceState, now: dt.datetime) -> bool:
-    """Whether an instance is known, reachable, healthy and not draining."""
+    """Whether an instance is known, reachable, healthy and not draining.
+
+    While it runs something that the schedule lacks, its free capacity is not known.
+    """
     return (
         state.is_reachable
         and state.is_listed
+        and not state.unwanted
         and state.is_registered
         and state.is_in_stored_fleet
         and not instance_health.is_suspect(state, now)
--- a/src/fighead/decisions/run_updates.py
+++ b/src/fighead/decisions/run_updates.py
@@ -1,6 +1,7 @@
 """Updates the schedule from start results, listings and stop confirmations."""
 
 import datetime as dt
+import typing as t
 
 from ..job import JobPhase, TaskKey
 from ..log import Event
@@ -63,8 +64,9 @@
         and is not listed has ended.
     """
     effects: list[Effect] = []
+    earlier_unwanted, state.unwanted = state.unwanted, {}
     for listed_run in listing.running:
-        effects += _apply_listed_run(schedule, state, listed_run, now)
+        effects += _apply_listed_run(schedule, state, listed_run, earlier_unwanted, now)
     for end in listing.ended:
         if end.sequence > state.last_end_sequence:
             effects += _apply_end(schedule, state, end, now)
@@ -81,7 +83,11 @@
 
 
 def _apply_listed_run(
-    schedule: Schedule, state: InstanceState, listed_run: ListedRun, now: dt.datetime
+    schedule: Schedule,
+    state: InstanceState,
+    listed_run: ListedRun,
+    earlier_unwanted: t.Mapping[tuple[TaskKey, int], dt.datetime],
+    now: dt.datetime,
 ) -> list[Effect]:
     run = find_run(schedule, listed_run.task, listed_run.number)
     if run is not None and run.instance_id == state.instance.instance_id:
@@ -90,16 +96,34 @@
     job = schedule.jobs.get(listed_run.task.job_id)
     task = job.task(listed_run.task) if job else None
     if job is None or task is None or not _may_adopt(job, task):
-        stop = StopRun(listed_run.task, listed_run.number)
-        fields = {"task": str(listed_run.task), "run": listed_run.number}
-        fields["instance"] = state.instance.instance_id
-        return [
-            LogNote(Event.RUN_UNWANTED, fields),
-            Order(state.instance.instance_id, stop),
-        ]
+        identity = (listed_run.task, listed_run.number)
+        return _stop_unwanted_run(state, identity, earlier_unwanted.get(identity), now)
     return _adopt_run(schedule, state, job, task, listed_run, now)
 
 
+def _stop_unwanted_run(
+    state: InstanceState,
+    identity: tuple[TaskKey, int],
+    ordered_at: dt.datetime | None,
+    now: dt.datetime,
+) -> list[Effect]:
+    """Order the stop of a run that is not in the schedule.
+
+    :param ordered_at: When its stop was last ordered.
+    """
+    instance_id = state.instance.instance_id
+    if ordered_at is not None and now - ordered_at < STOP_TIMEOUT:
+        state.unwanted[identity] = ordered_at
+        return []
+    state.unwanted[identity] = now
+    task, number = identity
+    fields = {"task": str(task), "run": number, "instance": instance_id}
+    return [
+        LogNote(Event.RUN_UNWANTED, fields),
+        Order(instance_id, StopRun(task, number)),
+    ]
+
+
 def _repeat_stop(run: RunState, now: dt.datetime) -> list[Effect]:
     """Repeat the stop of a run that is still listed after ``STOP_TIMEOUT``.
 
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -193,6 +193,8 @@
     :param filler_cpu_millicores: CPU that its fillers ask for in total, in millicores.
     :param serving_cpu_millicores: Total CPU demand of its serving tasks, in millicores.
     :param serving: The runs that have a target latency.
+    :param unwanted: Runs in the latest listing that the schedule lacks, with the time
+        at which their stop was last ordered. What they hold is not known.
     :param restart_count: Number of restarts of the instance in this term.
     :param is_listed: Whether the current incarnation has sent a listing in this term.
     :param is_reachable: Whether the last call to the instance was answered.
@@ -215,6 +217,7 @@
     serving_cpu_millicores: int = 0
     runs: dict[tuple[TaskKey, int], RunState] = field(factory=dict)
     serving: dict[tuple[TaskKey, int], RunState] = field(factory=dict)
+    unwanted: dict[tuple[TaskKey, int], dt.datetime] = field(factory=dict)
     restart_count: int = 0
     is_listed: bool = False
     is_reachable: bool = False
--- a/src/fighead/standins/simulated_job_instance.py
+++ b/src/fighead/standins/simulated_job_instance.py
@@ -193,8 +193,12 @@
         """
         now = self.clock.now()
         if self._runs and self.now_ms() >= self._lease_until_ms:
+            # A suspended process notices the end of the lease late.
+            lapsed_at = self.started_at + dt.timedelta(
+                milliseconds=self._lease_until_ms
+            )
             for identity in list(self._runs):
-                self._end(identity, EndKind.LAPSED)
+                self._end(identity, EndKind.LAPSED, lapsed_at)
         for identity, run in list(self._runs.items()):
             run.work_done += (now - (run.updated_at or now)) * (run.pace_percent / 100)
             run.updated_at = now
@@ -204,7 +208,12 @@
                 kind = EndKind.FAILED if self.fails(run.order) else EndKind.DONE
                 self._end(identity, kind)
 
-    def _end(self, identity: tuple[TaskKey, int], kind: EndKind) -> None:
+    def _end(
+        self,
+        identity: tuple[TaskKey, int],
+        kind: EndKind,
+        at: dt.datetime | None = None,
+    ) -> None:
         run = self._runs.pop(identity)
         task, number = identity
         self._highest_ended_run[task] = max(
@@ -214,7 +223,7 @@
         progress = f"{int(run.work_done.total_seconds() * 1000):x}"
         checkpoint = progress if run.stage.is_checkpointed else ""
         self._ends.append(RunEnd(self._sequence, task, number, kind, checkpoint))
-        self._record_event(kind.value, task, number)
+        self._record_event(kind.value, task, number, at)
 
     def _make_listed_run(self, run: _Run) -> ListedRun:
         total_work = STARTUP_TIME if run.stage.is_lasting else _run_time(run.stage)
@@ -233,8 +242,10 @@
         latest_ms = self.now_ms() + int(MAX_LEASE.total_seconds() * 1000)
         self._lease_until_ms = max(self._lease_until_ms, min(lease_until_ms, latest_ms))
 
-    def _record_event(self, event: str, task: TaskKey, number: int) -> None:
-        at, instance_id = self.clock.now(), self.instance.instance_id
+    def _record_event(
+        self, event: str, task: TaskKey, number: int, at: dt.datetime | None = None
+    ) -> None:
+        at, instance_id = at or self.clock.now(), self.instance.instance_id
         self.history.append(RunEvent(at, event, instance_id, task, number, self.fence))
 
 
--- a/tests/test_run_updates.py
+++ b/tests/test_run_updates.py
@@ -77,3 +77,23 @@
     )
     (order,) = orders_in(placement.place_waiting_tasks(schedule, at_seconds(2)))
     assert isinstance(order, StartRun) and order.number == 20_001
+
+
+def test_nothing_starts_beside_a_run_of_unknown_size_until_it_is_gone():
+    schedule = make_schedule()
+    add_job(schedule)
+    unwanted = listed_run(task_key(job_id="f" * 16), 3)
+    receive_listing(schedule, "i1", running=[unwanted], at=1)
+    assert not placement.place_waiting_tasks(schedule, at_seconds(1.1))
+    receive_listing(schedule, "i1", at=1.5)
+    assert orders_in(placement.place_waiting_tasks(schedule, at_seconds(1.6)))
+
+
+def test_the_stop_of_an_unwanted_run_is_repeated_only_after_its_time():
+    schedule = make_schedule()
+    task = task_key(job_id="f" * 16)
+    stops = []
+    for at in (1, 1.1, 1.2, 1.3, 2.5):
+        found = receive_listing(schedule, "i1", running=[listed_run(task, 3)], at=at)
+        stops.append(len(orders_in(found)))
+    assert stops == [1, 0, 0, 0, 1]
