--- /dev/null
+++ b/soak/model.py
@@ -0,0 +1,136 @@
+"""What a soak consists of: its faults, and what clients and instances saw."""
+
+import enum
+
+from attrs import define, field, frozen
+
+
+class Kind(enum.Enum):
+    """Kinds of faults, by what they are done to."""
+
+    STORE_BUSY = "store is busy"
+    STORE_SILENT = "store resets every call"
+    STORE_LOSES_ANSWERS = "store loses answers"
+    STORE_FORGETS = "store forgets its history"
+    STORE_LINK_SILENT = "link of an entry to the store is silent"
+    STORE_LINK_ONE_WAY = "link of an entry to the store passes no answers"
+    STORE_LINK_RESET = "link of an entry to the store is reset"
+    STORE_LINK_SLOW = "link of an entry to the store is slow"
+    INSTANCE_LINK_SILENT = "link to an instance is silent"
+    INSTANCE_LINK_ONE_WAY = "link to an instance passes no answers"
+    INSTANCE_LINK_RESET = "link to an instance is reset"
+    INSTANCE_LINK_SLOW = "link to an instance is slow"
+    INSTANCE_PAUSED = "instance is paused"
+    INSTANCE_KILLED = "instance is killed and started again"
+    ENTRY_PAUSED = "entry is paused"
+    ENTRY_KILLED = "entry is killed and started again"
+    ENTRY_STOPPED = "entry is stopped and started again"
+    LEADER_PAUSED = "leader is paused"
+    LEADER_KILLED = "leader is killed and started again"
+    ALL_KILLED = "all entries are killed and started again"
+
+
+@frozen
+class Fault:
+    """One fault.
+
+    :param target: Number of the entry or instance, from 0.
+    :param at_s: When it begins, in seconds of the load.
+    :param for_s: How long it lasts.
+    """
+
+    kind: Kind
+    target: int
+    at_s: float
+    for_s: float
+
+
+@frozen
+class Step:
+    """A step of a job, as in the platform's submissions."""
+
+    count: int
+    cpu: int
+    after: tuple[int, ...] = ()
+    lasts: bool = False
+
+
+@define
+class JobSeen:
+    """What clients saw of a job.
+
+    :param run_ms: Run time of its tasks, which is its payload.
+    :param sent_s: Unix time of the first request.
+    :param statuses: Answers to the submissions; 0 for none.
+    :param cancelled_s: Unix time at which a cancellation was acknowledged.
+    :param is_cancel_sent: Whether a cancellation was sent.
+    :param final_state: State shown at the end; empty if no entry told it.
+    """
+
+    job_id: str
+    steps: tuple[Step, ...]
+    run_ms: int
+    sent_s: float
+    statuses: list[int] = field(factory=list)
+    cancelled_s: float | None = None
+    is_cancel_sent: bool = False
+    final_state: str = ""
+
+    @property
+    def is_accepted(self) -> bool:
+        """Whether a submission was answered with success."""
+        return any(200 <= status < 300 for status in self.statuses)
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether all submissions were answered as not accepted."""
+        return bool(self.statuses) and all(s in (429, 503) for s in self.statuses)
+
+    @property
+    def lasts(self) -> bool:
+        """Whether its tasks run until it is cancelled."""
+        return any(step.lasts for step in self.steps)
+
+
+@frozen(order=True)
+class RunSeen:
+    """An event of a run at an instance.
+
+    :param at_s: Unix time.
+    :param task: Written as job.occurrence.step.index.
+    """
+
+    at_s: float
+    event: str
+    instance: str
+    task: str
+    run: int
+
+    @property
+    def job_id(self) -> str:
+        """ID of the task's job."""
+        return self.task.split(".")[0]
+
+
+@frozen
+class Breach:
+    """A promise that was broken."""
+
+    promise: str
+    text: str
+
+
+@define
+class Result:
+    """Outcome of one seed.
+
+    :param served_s: Unix times at which tasks ended as done.
+    :param is_served_again: Whether a job sent after all faults was completed in time.
+    """
+
+    seed: int
+    faults: tuple[Fault, ...]
+    jobs: list[JobSeen] = field(factory=list)
+    runs: list[RunSeen] = field(factory=list)
+    breaches: list[Breach] = field(factory=list)
+    is_served_again: bool = False
--- /dev/null
+++ b/soak/report.py
@@ -0,0 +1,50 @@
+"""What is kept of a seed: a timeline to read, and counts of the pairs of faults."""
+
+import collections
+import itertools
+import typing as t
+
+from .model import Result
+
+
+def write_timeline(result: Result) -> str:
+    """Return the faults, the jobs and the events of runs, ordered by time."""
+    start_s = min((job.sent_s for job in result.jobs), default=0.0)
+    rows = [
+        (f.at_s, f"FAULT {f.kind.value} {f.target}, {f.for_s:.1f} s")
+        for f in result.faults
+    ]
+    for job in result.jobs:
+        text = f"job {job.job_id} {job.statuses} {job.final_state}"
+        rows.append((job.sent_s - start_s, text))
+        if job.cancelled_s is not None:
+            rows.append((job.cancelled_s - start_s, f"cancelled {job.job_id}"))
+    for seen in result.runs:
+        text = f"{seen.instance} {seen.event} {seen.task} run {seen.run}"
+        rows.append((seen.at_s - start_s, text))
+    lines = [f"BREACH {breach.promise}: {breach.text}" for breach in result.breaches]
+    lines += [f"{at_s:8.3f} {text}" for at_s, text in sorted(rows)]
+    return "\n".join(lines) + "\n"
+
+
+def count_pairs(results: t.Iterable[Result]) -> collections.Counter[tuple[str, str]]:
+    """Return how often two kinds of faults overlapped."""
+    counts: collections.Counter[tuple[str, str]] = collections.Counter()
+    for result in results:
+        for one, other in itertools.combinations(result.faults, 2):
+            if other.at_s < one.at_s + one.for_s:
+                pair = sorted((one.kind.name, other.kind.name))
+                counts[pair[0], pair[1]] += 1
+    return counts
+
+
+def summarize(result: Result) -> str:
+    """Return one line on a seed."""
+    accepted = sum(job.is_accepted for job in result.jobs)
+    starts = sum(seen.event == "started" for seen in result.runs)
+    kinds = ", ".join(fault.kind.name.lower() for fault in result.faults)
+    verdict = f"{len(result.breaches)} BROKEN" if result.breaches else "kept"
+    return (
+        f"seed {result.seed}: {verdict}; {len(result.jobs)} jobs, {accepted} accepted, "
+        f"{starts} starts; {kinds}"
+    )
