--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
+SEEDS := 1-3
 
-.PHONY: demo test lint format
+.PHONY: demo test soak lint format
 
 demo: $(STAMP)
 	PYTHON=$(PYTHON) sh examples/demo.sh
@@ -10,6 +11,9 @@
 test: $(STAMP)
 	$(PYTHON) -m pytest
 
+soak: $(STAMP)
+	$(PYTHON) -m soak --seeds $(SEEDS)
+
 lint: $(STAMP)
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m ruff format --check .
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,14 +25,15 @@
 
     Args:
         seeds: Numbers and ranges, such as 1-10,17.
-        folder: Receives settings, logs and timelines; only those of seeds that broke
-            a promise are kept.
+        folder: Receives summary.html, and settings, logs and timelines; of these
+            only those of seeds that broke a promise are kept.
         entries: Number of entries.
         instances: Number of instances.
     """
     root = pathlib.Path(folder)
     results: list[Result] = []
     failures: list[t.Any] = []
+    players: list[Player] = []
 
     async def play_all() -> None:
         for seed in read_seeds(str(seeds)):
@@ -40,6 +41,7 @@
             shutil.rmtree(path, ignore_errors=True)
             path.mkdir(parents=True)
             player = Player(reactor, make_clock(), path, seed, entries, instances)
+            players[:] = [player]
             result = await player.play()
             results.append(result)
             print(report.summarize(result), flush=True)
@@ -50,7 +52,12 @@
             else:
                 shutil.rmtree(path)
 
+    def end_processes() -> None:
+        for player in players:
+            player.fleet.stop()
+
     def begin() -> None:
+        reactor.addSystemEventTrigger("before", "shutdown", end_processes)
         done = Deferred.fromCoroutine(play_all())
         done.addErrback(failures.append).addBoth(lambda _: reactor.stop())
 
@@ -58,6 +65,7 @@
     reactor.callWhenRunning(begin)
     reactor.run()
     pairs = report.count_pairs(results)
+    (root / "summary.html").write_text(report.write_page(results))
     print(f"{len(results)} seeds, {len(pairs)} pairs of kinds that overlapped")
     for failure in failures:
         failure.printTraceback(sys.stderr)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -164,7 +164,10 @@
         self._processes[name].wait(GRACE_S)
 
     def stop(self) -> None:
-        """End all processes that this fleet has started, and the proxies."""
+        """End all processes that this fleet has started, and the proxies.
+
+        Further calls have no effect.
+        """
         for process in self._processes.values():
             if process.poll() is None:
                 process.kill()
@@ -172,6 +175,8 @@
             process.wait(GRACE_S)
         for link in (*self.store_links.values(), *self.instance_links.values()):
             link.stop()
+        self.store_links.clear()
+        self.instance_links.clear()
 
 
 def encode_config() -> bytes:
--- a/soak/report.py
+++ b/soak/report.py
@@ -1,9 +1,12 @@
 """What is kept of a seed: a timeline to read, and counts of the pairs of faults."""
 
 import collections
+import html
 import itertools
 import typing as t
 
+import pygal
+
 from .model import Result
 
 
@@ -48,3 +51,27 @@
         f"seed {result.seed}: {verdict}; {len(result.jobs)} jobs, {accepted} accepted, "
         f"{starts} starts; {kinds}"
     )
+
+
+def write_page(results: t.Iterable[Result]) -> str:
+    """Return a self-contained page with a plot of each seed's served work."""
+    parts = [
+        f"<h2>{html.escape(summarize(result))}</h2>{_plot(result)}"
+        for result in results
+    ]
+    return f"<!doctype html><title>Fault soak</title>{''.join(parts)}"
+
+
+def _plot(result: Result) -> str:
+    """Return an SVG of the tasks done in each second, with the begin of each fault."""
+    start_s = min((job.sent_s for job in result.jobs), default=0.0)
+    done = collections.Counter(
+        int(seen.at_s - start_s) for seen in result.runs if seen.event == "done"
+    )
+    seconds = range(max(done, default=0) + 1)
+    faults = {int(fault.at_s): fault.kind.name.lower() for fault in result.faults}
+    chart = pygal.Bar(height=260, width=1000, show_legend=False, js=[])
+    chart.title = "tasks done in each second"
+    chart.x_labels = [faults.get(second, "") for second in seconds]
+    chart.add("done", [done[second] for second in seconds])
+    return chart.render(is_unicode=True, disable_xml_declaration=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -123,6 +123,13 @@
     assert task(1) in text
 
 
+def test_the_page_plots_what_was_done_and_names_the_faults():
+    result = Result(1, (Fault(Kind.STORE_BUSY, 0, 1.0, 2.0),), [JOB], list(HISTORY))
+    page = report.write_page([result])
+    assert "<svg" in page and "store_busy" in page and "http://" in page
+    assert "src=" not in page
+
+
 def test_seeds_are_numbers_and_ranges():
     assert read_seeds("1-3,7") == [1, 2, 3, 7] and read_seeds("(4, 5)") == [4, 5]
 
