Let no job, registration or configuration stop the work on others

A job with EstRuntimeMs of 10^17 let each round of placement raise, at this and every later scheduler, since the job is stored: nothing started any more. So did a registered instance of 0 millicores beside a task that asks for none. Repeats had no limit, and the scheduler keeps a state of each task. RemainingMs of 10^17 lost the other registrations that came with it. Half of a surrogate pair or deep nesting was answered with 500. An error of its receiver ended a watch, of the configuration too.

--- a/src/fighead/decisions/job_value.py
+++ b/src/fighead/decisions/job_value.py
@@ -38,11 +38,13 @@
         return Timeliness.IN_TIME
     if any(stage.is_lasting for stage in spec.stages):
         return Timeliness.IN_TIME
-    end = now + dt.timedelta(milliseconds=remaining_critical_path_ms(job))
-    objective = dt.timedelta(milliseconds=job.queue.objective_ms(spec))
-    if end <= job.accepted_at + objective:
+    # In numbers, since estimates of clients may exceed the range of dates.
+    elapsed_ms = (now - job.accepted_at) / dt.timedelta(milliseconds=1)
+    needed_ms = elapsed_ms + remaining_critical_path_ms(job)
+    objective_ms = job.queue.objective_ms(spec)
+    if needed_ms <= objective_ms:
         return Timeliness.IN_TIME
-    if end <= job.accepted_at + LATE_FACTOR * objective:
+    if needed_ms <= LATE_FACTOR * objective_ms:
         return Timeliness.LATE
     return Timeliness.WORTHLESS
 
--- a/src/fighead/job.py
+++ b/src/fighead/job.py
@@ -13,6 +13,11 @@
 #: Thousandths of a core in one core.
 MILLICORES_PER_CORE = 1000
 
+#: Most tasks of a job, with all occurrences: the scheduler keeps a state of each.
+MAX_TASKS_PER_JOB = 10_000
+#: Largest demand, limit, time or duration; as Unix time in ms it is the year 5138.
+MAX_QUANTITY = 10**14
+
 
 class JobPhase(enum.Enum):
     """Phase of a job, as reported to clients."""
@@ -146,6 +151,24 @@
         return max(ends, default=0)
 
 
+def find_excess(spec: JobSpec) -> str:
+    """Return what of a job exceeds the limits; an empty string if nothing does.
+
+    >>> find_excess(JobSpec(stages=(Stage(count=4),), occurrences=5000))
+    'it has 20000 tasks, at most 10000 are allowed'
+    """
+    tasks = max(1, spec.occurrences) * sum(stage.count for stage in spec.stages)
+    if tasks > MAX_TASKS_PER_JOB:
+        return f"it has {tasks} tasks, at most {MAX_TASKS_PER_JOB} are allowed"
+    numbers = [spec.first_due_ms, spec.interval_ms]
+    for stage in spec.stages:
+        numbers += [stage.cpu, stage.memory_mb, stage.gpu, stage.estimate_ms]
+        numbers += [stage.max_per_instance, stage.target_ms, stage.max_unavailable]
+    if not all(0 <= number <= MAX_QUANTITY for number in numbers):
+        return f"a number is outside of 0 to {MAX_QUANTITY}"
+    return ""
+
+
 @frozen
 class JobRecord:
     """A job as it is stored on acceptance.
--- a/src/fighead/platform/config.py
+++ b/src/fighead/platform/config.py
@@ -1,9 +1,11 @@
 """Decoding of the operator's configuration from the platform's store."""
 
 import json
+import math
 import typing as t
 
 from ..job import JobConfig, Queue
+from .decoding import DECODE_ERRORS
 
 #: Key of the current configuration.
 CONFIG_KEY = "op/config"
@@ -24,7 +26,7 @@
             tuple(row["Name"] for row in body.get("Services") or ()),
             int(limits.get("MaxBodyBytes", JobConfig().max_body_bytes)),
         )
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except DECODE_ERRORS:
         return None
 
 
@@ -37,8 +39,15 @@
         row["Service"],
         int(row.get("Priority", 0)),
         int(row.get("MaxAttempts", 1)),
-        float(row.get("SlackFactor", 1.0)),
+        _expect_finite(row.get("SlackFactor", 1.0)),
         # Constant term of the job's latency objective.
         int(row.get("TargetLatencyMs", 0)),
         int(advice.get("ValidMs", 0)),
     )
+
+
+def _expect_finite(value: t.Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"expected a finite number, got {value!r}")
+    return number
--- a/src/fighead/platform/instance.py
+++ b/src/fighead/platform/instance.py
@@ -18,7 +18,7 @@
     HttpRequest,
     HttpResponse,
 )
-from ..job import Demand, TaskKey
+from ..job import MAX_QUANTITY, Demand, TaskKey
 from ..run import (
     EndKind,
     ListedRun,
@@ -297,14 +297,14 @@
             _expect_text(body["Service"]),
             _expect_text(body["Zone"]),
             Demand(
-                _expect_number(capacity["Cpu"]),
-                _expect_number(capacity["MemMb"]),
-                _expect_number(capacity["Gpu"]),
+                _expect_quantity(capacity["Cpu"], 1),
+                _expect_quantity(capacity["MemMb"]),
+                _expect_quantity(capacity["Gpu"]),
             ),
             tuple(_expect_text(label) for label in body["Labels"]),
             is_draining,
             # Minimum time in ms that a draining instance has left; absent otherwise.
-            _expect_number(body.get("RemainingMs", 0)),
+            _expect_quantity(body.get("RemainingMs", 0)),
         )
     except DECODE_ERRORS:
         return None
@@ -316,6 +316,13 @@
     return value
 
 
+def _expect_quantity(value: t.Any, least: int = 0) -> int:
+    number = _expect_number(value)
+    if not least <= number <= MAX_QUANTITY:
+        raise ValueError(f"expected {least} to {MAX_QUANTITY}, got {number}")
+    return number
+
+
 def _expect_number(value: t.Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError("expected a number")
--- a/src/fighead/platform/submission.py
+++ b/src/fighead/platform/submission.py
@@ -5,7 +5,7 @@
 import typing as t
 
 from ..exceptions import RequestError
-from ..job import JobPhase, JobSpec, Stage
+from ..job import JobPhase, JobSpec, Stage, find_excess
 
 JOB_ID_PATTERN = re.compile(r"^[0-9a-fA-F]{16}$")
 #: Largest payload of a job in UTF-8, as the page on submissions documents it.
@@ -35,7 +35,7 @@
     """
     try:
         body = json.loads(content)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise RequestError(
             "The body is not valid JSON.", "Send a JSON object."
         ) from exc
@@ -47,12 +47,12 @@
             f"The job has {len(rows)} steps.", f"Send 1 to {MAX_STAGES_PER_JOB} steps."
         )
     payload = _take(body, "Spec", str, "")
-    if len(payload.encode()) > MAX_PAYLOAD_BYTES:
+    if not _is_payload(payload):
         raise RequestError(
-            "Spec exceeds the size limit.",
+            "Spec exceeds the size limit, or has no UTF-8 form.",
             f"Send at most {MAX_PAYLOAD_BYTES} bytes of UTF-8.",
         )
-    return JobSpec(
+    spec = JobSpec(
         payload,
         tuple(_decode_stage(row, index) for index, row in enumerate(rows)),
         _take(body, "StartAtMs", int, 0),
@@ -60,6 +60,20 @@
         # Number of occurrences; absent for a job that runs once.
         max(0, _take(body, "Repeats", int, 0)),
     )
+    excess = find_excess(spec)
+    if excess:
+        raise RequestError(
+            f"The job is too large: {excess}.", "Split it, or use smaller numbers."
+        )
+    return spec
+
+
+def _is_payload(text: str) -> bool:
+    try:
+        return len(text.encode()) <= MAX_PAYLOAD_BYTES
+    except UnicodeEncodeError:
+        # JSON can name half of a surrogate pair.
+        return False
 
 
 def _decode_stage(row: t.Any, index: int) -> Stage:
--- a/src/fighead/tasks/watch.py
+++ b/src/fighead/tasks/watch.py
@@ -5,6 +5,8 @@
 import typing as t
 
 from attrs import define, frozen
+from twisted.internet.defer import CancelledError
+from twisted.python import log
 
 from ..clock import Clock, sleep
 from ..exceptions import HistoryLostError, StoreError
@@ -136,12 +138,19 @@
         """Watch the prefix until cancelled, with retries after failures."""
         revision = self.revision
         while True:
-            if revision is None:
-                revision = await self._deliver_snapshot()
             try:
+                if revision is None:
+                    revision = await self._deliver_snapshot()
                 await self._watch_changes(revision)
             except HistoryLostError:
                 revision = None
+            except CancelledError:
+                raise
+            except Exception:
+                # The receiver may have missed the changes, so all keys are read again.
+                log.err(None, f"The changes under {self.prefix} were not handled.")
+                await sleep(self.clock, RETRY_PAUSE)
+                revision = None
 
     async def _deliver_snapshot(self) -> int:
         snapshot = await read_all(self.store, self.prefix, self._handle_failure)
