--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -41,8 +41,10 @@
         self.instance = RegisteredInstance("i-1", "1", "10.0.0.1:80", "u")
         self.start_results = list(start_results)
         self.listing_calls = []
+        self.start_leases_ms = []
 
     async def start(self, order, lease_until_ms, fence, timeout):
+        self.start_leases_ms.append(lease_until_ms)
         result = self.start_results.pop(0)
         if isinstance(result, Exception):
             raise result
@@ -107,6 +109,30 @@
     assert (report.refusal is None) == (refusal is None)
 
 
+def test_a_repeated_start_has_the_lease_of_the_moment_it_was_ordered(timer):
+    """A process that was paused in between must not extend what it may do."""
+    instance = ScriptedInstance([LOST, 5])
+    agent, _ = start_agent(timer, instance)
+    list_ends(instance)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.advance(30)
+    first, second = instance.start_leases_ms
+    assert first == second == LEASE / dt.timedelta(milliseconds=1)
+
+
+def test_an_agent_whose_permission_ended_sends_no_start_and_no_renewal(timer):
+    instance, permitted = ScriptedInstance([5]), [True]
+    clock, reports = ReactorClock(timer, START_TIME), []
+    agent = AgentTask(instance, clock, LEASE, 1, lambda: permitted[0], reports.append)
+    agent.start()
+    permitted[0] = False
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    list_ends(instance)
+    timer.pump([0.1] * 30)
+    assert not instance.start_leases_ms and len(instance.listing_calls) == 1
+    assert StartUnanswered("i-1/1", TASK, 1) in reports
+
+
 def list_ends(instance, *sequences):
     """Answer the latest listing with ends of these sequence numbers."""
     ends = tuple(RunEnd(n, TASK, n, EndKind.DONE, "") for n in sequences)
