--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -135,6 +135,9 @@
         self._run(name, "serve", str(path))
 
     def _run(self, name: str, *arguments: str) -> None:
+        """Start a process, unless an overlapping fault has started it already."""
+        if self.is_running(name):
+            return
         command = [sys.executable, "-m", "fighead", "platform", *arguments]
         with open(self.folder / f"{name}.log", "ab") as log:
             self._processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 from attrs import evolve
 from soak import checks, report
 from soak.__main__ import read_seeds
+from soak.fleet import Fleet
 from soak.model import Fault, JobSeen, Kind, Result, RunSeen, Step
 from soak.plan import LOAD_S, PAIRS, draw_faults
 from soak.player import find_running, is_settled
@@ -139,6 +140,24 @@
     assert not is_settled(evolve(JOB, final_state="running"))
 
 
+def test_a_process_that_overlapping_faults_start_runs_once(tmp_path, monkeypatch):
+    started = []
+
+    class Process:
+        def __init__(self, command, **_):
+            started.append(command)
+
+        def poll(self):
+            return None
+
+    monkeypatch.setattr("soak.fleet.subprocess.Popen", Process)
+    fleet = Fleet(MemoryReactorClock(), tmp_path, 1, 1)
+    fleet.start()
+    fleet.start_entry("e0")
+    fleet.start_entry("e0")
+    assert [command[4] for command in started] == ["store", "serve"]
+
+
 # The proxy.
 
 
