--- a/soak/player.py
+++ b/soak/player.py
@@ -26,8 +26,12 @@
 JOB_INTERVAL = dt.timedelta(milliseconds=250)
 #: Time after the last fault in which a new job has to be completed.
 SERVED_AGAIN = dt.timedelta(seconds=15)
+#: Most jobs that are sent to see whether one is served after all faults.
+MAX_PROBES = 40
 #: Time after the load in which all accepted jobs have to be completed.
 SETTLE = dt.timedelta(seconds=30)
+#: Time in which the last ends and cancellations reach the instances.
+CALM = dt.timedelta(seconds=2)
 #: Time between the end of an entry or an instance and its next start.
 DOWN = dt.timedelta(milliseconds=500)
 
@@ -234,17 +238,16 @@
     # The end.
 
     async def _settle(self) -> None:
-        """Wait until all accepted jobs are done and a new one has been served."""
-        probe = JobSeen(f"{self.seed:016x}", (), 0, 0)
+        """Wait until a new job has been served and all accepted jobs are done."""
         before = len(self.clients.jobs)
         deadline = self.clock.now() + SERVED_AGAIN
         while self.clock.now() < deadline and not self.result.is_served_again:
-            if len(self.clients.jobs) < before + 40:
+            if len(self.clients.jobs) < before + MAX_PROBES:
                 self.clients.send_random_job()
             await sleep(self.clock, POLL)
-            for probe in self.clients.jobs[before:]:
-                if probe.is_accepted and not probe.lasts:
-                    state = await self.clients.read_state(probe)
+            for job in self.clients.jobs[before:]:
+                if job.is_accepted and not job.lasts:
+                    state = await self.clients.read_state(job)
                     self.result.is_served_again |= state == "completed"
         deadline = self.clock.now() + SETTLE
         while self.clock.now() < deadline:
@@ -254,8 +257,7 @@
                     job.final_state = await self.clients.read_state(job)
             if all(map(is_settled, self.clients.jobs)):
                 break
-        # Ends and cancellations reach the instances.
-        await sleep(self.clock, dt.timedelta(seconds=2))
+        await sleep(self.clock, CALM)
 
     async def _collect(self) -> None:
         for name in self.fleet.instances:
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -8,46 +8,15 @@
 import urllib.request
 
 from attrs import define, field
+from soak.fleet import CONFIG as FLEET_CONFIG
+from soak.fleet import SETTINGS as SETTINGS_TEMPLATE
 
 from cluster import free_ports, wait_until
 
 CONFIG = {
-    "Version": 1,
-    "Routes": [
-        {
-            "Name": "plans",
-            "Host": "mill.example",
-            "Prefix": "/plans/",
-            "Service": "mill",
-            "Kind": "unsafe",
-            "TimeoutMs": 3000,
-            "TargetLatencyMs": 1000,
-            "Priority": 2,
-            "MaxAttempts": 2,
-            "SlackFactor": 2.0,
-        }
-    ],
-    "Services": [{"Name": "mill", "AdmissionCheck": True}],
-    "Limits": {"MaxBodyBytes": 262144},
+    **FLEET_CONFIG,
+    "Routes": [{**FLEET_CONFIG["Routes"][0], "Host": "mill.example"}],
 }
-SETTINGS_TEMPLATE = """
-Node = "{name}"
-Zone = "demo"
-Ip = "127.0.0.1"
-PortRange = [{peer}, {peer}]
-[Listen]
-Front = "127.0.0.1:{front}"
-Ready = "127.0.0.1:{ready}"
-[Bounds]
-MaxHoldMs = 6000
-GraceS = 6
-StopMs = 200
-ImpactMs = 4000
-early_ms = 250
-status_s = 120
-[platform]
-Address = "127.0.0.1:{store}"
-"""
 
 
 def call(method, url, body=None, host="mill.example", timeout=5):
--- a/tests/test_platform_instance.py
+++ b/tests/test_platform_instance.py
@@ -5,24 +5,15 @@
 
 import pytest
 from hypothesis import given
-from hypothesis import strategies as st
-from twisted.internet.defer import Deferred, succeed
 
 from fighead.exceptions import WorkerError, WorkerRefusedError, WorkerUnreachableError
-from fighead.http_client import HttpResponse
 from fighead.job import TaskKey
 from fighead.platform.instance import PlatformInstanceClient, decode_instance
 from fighead.run import Listing, RegisteredInstance, StartRun, StopRun
+from odd_answers import JSON_VALUES, Pool, result_of
 
 TIMEOUT = dt.timedelta(seconds=1)
 TASK = TaskKey("5c0e7a21d94b36f8", 0, 0, 1)
-JSON_VALUES = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
-    lambda inner: (
-        st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner)
-    ),
-    max_leaves=12,
-)
 LISTING = {
     "ClockMs": 5,
     "Running": [["5c0e7a21d94b36f8.0.0.1", 1, "", 40, 900]],
@@ -30,26 +21,6 @@
 }
 
 
-class Pool:
-    """Answers each request with the same response."""
-
-    def __init__(self, status, body):
-        self.response = HttpResponse(status, body)
-
-    def request(self, _address, _req, _timeout):
-        return succeed(self.response)
-
-
-def result_of(coroutine):
-    """Return what a coroutine that needs no reactor returns or raises."""
-    results = []
-    Deferred.fromCoroutine(coroutine).addBoth(results.append)
-    (result,) = results
-    if hasattr(result, "raiseException"):
-        result.raiseException()
-    return result
-
-
 def make_client(status, body):
     instance = RegisteredInstance("i-1", "", "10.0.0.1:80", "u")
     return PlatformInstanceClient(Pool(status, body), instance)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -6,47 +6,19 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from twisted.internet.defer import Deferred, succeed
 
 from fighead.exceptions import (
     StoreError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from fighead.http_client import HttpResponse
 from fighead.platform.store import PlatformStoreClient
 from fighead.store import LeaseGrant, LeaseKeepAlive, LeaseRevoke, Put, Range, Txn
+from odd_answers import JSON_VALUES, Pool, result_of
 
 TIMEOUT = dt.timedelta(seconds=1)
 TXN = Txn((), (Put("k", "v"),))
 READS = [Range("k"), Range("k", is_prefix=True), LeaseKeepAlive(5)]
-JSON_VALUES = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
-    lambda inner: (
-        st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner)
-    ),
-    max_leaves=10,
-)
-
-
-class Pool:
-    """Answers each request with the same response."""
-
-    def __init__(self, status, body):
-        self.response = HttpResponse(status, body)
-
-    def request(self, *_):
-        return succeed(self.response)
-
-
-def result_of(coroutine):
-    """Return what a coroutine that needs no reactor returns or raises."""
-    results = []
-    Deferred.fromCoroutine(coroutine).addBoth(results.append)
-    (result,) = results
-    if hasattr(result, "raiseException"):
-        result.raiseException()
-    return result
 
 
 def call(req, status, body):
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -33,6 +33,7 @@
 from job_builders import LEASE, add_job, at_seconds, make_schedule, orders_in
 from job_cluster import JobCluster
 from memory_store import MemoryStore
+from odd_answers import JSON_VALUES
 
 START = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
 NUMBERS = st.sampled_from([0, 1, 7000, 10**9, 10**12, MAX_QUANTITY, 10**17, 10**400])
@@ -55,13 +56,6 @@
 CAPACITIES = st.fixed_dictionaries(
     {name: NUMBERS | st.integers(-5, 5) for name in ("Cpu", "MemMb", "Gpu")}
 )
-JSON_VALUES = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
-    lambda inner: (
-        st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner)
-    ),
-    max_leaves=12,
-)
 JOB = JobSpec("x", (Stage(count=2, cpu=1000, memory_mb=1, estimate_ms=300),))
 
 
