--- a/src/fighead/decisions/start_window.py
+++ b/src/fighead/decisions/start_window.py
@@ -21,7 +21,7 @@
 #: Starts in flight that are always allowed, and those allowed at first.
 MIN_STARTS = 8
 INITIAL_STARTS = 32
-#: More starts than any entry has been seen to send in a second.
+#: Upper bound of the limit.
 MAX_STARTS = 2000
 #: By how much the quickest answers may exceed the shortest time of any answer. It is a
 #: quarter of the timeout of a renewal, which waits as long.
@@ -41,7 +41,6 @@
 #: Share of the limit that must be free for the next starts, so that they are sent in
 #: groups and few rounds of placement are made while many tasks wait.
 MIN_FREE_SHARE = 0.25
-
 #: Longest time between two moments at which the limit is reached for both to count as
 #: one span. A late loop skips intervals.
 MAX_FULL_GAP = dt.timedelta(milliseconds=500)
--- a/src/fighead/runtime.py
+++ b/src/fighead/runtime.py
@@ -24,8 +24,8 @@
 def make_collections_rare() -> None:
     """Let garbage collection pass over all objects that exist now, and run less often.
 
-    A full collection of the objects of a program's modules takes 0.6 s on an eighth of
-    a core, longer than the renewal of a lease may take.
+    On a small share of a core, a full collection of the objects of a program's modules
+    takes about as long as the renewal of a lease may.
     """
     gc.freeze()
     gc.set_threshold(*COLLECTION_THRESHOLDS)
