Log which inherited instances are not registered, and what a scheduler settles on

It now has 'listed' and 'unregistered', and 5320 names the missing instances when the fleet is read. No decision changes.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -21,6 +21,8 @@
 #: Time before the drain deadline at which checkpointed runs are stopped, so that
 #: their checkpoints are saved.
 CHECKPOINT_NOTICE = dt.timedelta(milliseconds=1000)
+#: Maximum number of IDs of instances in one log line.
+MAX_LOGGED_INSTANCES = 20
 
 
 def latest_lease_expiry(sent_at: dt.datetime, lease: dt.timedelta) -> dt.datetime:
@@ -161,15 +163,32 @@
             for state in schedule.instances.values()
         )
         if schedule.is_settled:
-            fields = {
-                "instances": len(schedule.instances),
-                "term": schedule.term,
-                "since_election_ms": schedule.ms_since_election(now),
-            }
-            effects.append(LogNote(Event.SCHEDULE_SETTLED, fields))
+            effects.append(_describe_settling(schedule, now))
     return effects
 
 
+def _describe_settling(schedule: Schedule, now: dt.datetime) -> LogNote:
+    states = schedule.instances.values()
+    fields = {
+        "instances": len(schedule.instances),
+        "listed": sum(state.is_listed for state in states),
+        "unregistered": len(find_unregistered_fleet(schedule)),
+        "term": schedule.term,
+        "since_election_ms": schedule.ms_since_election(now),
+    }
+    return LogNote(Event.SCHEDULE_SETTLED, fields)
+
+
+def find_unregistered_fleet(schedule: Schedule) -> list[str]:
+    """Return the inherited instances that are not registered, in order of ID."""
+    states = schedule.instances
+    return sorted(
+        instance_id
+        for instance_id in schedule.inherited_fleet or ()
+        if instance_id not in states or not states[instance_id].is_registered
+    )
+
+
 def _has_all_live_instances(schedule: Schedule, now: dt.datetime) -> bool:
     """Whether every live instance that may have runs is known."""
     if (
@@ -183,9 +202,21 @@
     )
 
 
-def set_inherited_fleet(schedule: Schedule, instance_ids: t.Iterable[str]) -> None:
+def set_inherited_fleet(
+    schedule: Schedule, instance_ids: t.Iterable[str], now: dt.datetime
+) -> list[Effect]:
     """Set the instances to which an earlier scheduler may have assigned runs."""
     schedule.inherited_fleet = frozenset(instance_ids)
+    unregistered = find_unregistered_fleet(schedule)
+    if not unregistered:
+        return []
+    fields = {
+        "count": len(unregistered),
+        "instances": unregistered[:MAX_LOGGED_INSTANCES],
+        "term": schedule.term,
+        "since_election_ms": schedule.ms_since_election(now),
+    }
+    return [LogNote(Event.FLEET_INCOMPLETE, fields)]
 
 
 def fleet_to_store(schedule: Schedule) -> set[str]:
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -107,6 +107,11 @@
         "An instance is no longer suspected of being unhealthy.",
     )
     REGISTRATION_UNREADABLE = (5307, "warning", "A registration is unusable.")
+    FLEET_INCOMPLETE = (
+        5320,
+        "warning",
+        "Instances that may have runs of an earlier scheduler are not registered.",
+    )
     CONFIG_APPLIED = (5401, "info", "A configuration is in force.")
     CONFIG_UNREADABLE = (5402, "warning", "A configuration can't be read.")
     RECORD_UNREADABLE = (5403, "error", "A stored record can't be read.")
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -541,7 +541,11 @@
             interference.import_effects(self.schedule.interference, learned)
         fleet = _decode_record(msg.fleet, Fleet) if msg.fleet else None
         if fleet is not None:
-            instance_tracking.set_inherited_fleet(self.schedule, fleet.instances)
+            self._apply_effects(
+                instance_tracking.set_inherited_fleet(
+                    self.schedule, fleet.instances, now
+                )
+            )
         self._is_loaded = True
         log_event(
             Event.SCHEDULE_LOADED,
