Reproduce two runs of one task after an election

Three tests of whole entries fail on this code with 'two runs of a task at once': an instance loses its registration, while entries reach it or with the leader, or is silent afterwards, and the next scheduler starts its tasks elsewhere while its leases still run.

--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -240,6 +240,75 @@
     assert not cluster.find_breaches()
 
 
+def list_runs(instance):
+    return instance.renew_and_list(instance.fence, 0, 0).running
+
+
+def running_on(cluster, *names):
+    """Return the running tasks of instances, with their run numbers."""
+    return {
+        (row.task, row.number)
+        for name in names
+        for row in list_runs(cluster.instances[name])
+    }
+
+
+def started_runs(cluster):
+    return [(e.task, e.number) for e in cluster.history if e.event == "started"]
+
+
+def used_instances(cluster):
+    return sorted({e.instance_id for e in cluster.history if e.event == "started"})
+
+
+def test_an_instance_whose_registration_lapsed_keeps_its_runs_after_an_election(
+    cluster,
+):
+    cluster.submit(job_id(1), WATCH_JOB, "watches")
+    cluster.advance(3)
+    used = used_instances(cluster)
+    for name in used:
+        cluster.store.remove(f"servers/{name}")
+    cluster.advance(4)
+    cluster.kill_entries(cluster.leader())
+    # The leader's key lapses after 2 s; the leases of the runs last 6 s.
+    cluster.advance(15)
+    assert not cluster.find_breaches()
+    assert len(started_runs(cluster)) == 2
+    assert running_on(cluster, *used) == set(started_runs(cluster))
+
+
+def test_a_registration_that_lapses_with_its_leader_does_not_end_the_runs(cluster):
+    cluster.submit(job_id(1), WATCH_JOB, "watches")
+    cluster.advance(3)
+    used = used_instances(cluster)
+    cluster.kill_entries(cluster.leader())
+    for name in used:
+        cluster.store.remove(f"servers/{name}")
+    cluster.advance(20)
+    assert not cluster.find_breaches()
+    running = running_on(cluster, *cluster.instances)
+    assert len(running) == 2 and not running & set(started_runs(cluster)[:2])
+
+
+def test_tasks_of_an_unregistered_instance_that_never_answers_start_elsewhere(
+    cluster,
+):
+    cluster.submit(job_id(1), WATCH_JOB, "watches")
+    cluster.advance(3)
+    used = used_instances(cluster)
+    for name in used:
+        cluster.store.remove(f"servers/{name}")
+    cluster.advance(1)
+    cluster.silent_instances.update(used)
+    cluster.kill_entries(cluster.leader())
+    # As for an instance that is registered and never answers.
+    cluster.advance(13)
+    assert not cluster.find_breaches()
+    rest = [name for name in cluster.instances if name not in used]
+    assert len(running_on(cluster, *rest)) == 2
+
+
 def test_no_instance_is_used_before_its_record_is_stored(cluster):
     cluster.advance(2)
     cluster.add_instance("i9")
