Wait for the runs of instances that have lost their registration

Cause: a new scheduler took an instance of the stored fleet without a registration for gone, at once if the store had been reached for 2.5 s. But the registration only shows that the instance reaches the store. The earlier scheduler went on to list it and to renew its leases, up to 6 s beyond the election. The fault is of the class in which the absence of a message counts as the end of what its sender does.

Fix: the schedule settles only when each instance of the recorded fleet has been listed, or when all leases that anyone may have granted have ended. The record holds the last registration of those that have none, so that the next scheduler reaches and fences them, lists their runs and renews their leases: the work goes on. Instances outside the record have never been used, so they no longer delay settling. The wait of 2.5 s for lapsed registrations is removed.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -47,11 +47,7 @@
     """
     state = schedule.instances.get(instance.instance_id)
     if state is None:
-        # An earlier scheduler may have granted leases on the instance.
-        bound = latest_lease_expiry(schedule.elected_at + AUTHORITY_TIMEOUT, lease)
-        state = InstanceState(instance, bound)
-        state.is_in_stored_fleet = instance.instance_id in schedule.stored_fleet
-        schedule.instances[instance.instance_id] = state
+        _add_new_instance(schedule, instance, lease)
         fields = {"instance": instance.instance_id, "address": instance.address}
         return [LogNote(Event.INSTANCE_FOUND, fields)]
     was_draining = state.instance.is_draining
@@ -64,6 +60,20 @@
     return []
 
 
+def _add_new_instance(
+    schedule: Schedule, instance: RegisteredInstance, lease: dt.timedelta
+) -> InstanceState:
+    state = InstanceState(instance, inherited_lease_bound(schedule, lease))
+    state.is_in_stored_fleet = instance.instance_id in schedule.stored_fleet
+    schedule.instances[instance.instance_id] = state
+    return state
+
+
+def inherited_lease_bound(schedule: Schedule, lease: dt.timedelta) -> dt.datetime:
+    """Return when all leases granted by earlier schedulers have expired."""
+    return latest_lease_expiry(schedule.elected_at + AUTHORITY_TIMEOUT, lease)
+
+
 def has_restarted(state: InstanceState, instance: RegisteredInstance) -> bool:
     """Whether a registration is from another incarnation than the known one."""
     known = state.instance.incarnation
@@ -140,12 +150,16 @@
         state.leases_end_at = max(state.leases_end_at, leases_end_at)
 
 
-def update_instances(schedule: Schedule, now: dt.datetime) -> list[Effect]:
+def update_instances(
+    schedule: Schedule, lease: dt.timedelta, now: dt.datetime
+) -> list[Effect]:
     """Requeue the runs of instances whose leases have expired.
 
     Such instances are removed if they are no longer registered. Also stops
     checkpointed runs before a drain deadline, and settles the schedule once no unknown
     run can exist.
+
+    :param lease: Lease that earlier schedulers may have granted.
     """
     effects: list[Effect] = []
     for state in list(schedule.instances.values()):
@@ -153,20 +167,35 @@
         if state.is_reachable or now < state.leases_end_at:
             continue
         effects += _expire_instance(schedule, state)
-    if (
-        not schedule.is_settled
-        and schedule.instances
-        and _has_all_live_instances(schedule, now)
-    ):
-        schedule.is_settled = all(
-            state.is_listed or now >= state.leases_end_at
-            for state in schedule.instances.values()
-        )
-        if schedule.is_settled:
-            effects.append(_describe_settling(schedule, now))
+    if not schedule.is_settled and _can_settle(schedule, lease, now):
+        schedule.is_settled = True
+        effects.append(_describe_settling(schedule, now))
     return effects
 
 
+def _can_settle(schedule: Schedule, lease: dt.timedelta, now: dt.datetime) -> bool:
+    """Whether every run of an earlier scheduler is known or has ended.
+
+    An instance without a registration may still run tasks: it registers in the store,
+    and gets its leases from the scheduler.
+    """
+    if now >= inherited_lease_bound(schedule, lease):
+        fleet: t.Collection[str] = schedule.instances.keys()
+    elif schedule.inherited_fleet is None:
+        return False
+    else:
+        fleet = schedule.inherited_fleet
+    return all(
+        instance_id in schedule.instances
+        and _has_no_unknown_run(schedule.instances[instance_id], now)
+        for instance_id in fleet
+    )
+
+
+def _has_no_unknown_run(state: InstanceState, now: dt.datetime) -> bool:
+    return state.is_listed or now >= state.leases_end_at
+
+
 def _describe_settling(schedule: Schedule, now: dt.datetime) -> LogNote:
     states = schedule.instances.values()
     fields = {
@@ -189,30 +218,29 @@
     )
 
 
-def _has_all_live_instances(schedule: Schedule, now: dt.datetime) -> bool:
-    """Whether every live instance that may have runs is known."""
-    if (
-        schedule.inherited_fleet is not None
-        and schedule.inherited_fleet <= schedule.instances.keys()
-    ):
-        return True
-    return (
-        schedule.registrations_complete_at is None
-        or now >= schedule.registrations_complete_at
-    )
-
-
-def set_inherited_fleet(
-    schedule: Schedule, instance_ids: t.Iterable[str], now: dt.datetime
+def inherit_fleet(
+    schedule: Schedule,
+    instance_ids: t.Iterable[str],
+    unregistered: t.Iterable[RegisteredInstance],
+    lease: dt.timedelta,
+    now: dt.datetime,
 ) -> list[Effect]:
-    """Set the instances to which an earlier scheduler may have assigned runs."""
+    """Set the instances to which an earlier scheduler may have assigned runs.
+
+    :param unregistered: Those of them that had lost their registrations. Their runs
+        are listed and go on, but no other run is placed on them.
+    """
     schedule.inherited_fleet = frozenset(instance_ids)
-    unregistered = find_unregistered_fleet(schedule)
-    if not unregistered:
+    for instance in unregistered:
+        if instance.instance_id not in schedule.instances:
+            _add_new_instance(schedule, instance, lease).is_registered = False
+    missing = find_unregistered_fleet(schedule)
+    if not missing:
         return []
     fields = {
-        "count": len(unregistered),
-        "instances": unregistered[:MAX_LOGGED_INSTANCES],
+        "count": len(missing),
+        "reachable_by_record": sum(i in schedule.instances for i in missing),
+        "instances": missing[:MAX_LOGGED_INSTANCES],
         "term": schedule.term,
         "since_election_ms": schedule.ms_since_election(now),
     }
@@ -228,8 +256,17 @@
     return known if schedule.is_settled else known.union(schedule.inherited_fleet or ())
 
 
+def find_unregistered(schedule: Schedule) -> list[RegisteredInstance]:
+    """Return the known instances that have lost their registrations."""
+    return [
+        state.instance
+        for _, state in sorted(schedule.instances.items())
+        if not state.is_registered
+    ]
+
+
 def set_stored_fleet(schedule: Schedule, instance_ids: t.Iterable[str]) -> None:
-    """Record that the stored fleet consists of these instances."""
+    """Set the instances that the stored fleet record certainly includes."""
     schedule.stored_fleet = frozenset(instance_ids)
     for instance_id, state in schedule.instances.items():
         state.is_in_stored_fleet = instance_id in schedule.stored_fleet
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -280,17 +280,15 @@
 
     :param term: Number of the term. Run numbers grow with the term.
     :param fence: Fence of the term, from which the fence of each order is derived.
-    :param registrations_complete_at: Time from which every live instance is known to
-        be registered; ``None`` if there is no need to wait.
     :param inherited_fleet: Instances to which an earlier scheduler may have assigned
         runs; ``None`` if unknown.
-    :param stored_fleet: Instances in the fleet record that this scheduler has stored.
+    :param stored_fleet: Instances that the stored fleet record certainly includes.
     :param no_inherited_runs_after: A job with a higher store revision cannot have
         runs from an earlier scheduler; ``None`` if that revision is not yet known.
     :param unsaved_jobs: IDs of jobs whose progress or end has yet to be stored.
     :param ended_phases: Final phases of jobs that ended in this term, by job ID.
-    :param is_settled: Whether each instance has been listed or its leases have
-        expired, so that no unknown run can exist.
+    :param is_settled: Whether each inherited instance has been listed or its leases
+        have expired, so that no unknown run can exist.
     :param interference: Learned interference between images.
     :param log_duration_ratios: Typical natural logarithm of actual to estimated run
         time, by queue.
@@ -303,7 +301,6 @@
     term: int
     fence: int
     elected_at: dt.datetime
-    registrations_complete_at: dt.datetime | None = None
     inherited_fleet: frozenset[str] | None = None
     stored_fleet: frozenset[str] = frozenset()
     no_inherited_runs_after: int | None = None
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -50,9 +50,6 @@
 BALANCER_REACTION_TIME = dt.timedelta(milliseconds=2300)
 #: Part of the grace period that is reserved for the end of a planned stop.
 STOP_RESERVE = dt.timedelta(milliseconds=700)
-#: Time within which instances whose registrations lapsed while the store was
-#: unreachable register again, as the users specify, with slack for late timers.
-REREGISTRATION_TIME = dt.timedelta(milliseconds=2500)
 DRAIN_POLL_INTERVAL = dt.timedelta(milliseconds=50)
 NOT_READY_STATUS = 503
 #: Largest request body that is read, in bytes, whatever the configuration allows.
@@ -88,7 +85,6 @@
     _random: random.Random = field(init=False)
     _relaying_store: RelayingStore = field(init=False)
     _is_store_reached: bool = False
-    _store_reached_at: dt.datetime = field(init=False)
     _is_stopping: bool = False
     _config_request: ConfigRequest = field(factory=ConfigRequest)
     _backlog: tuple[QueuedStarts, ...] = ()
@@ -98,7 +94,7 @@
     def __attrs_post_init__(self) -> None:
         cfg = self.cfg
         self._random = random.Random(cfg.seed or None)
-        self._store_reached_at = self._backlog_at = self.clock.now()
+        self._backlog_at = self.clock.now()
         self._relaying_store = RelayingStore(
             self.adapter.store, self.clock, self._call_store_via_peer
         )
@@ -232,8 +228,6 @@
 
     def _record_store_contact(self, is_reached: bool) -> None:
         self._is_store_reached = is_reached
-        if is_reached:
-            self._store_reached_at = self.clock.now()
         log_event(Event.STORE_BACK if is_reached else Event.STORE_AWAY)
 
     def _apply_config(self, cfg: JobConfig, source: str) -> None:
@@ -260,10 +254,6 @@
                 return
             self._stop_scheduling()
         schedule = Schedule(leader.term, leader.fence, self.clock.now())
-        reached_at = (
-            self._store_reached_at if self._is_store_reached else self.clock.now()
-        )
-        schedule.registrations_complete_at = reached_at + REREGISTRATION_TIME
         schedule.config = self.front_context.config or JobConfig()
         self.scheduler = SchedulerTask(
             schedule,
--- a/src/fighead/tasks/fleet.py
+++ b/src/fighead/tasks/fleet.py
@@ -10,6 +10,7 @@
 from ..exceptions import StoreError
 from ..log import Event, log_event
 from ..mailbox import Mailbox
+from ..run import RegisteredInstance
 from ..store import FLEET_KEY, JOB_LEADER_KEY, Compare, Put, Txn, TxnResult
 from .watch import STORE_TIMEOUT, StoreClient
 
@@ -19,9 +20,14 @@
 
 @frozen
 class Fleet:
-    """Ids of all instances on which a run may have been started."""
+    """All instances on which a run may have been started.
+
+    :param instances: Their IDs.
+    :param unregistered: Those without a registration, as they last registered.
+    """
 
     instances: tuple[str, ...] = ()
+    unregistered: tuple[RegisteredInstance, ...] = ()
 
 
 @frozen
@@ -43,8 +49,9 @@
 class FleetTask:
     """Owns the stored fleet while its entry is the leader.
 
-    From it, the next scheduler sees whether instances with possible runs have lost
-    their registration. If none has, it need not wait for them to register again.
+    From it, the next scheduler knows the instances whose runs it has to list before it
+    places tasks, and the addresses of those that it can't find among the
+    registrations: an instance that is cut off from the store may still run tasks.
 
     :param report: Called after each successful write.
     """
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -122,19 +122,27 @@
     """Requests a check of timeouts; sent every ``TICK_INTERVAL``."""
 
 
+@frozen
+class FleetLoaded:
+    """The fleet record has been read from the store.
+
+    :param record: Record of an earlier scheduler; ``None`` if none is stored.
+    """
+
+    record: KeyValue | None
+
+
 @frozen
 class StateLoaded:
     """All jobs have been read from the store.
 
     :param took: Time that the reads took.
     :param learned: Learned interference; ``None`` if none is stored.
-    :param fleet: Fleet record of an earlier scheduler; ``None`` if none is stored.
     """
 
     jobs: Snapshot
     progress: Snapshot
     learned: KeyValue | None
-    fleet: KeyValue | None
     took: dt.timedelta
 
 
@@ -287,7 +295,7 @@
                 self._record_store_failure("keep", exc)
 
     async def _load_state(self) -> None:
-        """Read all jobs once the instances have accepted the fence.
+        """Read the fleet, and all jobs once the instances have accepted the fence.
 
         Every run started by an earlier scheduler then belongs to a job that is read
         here. The wait is limited to ``MAX_FENCING_WAIT``.
@@ -297,6 +305,7 @@
         neither before it has loaded. It would take as long on a slow link, though,
         and leave less of it to the renewals of the leader's lease.
         """
+        self.mailbox.offer(FleetLoaded(await self._read_key(FLEET_KEY, "load")))
         waited = dt.timedelta()
         while not self._has_fenced_all_instances() and waited < MAX_FENCING_WAIT:
             await sleep(self.clock, PLACEMENT_DELAY * 2)
@@ -305,9 +314,8 @@
         jobs = await read_all(store, JOBS_PREFIX, self._pause_load)
         progress = await read_all(store, JOB_PROGRESS_PREFIX, self._pause_load)
         learned = await self._read_key(LEARNED_EFFECTS_KEY, "load")
-        fleet = await self._read_key(FLEET_KEY, "load")
         took = self.clock.now() - started_at
-        self.mailbox.offer(StateLoaded(jobs, progress, learned, fleet, took))
+        self.mailbox.offer(StateLoaded(jobs, progress, learned, took))
         watch = WatchTask(
             self.adapter.store,
             JOBS_PREFIX,
@@ -383,6 +391,8 @@
                     )
             case m.CancelTold(job_id):
                 self._apply_effects(job_lifecycle.cancel_job(self.schedule, job_id))
+            case FleetLoaded(record):
+                self._inherit_fleet(record, now)
             case StateLoaded():
                 self._handle_loaded_state(msg, now)
             case JobLookedUp():
@@ -523,6 +533,18 @@
         self.agents[instance.instance_id] = agent
         agent.start()
 
+    def _inherit_fleet(self, record: KeyValue | None, now: dt.datetime) -> None:
+        fleet = _decode_record(record, Fleet) if record else Fleet()
+        if fleet is None:
+            return
+        effects = instance_tracking.inherit_fleet(
+            self.schedule, fleet.instances, fleet.unregistered, self.lease, now
+        )
+        for instance in fleet.unregistered:
+            if instance.instance_id not in self.agents:
+                self._start_agent(instance)
+        self._apply_effects(effects)
+
     def _handle_loaded_state(self, msg: StateLoaded, now: dt.datetime) -> None:
         progress = {
             kv.key.removeprefix(JOB_PROGRESS_PREFIX): kv for kv in msg.progress.kvs
@@ -539,13 +561,6 @@
         )
         if learned is not None:
             interference.import_effects(self.schedule.interference, learned)
-        fleet = _decode_record(msg.fleet, Fleet) if msg.fleet else None
-        if fleet is not None:
-            self._apply_effects(
-                instance_tracking.set_inherited_fleet(
-                    self.schedule, fleet.instances, now
-                )
-            )
         self._is_loaded = True
         log_event(
             Event.SCHEDULE_LOADED,
@@ -695,7 +710,9 @@
 
     def _handle_tick(self, now: dt.datetime) -> None:
         start_window.adjust(self.schedule.start_window, now)
-        self._apply_effects(instance_tracking.update_instances(self.schedule, now))
+        self._apply_effects(
+            instance_tracking.update_instances(self.schedule, self.lease, now)
+        )
         if self.may_act():
             effects = timed(
                 self.steady_s,
@@ -718,7 +735,10 @@
         """Request a write of the fleet record if the fleet has changed."""
         if not self._is_loaded:
             return
-        fleet = Fleet(tuple(sorted(instance_tracking.fleet_to_store(self.schedule))))
+        fleet = Fleet(
+            tuple(sorted(instance_tracking.fleet_to_store(self.schedule))),
+            tuple(instance_tracking.find_unregistered(self.schedule)),
+        )
         if fleet != self._requested_fleet:
             self._requested_fleet = fleet
             self._fleet.mailbox.offer(RecordFleet(self.schedule.fence, fleet))
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -9,7 +9,7 @@
 
 from fighead.codec import from_json
 from fighead.job import JobPhase, JobRecord, JobSpec, Stage
-from fighead.store import JOBS_PREFIX
+from fighead.store import FLEET_KEY, JOBS_PREFIX
 from job_cluster import NO_ERROR, START_TIME, JobCluster, has_ended
 
 SHORT_STAGE = Stage(count=3, cpu=2000, memory_mb=100, estimate_ms=400)
@@ -309,6 +309,19 @@
     assert len(running_on(cluster, *rest)) == 2
 
 
+def test_a_scheduler_that_cannot_read_the_fleet_waits_for_all_leases(cluster):
+    cluster.submit(job_id(1), WATCH_JOB, "watches")
+    cluster.advance(3)
+    for name in used_instances(cluster):
+        cluster.store.remove(f"servers/{name}")
+    cluster.advance(1)
+    cluster.kill_entries(cluster.leader())
+    cluster.store.put(FLEET_KEY, "{")
+    cluster.advance(20)
+    assert not cluster.find_breaches()
+    assert len(running_on(cluster, *cluster.instances)) == 2
+
+
 def test_no_instance_is_used_before_its_record_is_stored(cluster):
     cluster.advance(2)
     cluster.add_instance("i9")
