Take an instance with an unreadable registration as unregistered

An entry of another writer in place of a registration left the instance registered at the scheduler that knew it and unknown to the next one, which had no address for it and so started its tasks elsewhere while they ran.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -508,6 +508,9 @@
         instance = self.adapter.decode_instance(kv.key, kv.value)
         if instance is None:
             log_event(Event.REGISTRATION_UNREADABLE, key=kv.key)
+            self._apply_effects(
+                instance_tracking.unregister_instances(self.schedule, (instance_id,))
+            )
             return
         if instance.upstream not in self.schedule.config.upstreams:
             return
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -18,6 +18,7 @@
 from fighead.commands import job as commands
 from fighead.exceptions import (
     PeerUnreachableError,
+    RequestError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
     WorkerError,
@@ -414,7 +415,7 @@
             "op/config",
             "servers/",
             lambda value: from_json(value, JobConfig),
-            lambda key, value: from_json(value, RegisteredInstance),
+            decode_instance,
             lambda instance: GatedInstance(self, gate, instance),
         )
 
@@ -606,6 +607,12 @@
                     yield ("start after all attempts failed", event)
 
 
+def decode_instance(key, value):
+    """Return a registered instance, or ``None`` if the value can't be read."""
+    with contextlib.suppress(RequestError):
+        return from_json(value, RegisteredInstance)
+
+
 def make_codec():
     return JobCodec("", str, lambda _: JobSpec(), str, str, str)
 
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -309,6 +309,19 @@
     assert len(running_on(cluster, *rest)) == 2
 
 
+def test_an_unreadable_registration_does_not_end_the_runs_of_its_instance(cluster):
+    cluster.submit(job_id(1), WATCH_JOB, "watches")
+    cluster.advance(3)
+    used = used_instances(cluster)
+    for name in used:
+        cluster.store.put(f"servers/{name}", '{"State": []}')
+    cluster.advance(1)
+    cluster.kill_entries(cluster.leader())
+    cluster.advance(15)
+    assert not cluster.find_breaches()
+    assert running_on(cluster, *used) == set(started_runs(cluster))
+
+
 def test_a_scheduler_that_cannot_read_the_fleet_waits_for_all_leases(cluster):
     cluster.submit(job_id(1), WATCH_JOB, "watches")
     cluster.advance(3)
