Use no instance that a fleet record under way leaves out

An instance whose leases had ended is left out of the record. If it registered again before that write was answered, it was used, since the scheduler still took the earlier record for the stored one; the next scheduler would have missed its runs. One write is under way at a time now, and what it leaves out is not used until the next is made. Found by reading. test_an_instance_is_not_used_while_the_record_may_lack_it failed before, and fails if the earlier record is believed during the write (trial).

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -190,6 +190,7 @@
     _fleet: FleetTask = field(init=False)
     _lookup: JobLookupTask = field(init=False)
     _requested_fleet: Fleet | None = None
+    _is_fleet_write_pending: bool = False
     _deferreds: list[t.Any] = field(factory=list)
     _is_loaded: bool = False
     _pending: PendingListings = field(factory=PendingListings)
@@ -402,7 +403,7 @@
             case JobsRecorded():
                 self._handle_recorded(msg)
             case FleetRecorded(fleet):
-                instance_tracking.set_stored_fleet(self.schedule, fleet.instances)
+                self._handle_recorded_fleet(fleet)
             case LeadershipLost(fence):
                 # Requests under an earlier fence were made again under the current one.
                 if fence == self.schedule.fence:
@@ -735,16 +736,30 @@
         self._flush(now)
 
     def _request_fleet_write(self) -> None:
-        """Request a write of the fleet record if the fleet has changed."""
-        if not self._is_loaded:
+        """Request a write of the fleet record if the fleet has changed.
+
+        One write is under way at a time, and until it is made an instance that it
+        leaves out is not used: the record may already lack it.
+        """
+        if not self._is_loaded or self._is_fleet_write_pending:
             return
         fleet = Fleet(
             tuple(sorted(instance_tracking.fleet_to_store(self.schedule))),
             tuple(instance_tracking.find_unregistered(self.schedule)),
         )
-        if fleet != self._requested_fleet:
-            self._requested_fleet = fleet
-            self._fleet.mailbox.offer(RecordFleet(self.schedule.fence, fleet))
+        if fleet == self._requested_fleet:
+            return
+        self._requested_fleet, self._is_fleet_write_pending = fleet, True
+        instance_tracking.set_stored_fleet(
+            self.schedule, self.schedule.stored_fleet.intersection(fleet.instances)
+        )
+        self._fleet.mailbox.offer(RecordFleet(self.schedule.fence, fleet))
+
+    def _handle_recorded_fleet(self, fleet: Fleet) -> None:
+        # A write under an earlier fence may be answered late.
+        if fleet == self._requested_fleet:
+            self._is_fleet_write_pending = False
+            instance_tracking.set_stored_fleet(self.schedule, fleet.instances)
 
     def _request_placement(self) -> None:
         if self._placement_call is None or not self._placement_call.active():
@@ -865,7 +880,7 @@
             job.job_id for job in self.schedule.jobs.values() if not job.is_end_stored
         )
         self._is_writing = False
-        self._requested_fleet = None
+        self._requested_fleet, self._is_fleet_write_pending = None, False
 
 
 def _describe_load(msg: StateLoaded) -> dict[str, int]:
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -1,6 +1,7 @@
 """Jobs on complete entries without sockets, under injected faults."""
 
 import datetime as dt
+import json
 import random
 
 import pytest
@@ -335,6 +336,29 @@
     assert len(running_on(cluster, *cluster.instances)) == 2
 
 
+def test_an_instance_is_not_used_while_the_record_may_lack_it(cluster):
+    cluster.advance(2)
+    cluster.silent_instances.add("i0")
+    cluster.store.remove("servers/i0")
+    # Its leases end 6.3 s later; the write without it is made and answered late.
+    cluster.advance(6)
+    cluster.store.answer_delay = dt.timedelta(seconds=2)
+    cluster.advance(1)
+    fleet = json.loads(cluster.store.items[FLEET_KEY].value)
+    assert "i0" not in fleet["instances"]
+    cluster.silent_instances.clear()
+    cluster.register_instance("i0")
+    light = Stage(count=30, cpu=500, memory_mb=1, estimate_ms=500)
+    outcomes = cluster.submit(job_id(1), JobSpec("x", (light,)))
+    cluster.advance(0.8)
+    assert not outcomes and used_instances(cluster)
+    assert "i0" not in used_instances(cluster)
+    cluster.advance(8)
+    cluster.submit(job_id(2), JobSpec("x", (light,)))
+    cluster.advance(4)
+    assert "i0" in used_instances(cluster)
+
+
 def test_no_instance_is_used_before_its_record_is_stored(cluster):
     cluster.advance(2)
     cluster.add_instance("i9")
