--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -223,8 +223,7 @@
     instance_ids: t.Iterable[str],
     unregistered: t.Iterable[RegisteredInstance],
     lease: dt.timedelta,
-    now: dt.datetime,
-) -> list[Effect]:
+) -> None:
     """Set the instances to which an earlier scheduler may have assigned runs.
 
     :param unregistered: Those of them that had lost their registrations. Their runs
@@ -234,6 +233,10 @@
     for instance in unregistered:
         if instance.instance_id not in schedule.instances:
             _add_new_instance(schedule, instance, lease).is_registered = False
+
+
+def describe_incomplete_fleet(schedule: Schedule, now: dt.datetime) -> list[Effect]:
+    """Return a note that names the inherited instances that are not registered."""
     missing = find_unregistered_fleet(schedule)
     if not missing:
         return []
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -393,7 +393,7 @@
             case m.CancelTold(job_id):
                 self._apply_effects(job_lifecycle.cancel_job(self.schedule, job_id))
             case FleetLoaded(record):
-                self._inherit_fleet(record, now)
+                self._inherit_fleet(record)
             case StateLoaded():
                 self._handle_loaded_state(msg, now)
             case JobLookedUp():
@@ -537,17 +537,16 @@
         self.agents[instance.instance_id] = agent
         agent.start()
 
-    def _inherit_fleet(self, record: KeyValue | None, now: dt.datetime) -> None:
+    def _inherit_fleet(self, record: KeyValue | None) -> None:
         fleet = _decode_record(record, Fleet) if record else Fleet()
         if fleet is None:
             return
-        effects = instance_tracking.inherit_fleet(
-            self.schedule, fleet.instances, fleet.unregistered, self.lease, now
+        instance_tracking.inherit_fleet(
+            self.schedule, fleet.instances, fleet.unregistered, self.lease
         )
         for instance in fleet.unregistered:
             if instance.instance_id not in self.agents:
                 self._start_agent(instance)
-        self._apply_effects(effects)
 
     def _handle_loaded_state(self, msg: StateLoaded, now: dt.datetime) -> None:
         progress = {
@@ -573,6 +572,9 @@
             since_election_ms=self.schedule.ms_since_election(now),
             **_describe_load(msg),
         )
+        self._apply_effects(
+            instance_tracking.describe_incomplete_fleet(self.schedule, now)
+        )
         for instance_id in tuple(self._pending.by_instance):
             self._check_listing(instance_id, now)
 
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -273,7 +273,10 @@
     cluster.advance(4)
     cluster.kill_entries(cluster.leader())
     # The leader's key lapses after 2 s; the leases of the runs last 6 s.
-    cluster.advance(15)
+    with capture_logs() as lines:
+        cluster.advance(15)
+    (missing,) = [x for x in lines if x["event_name"] == "fleet_incomplete"]
+    assert missing["instances"] == used and missing["reachable_by_record"] == 2
     assert not cluster.find_breaches()
     assert len(started_runs(cluster)) == 2
     assert running_on(cluster, *used) == set(started_runs(cluster))
