Remember registrations that come before their configuration

An entry elected before it had a configuration, or whose configuration lacked a service, dropped the registrations of that service's instances. They come again only when the instances write them anew: until then the scheduler had no instance, and the runs that it should have found went on without it. They are kept and looked at again with each configuration; instances of the recorded fleet count whatever their service. Test: test_instances_registered_before_the_configuration_is_known_are_used failed before.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -60,6 +60,13 @@
     return []
 
 
+def is_relevant(schedule: Schedule, instance: RegisteredInstance) -> bool:
+    """Whether an instance may be used, or may have runs of an earlier scheduler."""
+    return instance.upstream in schedule.config.upstreams or instance.instance_id in (
+        schedule.inherited_fleet or ()
+    )
+
+
 def _add_new_instance(
     schedule: Schedule, instance: RegisteredInstance, lease: dt.timedelta
 ) -> InstanceState:
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -189,6 +189,8 @@
     _sweeper: SweeperTask = field(init=False)
     _fleet: FleetTask = field(init=False)
     _lookup: JobLookupTask = field(init=False)
+    # By instance ID, those of upstreams that are not configured.
+    _ignored_registrations: dict[str, KeyValue] = field(factory=dict)
     _requested_fleet: Fleet | None = None
     _is_fleet_write_pending: bool = False
     _deferreds: list[t.Any] = field(factory=list)
@@ -417,6 +419,7 @@
                 timed(self.steady_s, self._counters.ticks.add, self._handle_tick, now)
             case JobConfig():
                 self.schedule.config = msg
+                self._reconsider_ignored_registrations()
             case StoreContact():
                 return
             case _:
@@ -483,6 +486,8 @@
         if is_snapshot:
             prefix = self.adapter.instances_prefix
             listed_ids = {kv.key.removeprefix(prefix) for kv in msg.kvs}
+            for instance_id in self._ignored_registrations.keys() - listed_ids:
+                del self._ignored_registrations[instance_id]
             missing = sorted(self.schedule.instances.keys() - listed_ids)
             self._apply_effects(
                 instance_tracking.unregister_instances(self.schedule, missing)
@@ -501,6 +506,7 @@
 
     def _handle_registration(self, kv: KeyValue, is_deleted: bool) -> None:
         instance_id = kv.key.removeprefix(self.adapter.instances_prefix)
+        self._ignored_registrations.pop(instance_id, None)
         if is_deleted:
             self._apply_effects(
                 instance_tracking.unregister_instances(self.schedule, (instance_id,))
@@ -513,7 +519,8 @@
                 instance_tracking.unregister_instances(self.schedule, (instance_id,))
             )
             return
-        if instance.upstream not in self.schedule.config.upstreams:
+        if not instance_tracking.is_relevant(self.schedule, instance):
+            self._ignored_registrations[instance_id] = kv
             return
         known = self.schedule.instances.get(instance_id)
         if known is not None and instance_tracking.has_restarted(known, instance):
@@ -525,6 +532,10 @@
             self._start_agent(instance)
         self._apply_effects(effects)
 
+    def _reconsider_ignored_registrations(self) -> None:
+        for kv in list(self._ignored_registrations.values()):
+            self._handle_registration(kv, False)
+
     def _start_agent(self, instance: RegisteredInstance) -> None:
         agent = AgentTask(
             self.adapter.make_client(instance),
@@ -547,6 +558,7 @@
         for instance in fleet.unregistered:
             if instance.instance_id not in self.agents:
                 self._start_agent(instance)
+        self._reconsider_ignored_registrations()
 
     def _handle_loaded_state(self, msg: StateLoaded, now: dt.datetime) -> None:
         progress = {
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -362,6 +362,21 @@
     assert "i0" in used_instances(cluster)
 
 
+def test_instances_registered_before_the_configuration_is_known_are_used(cluster):
+    config = cluster.store.items["op/config"].value
+    cluster.kill_entries(*cluster.entry_names)
+    cluster.store.remove("op/config")
+    cluster.advance(3)
+    for name in cluster.entry_names:
+        cluster.start_entry(name)
+    cluster.advance(3)
+    cluster.store.put("op/config", config)
+    cluster.advance(1)
+    cluster.submit(job_id(1), TWO_STAGE_JOB)
+    cluster.advance(4)
+    assert cluster.find_phase(job_id(1)) is JobPhase.COMPLETED
+
+
 def test_no_instance_is_used_before_its_record_is_stored(cluster):
     cluster.advance(2)
     cluster.add_instance("i9")
