Give the soak's processes ports that no proxy can take

The ports are now below those that the system chooses for listeners and connections.

test_a_proxy_never_takes_the_port_of_a_process fails on the code before.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,8 +1,10 @@
 """The processes of one seed, and the proxies on their links."""
 
 import base64
+import contextlib
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -16,6 +18,8 @@
 CORES = 8
 #: Time that a process may take to end after SIGTERM, in seconds.
 GRACE_S = 8
+#: Ports for processes.
+PORTS = range(10_000, 30_000)
 CONFIG = {
     "Version": 1,
     "Routes": [
@@ -56,13 +60,18 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return ports that are free now.
+
+    They are below those that the system chooses, so that no proxy and no connection
+    takes one before its process listens.
+    """
+    ports: list[int] = []
+    for port in random.sample(PORTS, len(PORTS)):
+        if len(ports) == count:
+            break
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            ports.append(port)
     return ports
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,13 @@
 """The soak: what its checks find, what it draws, and a short run of real programs."""
 
+import contextlib
+import socket
+
 import pytest
 from attrs import evolve
 from soak import checks, report
 from soak.__main__ import read_seeds
-from soak.fleet import Fleet
+from soak.fleet import Fleet, find_free_ports
 from soak.model import Fault, JobSeen, Kind, Result, RunSeen, Step
 from soak.plan import LOAD_S, PAIRS, draw_faults
 from soak.player import find_running, is_settled
@@ -106,6 +109,17 @@
         assert all(0 < fault.at_s < LOAD_S for fault in faults)
 
 
+def test_a_proxy_never_takes_the_port_of_a_process():
+    ports = find_free_ports(20)
+    with contextlib.ExitStack() as stack:
+        for port in ports:
+            stack.enter_context(socket.create_server(("127.0.0.1", port)))
+        assert set(ports).isdisjoint(find_free_ports(1000))
+        servers = [socket.create_server(("", 0)) for _ in range(50)]
+        chosen = [stack.enter_context(each).getsockname()[1] for each in servers]
+    assert max(ports) < min(chosen)
+
+
 def test_pairs_count_only_if_they_overlap():
     faults = (
         Fault(Kind.STORE_BUSY, 0, 1.0, 2.0),
