Cut instances from the store in the soak until their registrations lapse

The soak cut entries from the store and from instances, never instances from the store, so no seed had an instance that entries reach and that has no registration. Half of the seeds now have such a series: one or more instances, never all, lose the store, silently or by resets, for longer than the three heartbeats that they stay registered; then the leader is killed, paused or stopped. Each instance reaches the store by a proxy of its own.

The pairs of a seed stay as they were, since the series is drawn after them. The test of what is drawn checks the pairs and the series apart, and pins the kinds of seed 4.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -81,6 +81,8 @@
 
     :param folder: Receives settings and logs.
     :param ports: Ports by process name; ``NAME/ready`` and ``NAME/peer`` of entries.
+    :param store_links: Links to the store, by the entry or instance that uses them.
+    :param instance_links: Links of the entries to an instance, by its name.
     """
 
     reactor: t.Any
@@ -112,7 +114,7 @@
             self.instance_links[name] = LinkProxy(
                 self.reactor, self.ports[name]
             ).start()
-        for name in self.entries:
+        for name in (*self.entries, *self.instances):
             self.store_links[name] = LinkProxy(
                 self.reactor, self.ports["store"]
             ).start()
@@ -123,11 +125,14 @@
         return f"127.0.0.1:{self.ports[name]}"
 
     def start_instance(self, name: str) -> None:
-        """Start an instance, which registers the address of its proxy."""
+        """Start an instance, which registers the address of its proxy.
+
+        It reaches the store by a proxy of its own.
+        """
         proxy = f"127.0.0.1:{self.instance_links[name].port}"
         arguments = ("--listen", self.address(name), "--name", name, "--address", proxy)
         options = ("--upstream", "mill", "--cores", str(CORES))
-        store = ("--store", self.address("store"))
+        store = ("--store", f"127.0.0.1:{self.store_links[name].port}")
         self._run(name, "instance", *arguments, *options, *store)
 
     def start_entry(self, name: str) -> None:
--- a/soak/model.py
+++ b/soak/model.py
@@ -20,6 +20,8 @@
     INSTANCE_LINK_ONE_WAY = "link to an instance passes no answers"
     INSTANCE_LINK_RESET = "link to an instance is reset"
     INSTANCE_LINK_SLOW = "link to an instance is slow"
+    INSTANCE_STORE_LINK_SILENT = "link of an instance to the store is silent"
+    INSTANCE_STORE_LINK_RESET = "link of an instance to the store is reset"
     INSTANCE_PAUSED = "instance is paused"
     INSTANCE_KILLED = "instance is killed and started again"
     ENTRY_PAUSED = "entry is paused"
@@ -27,6 +29,7 @@
     ENTRY_STOPPED = "entry is stopped and started again"
     LEADER_PAUSED = "leader is paused"
     LEADER_KILLED = "leader is killed and started again"
+    LEADER_STOPPED = "leader is stopped and started again"
     ALL_KILLED = "all entries are killed and started again"
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -2,6 +2,8 @@
 
 import random
 
+from fighead.platform.standin_instance import HEARTBEAT_INTERVAL, LEASE_HEARTBEATS
+
 from .model import Fault, Kind
 
 #: Seconds of load with faults.
@@ -12,6 +14,21 @@
 PAIRS = 3
 #: Shortest and longest fault in seconds: shorter and longer than leases.
 DURATIONS_S = (0.3, 6.0)
+#: Fraction of seeds that have a series beside the pairs.
+SERIES_SHARE = 0.5
+#: Shortest and longest time from the warm-up to a series: lasting tasks run by then.
+SERIES_DELAY_S = (2.0, 4.0)
+#: Longest time for which an instance without its store stays registered.
+REGISTERED_S = (HEARTBEAT_INTERVAL * LEASE_HEARTBEATS).total_seconds()
+#: Shortest and longest time from the lapse of registrations to the leader's fault.
+LAPSED_S = (0.0, 2.0)
+#: Shortest and longest time for which the cut, and the leader's fault, last then.
+OVERLAP_S = (3.0, 6.0)
+
+_CUTS = (Kind.INSTANCE_STORE_LINK_SILENT, Kind.INSTANCE_STORE_LINK_RESET)
+_LEADER_FAULTS = (Kind.LEADER_KILLED, Kind.LEADER_PAUSED, Kind.LEADER_STOPPED)
+# Without kinds that only a series has, so that the pairs of known seeds stay.
+_PAIRED_KINDS = [kind for kind in Kind if kind not in (*_CUTS, Kind.LEADER_STOPPED)]
 
 
 def draw_faults(seed: int, entries: int, instances: int) -> tuple[Fault, ...]:
@@ -25,9 +42,28 @@
     slot_s = (LOAD_S - WARM_UP_S) / PAIRS
     for pair in range(PAIRS):
         begin_s = WARM_UP_S + pair * slot_s + rng.uniform(0, slot_s / 2)
-        for number, kind in enumerate(rng.sample(list(Kind), 2)):
+        for number, kind in enumerate(rng.sample(_PAIRED_KINDS, 2)):
             count = instances if kind.name.startswith("INSTANCE") else entries
             at_s = begin_s + number * rng.uniform(0, 1)
             target = rng.randrange(count)
             faults.append(Fault(kind, target, at_s, rng.uniform(*DURATIONS_S)))
+    if rng.random() < SERIES_SHARE:
+        faults += _draw_series(rng, entries, instances)
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
+def _draw_series(rng: random.Random, entries: int, instances: int) -> list[Fault]:
+    """Return a cut of instances from the store and a fault of the leader.
+
+    The registrations lapse while entries still reach the instances; then the leader
+    is killed, paused or stopped. The cut lasts until another entry may lead.
+    """
+    begin_s = WARM_UP_S + rng.uniform(*SERIES_DELAY_S)
+    leader_at_s = begin_s + REGISTERED_S + rng.uniform(*LAPSED_S)
+    cut_s = leader_at_s - begin_s + rng.uniform(*OVERLAP_S)
+    cut, kind = rng.choice(_CUTS), rng.choice(_LEADER_FAULTS)
+    targets = rng.sample(range(instances), rng.randint(1, max(1, instances - 1)))
+    return [
+        *(Fault(cut, target, begin_s, cut_s) for target in targets),
+        Fault(kind, rng.randrange(entries), leader_at_s, rng.uniform(*OVERLAP_S)),
+    ]
--- a/soak/player.py
+++ b/soak/player.py
@@ -44,6 +44,8 @@
     Kind.INSTANCE_LINK_ONE_WAY: Mode.ONE_WAY,
     Kind.INSTANCE_LINK_RESET: Mode.RESET,
     Kind.INSTANCE_LINK_SLOW: Mode.SLOW,
+    Kind.INSTANCE_STORE_LINK_SILENT: Mode.SILENT,
+    Kind.INSTANCE_STORE_LINK_RESET: Mode.RESET,
 }
 _STORE_FAULTS: dict[Kind, dict[str, t.Any]] = {
     Kind.STORE_BUSY: {"is_busy": True},
@@ -147,7 +149,7 @@
             await self._set_store_faults()
         elif kind in (Kind.ENTRY_PAUSED, Kind.INSTANCE_PAUSED, Kind.LEADER_PAUSED):
             await self._pause(await self._name_of(fault), duration)
-        elif kind is Kind.ENTRY_STOPPED:
+        elif kind in (Kind.ENTRY_STOPPED, Kind.LEADER_STOPPED):
             await self._stop_entry(await self._name_of(fault))
         elif kind is Kind.INSTANCE_KILLED:
             await self._restart_instance(await self._name_of(fault))
@@ -159,7 +161,10 @@
     def _link_of(self, fault: Fault) -> LinkProxy:
         if fault.kind.name.startswith("STORE_LINK"):
             return self.fleet.store_links[self.fleet.entries[fault.target]]
-        return self.fleet.instance_links[self.fleet.instances[fault.target]]
+        name = self.fleet.instances[fault.target]
+        if fault.kind.name.startswith("INSTANCE_STORE_LINK"):
+            return self.fleet.store_links[name]
+        return self.fleet.instance_links[name]
 
     async def _name_of(self, fault: Fault) -> str:
         if fault.kind.name.startswith("INSTANCE"):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,12 +9,13 @@
 from soak.__main__ import read_seeds
 from soak.fleet import Fleet, find_free_ports
 from soak.model import Fault, JobSeen, Kind, Result, RunSeen, Step
-from soak.plan import LOAD_S, PAIRS, draw_faults
-from soak.player import find_running, is_settled
+from soak.plan import LOAD_S, PAIRS, REGISTERED_S, draw_faults
+from soak.player import Player, find_running, is_settled
 from soak.proxy import LinkProxy, Mode
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 CORES = 8
+CUTS = (Kind.INSTANCE_STORE_LINK_SILENT, Kind.INSTANCE_STORE_LINK_RESET)
 STEPS = (Step(2, 5000), Step(1, 1000, (0,)))
 JOB = JobSeen("a" * 16, STEPS, 100, 0.0, [200], final_state="completed")
 
@@ -105,8 +106,33 @@
     assert drawn == [draw_faults(seed, 3, 3) for seed in range(60)]
     assert {fault.kind for faults in drawn for fault in faults} == set(Kind)
     for faults in drawn:
-        assert len(faults) == 2 * PAIRS
         assert all(0 < fault.at_s < LOAD_S for fault in faults)
+        pairs = [fault for fault in faults if fault.kind not in CUTS]
+        assert len(pairs) == 2 * PAIRS + (len(pairs) < len(faults))
+
+
+def test_registrations_lapse_before_the_leaders_fault_and_not_all_of_them():
+    with_cuts = 0
+    for seed in range(60):
+        faults = draw_faults(seed, 3, 3)
+        cuts = [fault for fault in faults if fault.kind in CUTS]
+        if not cuts:
+            continue
+        with_cuts += 1
+        assert len({fault.target for fault in cuts}) == len(cuts) < 3
+        (lapsed_s,) = {fault.at_s + REGISTERED_S for fault in cuts}
+        (end_s,) = {fault.at_s + fault.for_s for fault in cuts}
+        assert any(
+            fault.kind.name.startswith("LEADER") and lapsed_s <= fault.at_s < end_s
+            for fault in faults
+        )
+    assert 20 < with_cuts < 40
+
+
+def test_a_kept_seed_keeps_its_pairs():
+    faults = [fault.kind.name for fault in draw_faults(4, 3, 3)]
+    assert faults[:3] == ["STORE_FORGETS", "INSTANCE_PAUSED", "STORE_LINK_SLOW"]
+    assert faults[3:] == ["ENTRY_STOPPED", "INSTANCE_LINK_SILENT", "ALL_KILLED"]
 
 
 def test_a_proxy_never_takes_the_port_of_a_process():
@@ -120,6 +146,21 @@
     assert max(ports) < min(chosen)
 
 
+def test_an_instance_reaches_the_store_by_a_link_of_its_own(tmp_path, monkeypatch):
+    commands = []
+    monkeypatch.setattr(
+        "soak.fleet.subprocess.Popen", lambda c, **_: commands.append(c)
+    )
+    player = Player(MemoryReactorClock(), None, tmp_path, 1, 1, 1)
+    fleet = player.fleet
+    fleet.start()
+    fleet.store_links["i0"].port = 4321
+    fleet.start_instance("i0")
+    assert commands[-1][-1] == "127.0.0.1:4321"
+    for cut in CUTS:
+        assert player._link_of(Fault(cut, 0, 1.0, 1.0)) is fleet.store_links["i0"]
+
+
 def test_pairs_count_only_if_they_overlap():
     faults = (
         Fault(Kind.STORE_BUSY, 0, 1.0, 2.0),
