--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,8 +1,10 @@
 """The processes of one seed, and the proxies on their links."""
 
 import base64
+import contextlib
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -16,6 +18,8 @@
 CORES = 8
 #: Time that a process may take to end after SIGTERM, in seconds.
 GRACE_S = 8
+#: Ports for processes.
+PORTS = range(10_000, 30_000)
 CONFIG = {
     "Version": 1,
     "Routes": [
@@ -56,13 +60,18 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return ports that are free now.
+
+    They are below those that the system chooses, so that no proxy and no connection
+    takes one before its process listens.
+    """
+    ports: list[int] = []
+    for port in random.sample(PORTS, len(PORTS)):
+        if len(ports) == count:
+            break
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            ports.append(port)
     return ports
 
 
@@ -72,6 +81,8 @@
 
     :param folder: Receives settings and logs.
     :param ports: Ports by process name; ``NAME/ready`` and ``NAME/peer`` of entries.
+    :param store_links: Links to the store, by the entry or instance that uses them.
+    :param instance_links: Links of the entries to an instance, by its name.
     """
 
     reactor: t.Any
@@ -103,7 +114,7 @@
             self.instance_links[name] = LinkProxy(
                 self.reactor, self.ports[name]
             ).start()
-        for name in self.entries:
+        for name in (*self.entries, *self.instances):
             self.store_links[name] = LinkProxy(
                 self.reactor, self.ports["store"]
             ).start()
@@ -114,11 +125,14 @@
         return f"127.0.0.1:{self.ports[name]}"
 
     def start_instance(self, name: str) -> None:
-        """Start an instance, which registers the address of its proxy."""
+        """Start an instance, which registers the address of its proxy.
+
+        It reaches the store by a proxy of its own.
+        """
         proxy = f"127.0.0.1:{self.instance_links[name].port}"
         arguments = ("--listen", self.address(name), "--name", name, "--address", proxy)
         options = ("--upstream", "mill", "--cores", str(CORES))
-        store = ("--store", self.address("store"))
+        store = ("--store", f"127.0.0.1:{self.store_links[name].port}")
         self._run(name, "instance", *arguments, *options, *store)
 
     def start_entry(self, name: str) -> None:
