--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -141,7 +141,7 @@
         for port in ports:
             stack.enter_context(socket.create_server(("127.0.0.1", port)))
         assert set(ports).isdisjoint(find_free_ports(1000))
-        servers = [socket.create_server(("", 0)) for _ in range(50)]
+        servers = [socket.create_server(("127.0.0.1", 0)) for _ in range(50)]
         chosen = [stack.enter_context(each).getsockname()[1] for each in servers]
     assert max(ports) < min(chosen)
 
