Log what last confirmed a leader, and when its authority ends

Whether an earlier leader acted for longer than its successor assumes could not be told from the log: no line said who confirmed it, and when.

leader_deposed now names the source of the last confirmation (election, store or peers), its age, and how many peers confirmed the leader of how many known members. authority_ended (5009) and authority_regained (5010) tell when the leader stops acting and when it acts again; there is at most one of the first in 3 s. LeadershipTask.may_act replaces the entry's own copy of that check. No decision changes.

--- a/src/fighead/decisions/election.py
+++ b/src/fighead/decisions/election.py
@@ -1,6 +1,7 @@
 """Election of the scheduling entry and the time limit of its authority."""
 
 import datetime as dt
+import enum
 import math
 import typing as t
 
@@ -56,6 +57,22 @@
     nonce: str = ""
 
 
+class ConfirmationSource(enum.Enum):
+    """What may confirm an entry as the leader."""
+
+    ELECTION = "election"
+    STORE = "store"
+    PEERS = "peers"
+
+
+@frozen
+class Confirmation:
+    """Evidence that no other entry had been elected at the time ``at``."""
+
+    at: dt.datetime
+    source: ConfirmationSource
+
+
 def candidacy_delay(term: int, own_name: str, capacities: Capacities) -> dt.timedelta:
     """Return how long this entry waits before it claims a free leader key.
 
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -15,7 +15,6 @@
 from .decisions.admission import QueuedStarts
 from .decisions.config_request import ConfigRequest
 from .decisions.election import Leader
-from .decisions.instance_tracking import AUTHORITY_TIMEOUT
 from .decisions.schedule_state import Schedule
 from .exceptions import MailboxFullError, PeerUnreachableError
 from .fronts.job import JobCodec, JobFront
@@ -271,7 +270,7 @@
             self.clock,
             self._random,
             self.cfg.lease,
-            self._may_act,
+            self.leadership.may_act,
             lambda fence: self.leadership.mailbox.offer(
                 leadership.OwnFenceRefused(fence)
             ),
@@ -292,12 +291,6 @@
     def _take_scheduler_load(self) -> SchedulerLoad | None:
         return self.scheduler.take_load() if self.scheduler is not None else None
 
-    def _may_act(self) -> bool:
-        confirmed_at = self.leadership.confirmed_at
-        return confirmed_at is not None and election.may_act(
-            self.clock.now(), confirmed_at, AUTHORITY_TIMEOUT
-        )
-
     async def _announce_periodically(self) -> None:
         while True:
             await sleep(self.clock, ANNOUNCEMENT_INTERVAL)
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -65,6 +65,12 @@
     SCHEDULE_SETTLED = (5006, "info", "No unknown run can exist any more.")
     LEADER_HANDED_OVER = (5007, "info", "A peer can carry more and is to schedule.")
     LEADER_LOAD = (5008, "info", "How busy the scheduling entry is.")
+    AUTHORITY_ENDED = (
+        5009,
+        "warning",
+        "The leader stops acting until it is confirmed again.",
+    )
+    AUTHORITY_REGAINED = (5010, "info", "The leader is confirmed and acts again.")
     JOB_ACCEPTED = (5101, "info", "A job was accepted and is stored.")
     JOB_REFUSED = (5102, "warning", "A job was refused and is not stored.")
     JOB_UNCERTAIN = (5103, "warning", "It is not known whether a job is stored.")
@@ -143,6 +149,7 @@
         Event.SCHEDULE_SETTLED,
         Event.LEADER_HANDED_OVER,
         Event.LEADER_LOAD,
+        Event.AUTHORITY_REGAINED,
     )
 )
 
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -10,7 +10,8 @@
 from ..clock import Clock, sleep
 from ..codec import from_json, to_json
 from ..decisions import election
-from ..decisions.election import Availability, Leader
+from ..decisions.election import Availability, Confirmation, ConfirmationSource, Leader
+from ..decisions.instance_tracking import AUTHORITY_TIMEOUT
 from ..exceptions import RequestError, StoreError, StoreOutcomeUnknownError
 from ..log import Event, log_event
 from ..mailbox import Mailbox, process_messages, spawn
@@ -133,7 +134,7 @@
         whether this process already led and no other has led since.
     :param on_deposed: Called when this entry stops being the leader.
     :param capacity: What this entry's machine provides.
-    :param confirmed_at: When the store or a peer last confirmed this entry as leader.
+    :param confirmation: What last confirmed this entry as the leader.
     """
 
     me: Member
@@ -146,7 +147,7 @@
     capacity: Capacity = Capacity()
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("leadership"))
     view: ControlView = ControlView()
-    confirmed_at: dt.datetime | None = None
+    confirmation: Confirmation | None = None
     _nonce: str = field(factory=lambda: uuid.uuid4().hex)
     _leader_kv: KeyValue = KeyValue(JOB_LEADER_KEY)
     _term_kv: KeyValue = KeyValue(JOB_TERM_KEY)
@@ -157,7 +158,7 @@
     _is_resigned: bool = False
     _has_snapshot: bool = False
     _lease: int = 0
-    # When the last renewal that succeeded was sent. Unlike ``confirmed_at``, it shows
+    # When the last renewal that succeeded was sent. Unlike the confirmation, it shows
     # that the store was reached.
     _renewed_at: dt.datetime | None = None
     # When this entry last failed to become or remain the leader.
@@ -165,6 +166,10 @@
     _handed_over_at: dt.datetime | None = None
     # By peer, while this entry leads.
     _availability: dict[str, Availability] = field(factory=dict)
+    # When each peer last confirmed this entry, while it leads.
+    _peer_confirmations: dict[str, dt.datetime] = field(factory=dict)
+    # Whether the leader had authority when that was last checked.
+    _had_authority: bool = False
 
     @property
     def is_leading(self) -> bool:
@@ -179,6 +184,12 @@
             and not self._is_within(election.FAILURE_PAUSE, self._failed_at)
         )
 
+    def may_act(self) -> bool:
+        """Whether this entry, if it leads, may send orders now."""
+        return self.confirmation is not None and election.may_act(
+            self.clock.now(), self.confirmation.at, AUTHORITY_TIMEOUT
+        )
+
     def _is_within(self, interval: dt.timedelta, since: dt.datetime | None) -> bool:
         return since is not None and self.clock.now() - since < interval
 
@@ -216,7 +227,7 @@
             case LeaderAnnounced(leader):
                 self._update_leader(leader)
             case LeadershipConfirmed(peer, can_lead):
-                self.confirmed_at = self.clock.now()
+                self._handle_confirmation(peer)
                 self._handle_report(peer, can_lead)
             case OwnFenceRefused(fence):
                 if self._own_leader is not None and fence == self._own_leader.fence:
@@ -231,6 +242,7 @@
                 self._resign()
             case StoreContact():
                 return
+        self._log_authority()
         self._schedule_candidacy()
 
     # State reported by the store and by peers.
@@ -414,8 +426,9 @@
             and known is not None
             and known.nonce == self._nonce
         )
-        self._lease, self.confirmed_at = elected.lease, elected.sent_at
-        self._renewed_at = elected.sent_at
+        self._lease, self._renewed_at = elected.lease, elected.sent_at
+        self.confirmation = Confirmation(elected.sent_at, ConfirmationSource.ELECTION)
+        self._had_authority |= not self._is_leading
         self._is_leading, self._own_leader = True, leader
         self._leader_kv = KeyValue(JOB_LEADER_KEY, "", leader.fence, leader.fence)
         took = self.clock.now() - elected.sent_at
@@ -433,6 +446,7 @@
     async def _renew_periodically(self) -> None:
         while True:
             await sleep(self.clock, election.RENEWAL_INTERVAL)
+            self._log_authority()
             if self._is_leading:
                 spawn(self._renew(self._lease))
 
@@ -451,7 +465,8 @@
         if not self._is_leading:
             return
         if renewed.is_alive:
-            self.confirmed_at = self._renewed_at = renewed.sent_at
+            self._renewed_at = renewed.sent_at
+            self.confirmation = Confirmation(renewed.sent_at, ConfirmationSource.STORE)
         else:
             # The lease has expired; another entry may already hold the leader key.
             spawn(self._refresh_election_keys())
@@ -473,9 +488,15 @@
         if not self._is_leading:
             return
         self._is_leading = False
-        self._availability.clear()
         term = self._own_leader.term if self._own_leader else 0
-        log_event(Event.LEADER_DEPOSED, reason=reason, term=term)
+        log_event(
+            Event.LEADER_DEPOSED,
+            reason=reason,
+            term=term,
+            **self._describe_confirmation(),
+        )
+        self._availability.clear()
+        self._peer_confirmations.clear()
         self.on_deposed()
         spawn(self._refresh_election_keys())
 
@@ -486,6 +507,40 @@
             self._step_down("the entry is stopping")
             spawn(self._delete_leader_key(fence))
 
+    # Confirmation by the store and by peers.
+
+    def _handle_confirmation(self, peer: str) -> None:
+        if self._is_leading:
+            now = self.clock.now()
+            self._peer_confirmations[peer] = now
+            self.confirmation = Confirmation(now, ConfirmationSource.PEERS)
+
+    def _log_authority(self) -> None:
+        """Log when the leader loses or regains its authority."""
+        if not self._is_leading or self.may_act() == self._had_authority:
+            return
+        self._had_authority = not self._had_authority
+        log_event(
+            Event.AUTHORITY_REGAINED if self._had_authority else Event.AUTHORITY_ENDED,
+            term=self._own_leader.term if self._own_leader else 0,
+            **self._describe_confirmation(),
+        )
+
+    def _describe_confirmation(self) -> dict[str, t.Any]:
+        """Return the fields of the log that tell what last confirmed this entry."""
+        if self.confirmation is None:
+            return {}
+        dates = self._peer_confirmations.values()
+        age = self.clock.now() - self.confirmation.at
+        return {
+            "confirmed_by": self.confirmation.source.value,
+            "age_ms": int(age.total_seconds() * 1000),
+            "peers": sum(self._is_within(AUTHORITY_TIMEOUT, date) for date in dates),
+            "members": len(self.view.members.keys() | {self.me.name}),
+        }
+
+    # Hand-over to a larger peer.
+
     def _handle_report(self, peer: str, can_lead: bool) -> None:
         if not self._is_leading:
             return
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -122,3 +122,32 @@
         advance(reactor, 1.2)
     failures = [line for line in lines if line["event_name"] == "store_call_failed"]
     assert [line["what"] for line in failures if line["what"] == "renew"]
+
+
+def test_the_end_and_the_return_of_authority_are_logged_once_each(
+    reactor, clock, store
+):
+    Entry("e0", store, clock)
+    advance(reactor, 3)
+    with capture_logs() as lines:
+        store.is_unavailable = True
+        advance(reactor, 8)
+        store.is_unavailable = False
+        advance(reactor, 3)
+    lines = [line for line in lines if line["event_name"].startswith("authority")]
+    names = [line["event_name"] for line in lines]
+    assert names == ["authority_ended", "authority_regained"]
+    assert [line["confirmed_by"] for line in lines] == ["store", "election"]
+    assert lines[0]["age_ms"] >= 3000 > lines[1]["age_ms"]
+
+
+def test_a_deposition_tells_what_last_confirmed_the_leader(reactor, clock, store):
+    entries = [Entry(f"e{n}", store, clock) for n in range(3)]
+    advance(reactor, 3)
+    (old,) = find_leaders(entries)
+    with capture_logs() as lines:
+        old.task.mailbox.offer(Resign())
+        advance(reactor, 0.5)
+    (line,) = [line for line in lines if line["event_name"] == "leader_deposed"]
+    assert (line["confirmed_by"], line["members"]) == ("store", 3)
+    assert line["age_ms"] < 1000
