Let tests part entries from one another and from instances

The simulated cluster could cut an entry off from the store, but not from its peers, and an instance was reached by all entries or by none. It can now lose all calls between a group of entries and instances and the others, and keep a watch silent. find_overdue_leaders names entries that may act for longer than their successor assumes (AUTHORITY_TIMEOUT after its election).

--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -16,6 +16,7 @@
 from fighead.clock import ReactorClock, sleep
 from fighead.codec import from_json, to_json
 from fighead.commands import job as commands
+from fighead.decisions.instance_tracking import AUTHORITY_TIMEOUT
 from fighead.exceptions import (
     PeerUnreachableError,
     StoreOutcomeUnknownError,
@@ -30,6 +31,7 @@
 from fighead.job_settings import JobSettings
 from fighead.mailbox import Mailbox, spawn
 from fighead.model import Capacity
+from fighead.platform.store import WATCH_TIMEOUT_MARGIN
 from fighead.process_load import ProcessClocks
 from fighead.queries import job as queries
 from fighead.run import EndKind, RefusalReason, RegisteredInstance, RunEnd
@@ -134,6 +136,7 @@
     """The store connection of one entry.
 
     :param is_cut: Whether the store is unreachable; watches fail too.
+    :param is_watch_silent: Whether nothing arrives on watches, until they time out.
     :param is_reset: Whether each call fails without being sent, as if the connection
         was reset.
     :param calls: Number of calls made, without watches.
@@ -142,6 +145,7 @@
     store: MemoryStore
     gate: Gate
     is_cut: bool = False
+    is_watch_silent: bool = False
     is_reset: bool = False
     calls: int = 0
 
@@ -153,9 +157,16 @@
         return await self._call_through_gate(lambda: self.store.call(req, timeout))
 
     async def watch(self, prefix, after, wait):
-        return await self._call_through_gate(
+        timeout_at = self.store.clock.now() + wait + WATCH_TIMEOUT_MARGIN
+        batch = await self._call_through_gate(
             lambda: self.store.watch(prefix, after, wait)
         )
+        while self.is_watch_silent:
+            await sleep(self.store.clock, dt.timedelta(milliseconds=100))
+            await self.gate.pass_through(None)
+            if self.store.clock.now() >= timeout_at:
+                raise StoreUnavailableError("silent", "wait")
+        return batch
 
     async def _call_through_gate(self, send):
         if self.is_cut:
@@ -172,13 +183,14 @@
 
 @define(eq=False)
 class GatedInstance:
-    """The calls of one entry to one instance.
+    """The calls of the entry ``me`` to one instance.
 
     :param instance: The instance as the entry knows it; it may have restarted since.
     """
 
     cluster: object
     gate: Gate
+    me: str
     instance: RegisteredInstance
 
     async def start(self, order, lease_until_ms, fence, timeout):
@@ -213,7 +225,7 @@
     async def _call(self, operation, timeout):
         cluster, name = self.cluster, self.instance.instance_id
         await sleep(cluster.clock, dt.timedelta(milliseconds=2))
-        outcome = cluster.draw_call_outcome(name)
+        outcome = cluster.draw_call_outcome(name, self.me)
         if outcome == "late":
             wait = dt.timedelta(seconds=cluster.rng.uniform(2, MAX_CALL_DELAY_S))
             cluster.clock.call_later(wait, lambda: self._execute_late(operation))
@@ -285,6 +297,8 @@
             other = self.cluster.entries.get(peer)
             if other is None or other.gate.is_dead:
                 return
+            if self.cluster.are_parted(self.me, peer):
+                return
             other.gate.run(lambda: spawn(self._serve(other, msg, reply)))
 
         self.cluster.clock.call_later(dt.timedelta(milliseconds=1), arrive)
@@ -331,6 +345,8 @@
     :param instances: The running incarnation of each instance by name.
     :param specs: Specification of every submitted job by job id.
     :param silent_instances: Instances that receive no calls.
+    :param parted_entries: Pairs of entries between which messages are lost.
+    :param lost_paths: Pairs of an entry and an instance that it does not reach.
     :param late_share: Share of calls to instances that get no answer and are
         executed 2 to :data:`MAX_CALL_DELAY_S` seconds later.
     :param failing_tasks: Pairs of job id and task index whose runs fail.
@@ -352,6 +368,8 @@
     instances: dict = field(factory=dict)
     specs: dict = field(factory=dict)
     silent_instances: set = field(factory=set)
+    parted_entries: set = field(factory=set)
+    lost_paths: set = field(factory=set)
     late_share: float = 0.0
     failing_tasks: set = field(factory=set)
     history: list = field(factory=list)
@@ -415,7 +433,7 @@
             "servers/",
             lambda value: from_json(value, JobConfig),
             lambda key, value: from_json(value, RegisteredInstance),
-            lambda instance: GatedInstance(self, gate, instance),
+            lambda instance: GatedInstance(self, gate, name, instance),
         )
 
         def make_peer(me, address, keys, clock, reactor, handle, registry):
@@ -452,9 +470,20 @@
 
     # Faults.
 
-    def draw_call_outcome(self, name):
+    def part(self, names, instances):
+        """Lose all calls between these entries and instances and the others."""
+        others = self.entries.keys() - set(names)
+        self.parted_entries |= {frozenset((a, b)) for a in names for b in others}
+        for instance in self.instances:
+            parted = others if instance in instances else names
+            self.lost_paths |= {(name, instance) for name in parted}
+
+    def are_parted(self, name, other):
+        return frozenset((name, other)) in self.parted_entries
+
+    def draw_call_outcome(self, name, entry):
         """Return whether the next call to an instance is served, late or lost."""
-        if name in self.silent_instances:
+        if name in self.silent_instances or (entry, name) in self.lost_paths:
             return "lost"
         return "late" if self.rng.random() < self.late_share else "served"
 
@@ -556,6 +585,29 @@
 
     # Checks.
 
+    def find_overdue_leaders(self):
+        """Return entries that may act for longer than their successor assumes."""
+        leading = {
+            name: process.entry
+            for name, process in self.entries.items()
+            if not process.gate.is_dead and process.entry.scheduler is not None
+        }
+        if not leading:
+            return []
+        newest = max(
+            (entry.scheduler.schedule for entry in leading.values()),
+            key=lambda schedule: schedule.term,
+        )
+        since_election = self.clock.now() - newest.elected_at
+        return [
+            name
+            for name, entry in leading.items()
+            if entry.scheduler.schedule.term < newest.term
+            and since_election >= AUTHORITY_TIMEOUT
+            and not self.entries[name].gate.is_frozen
+            and entry.scheduler.may_act()
+        ]
+
     def find_breaches(self):
         """Return violated guarantees, as pairs of a description and a run event."""
         return [
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -317,6 +317,52 @@
     assert not cluster.find_breaches()
 
 
+LONG_LASTING_JOB = JobSpec("x", (Stage(count=4, cpu=3000, estimate_ms=40_000),))
+
+
+def advance_to_overdue_leader(cluster, seconds):
+    """Advance; stop once an earlier leader acts longer than its successor assumes."""
+    for _ in range(round(seconds / 0.02)):
+        cluster.advance(0.02)
+        if cluster.find_overdue_leaders():
+            break
+    return cluster.find_overdue_leaders()
+
+
+def cut_off(cluster, *names):
+    """Cut entries off, with ``i0``, from the store and all else."""
+    for name in names:
+        store = cluster.entries[name].store
+        store.is_cut = store.is_watch_silent = True
+    cluster.part(names, ("i0",))
+
+
+def start_parted_cluster(entries=5):
+    """Return a cluster that runs a long job on all instances, and its leader first."""
+    cluster = JobCluster(entry_names=tuple(f"e{n}" for n in range(entries)))
+    cluster.submit(job_id(1), LONG_LASTING_JOB)
+    cluster.advance(3)
+    names = sorted(cluster.entries, key=lambda name: name != cluster.leader())
+    return cluster, names
+
+
+def test_a_leader_cut_off_alone_stops_to_act_in_time():
+    cluster, (leader, *_) = start_parted_cluster()
+    cut_off(cluster, leader)
+    assert advance_to_overdue_leader(cluster, 15) == []
+
+
+def test_runs_continue_without_the_store_while_most_entries_live():
+    cluster, (_, *others) = start_parted_cluster()
+    cluster.kill_entries(*others[:2])
+    cluster.store.is_unavailable = True
+    cluster.advance(12)
+    cluster.store.is_unavailable = False
+    cluster.advance(3)
+    starts = [event for event in cluster.history if event.event == "started"]
+    assert len(starts) == 4 and not cluster.find_breaches()
+
+
 FAULT_KINDS = (
     "kill",
     "kill all",
