Count a peer's confirmation from the announcement that it answers

A confirmation counted from when it was handled. An answer that waited in the socket of a leader that stood still gave it authority for another 3 s when it was read, also if another entry had been elected meanwhile. The successor takes it that authority ends 3 s after its election, so the earlier leader renewed leases past the bound after which the successor starts the same tasks.

An announcement now carries the time at which it was sent, the answer returns it, and the confirmation counts from then: at that time no peer that answered knew of a later leader. Only answers that name this election count, so one to an earlier process or term does not. The instant is on the leader's own steady clock and never counts as later than now.

An entry of an earlier version does not return the time. Among such peers a leader that loses the store stops acting after 3 s.

--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -302,7 +302,8 @@
         for peer in self.peer.peers():
             self.peer.send(peer, announcement)
 
-    def _make_announcement(self) -> m.LeaderIs:
+    def _make_announcement(self, answered: m.LeaderIs | None = None) -> m.LeaderIs:
+        """Return what this entry announces, maybe in answer to a leader's message."""
         version = self.front_context.config.version if self.front_context.config else 0
         backlog = self.scheduler.find_backlog() if self.scheduler is not None else ()
         return m.LeaderIs(
@@ -311,6 +312,8 @@
             version,
             self._can_lead(),
             backlog,
+            self.clock.now(),
+            answered.sent_at if answered is not None else None,
         )
 
     def _can_lead(self) -> bool:
@@ -355,14 +358,16 @@
             self.front_context.view.leader, leader
         ):
             self.leadership.mailbox.offer(
-                leadership.LeadershipConfirmed(sender, msg.can_lead)
+                leadership.LeadershipConfirmed(
+                    sender, msg.can_lead, leader.fence, msg.answered_at
+                )
             )
             return
         self.leadership.mailbox.offer(leadership.LeaderAnnounced(leader))
         if leader.name == sender:
             self._backlog, self._backlog_at = msg.backlog, self.clock.now()
             # Lets the leader see whether its peers know of a later one.
-            self.peer.send(sender, self._make_announcement())
+            self.peer.send(sender, self._make_announcement(msg))
 
     def _ask_scheduler(self, msg: t.Any) -> Deferred[t.Any]:
         """Send a request to the scheduler and return its answer."""
--- a/src/fighead/job_message.py
+++ b/src/fighead/job_message.py
@@ -1,5 +1,7 @@
 """Messages about jobs, sent between entries and between the tasks of an entry."""
 
+import datetime as dt
+
 from attrs import frozen
 
 from .decisions.admission import QueuedStarts
@@ -12,10 +14,14 @@
 class LeaderIs:
     """Announces to a peer the leader that the sender knows of.
 
+    A peer answers the announcement of a leader with one of its own.
+
     :param leader: ``None`` if the sender knows of none.
     :param version: Version of the sender's configuration.
     :param can_lead: Whether the sender could lead now.
     :param backlog: What the sender has yet to start, if it is the leader.
+    :param sent_at: Time on the sender's clock.
+    :param answered_at: ``sent_at`` of the announcement that this one answers.
     """
 
     sender: str
@@ -23,6 +29,8 @@
     version: int = 0
     can_lead: bool = False
     backlog: tuple[QueuedStarts, ...] = ()
+    sent_at: dt.datetime | None = None
+    answered_at: dt.datetime | None = None
 
 
 @frozen
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -65,13 +65,21 @@
 
 @frozen
 class LeadershipConfirmed:
-    """A peer knows of no later leader, which confirms this entry as the leader.
+    """A peer knows of no later leader.
+
+    It confirms this entry if it names it and answers one of its announcements. The
+    answer may be handled long after it was sent, so that only the time of the
+    announcement bounds its age.
 
     :param can_lead: Whether the peer could lead now.
+    :param fence: Fence of the leader that the peer named.
+    :param announced_at: When this entry sent the announcement that the peer answered.
     """
 
     peer: str
     can_lead: bool
+    fence: int = 0
+    announced_at: dt.datetime | None = None
 
 
 @frozen
@@ -166,7 +174,8 @@
     _handed_over_at: dt.datetime | None = None
     # By peer, while this entry leads.
     _availability: dict[str, Availability] = field(factory=dict)
-    # When each peer last confirmed this entry, while it leads.
+    # When the announcement was sent with which each peer last confirmed this entry,
+    # while it leads.
     _peer_confirmations: dict[str, dt.datetime] = field(factory=dict)
     # Whether the leader had authority when that was last checked.
     _had_authority: bool = False
@@ -227,7 +236,7 @@
             case LeaderAnnounced(leader):
                 self._update_leader(leader)
             case LeadershipConfirmed(peer, can_lead):
-                self._handle_confirmation(peer)
+                self._handle_confirmation(msg)
                 self._handle_report(peer, can_lead)
             case OwnFenceRefused(fence):
                 if self._own_leader is not None and fence == self._own_leader.fence:
@@ -428,6 +437,7 @@
         )
         self._lease, self._renewed_at = elected.lease, elected.sent_at
         self.confirmation = Confirmation(elected.sent_at, ConfirmationSource.ELECTION)
+        self._peer_confirmations.clear()
         self._had_authority |= not self._is_leading
         self._is_leading, self._own_leader = True, leader
         self._leader_kv = KeyValue(JOB_LEADER_KEY, "", leader.fence, leader.fence)
@@ -466,7 +476,7 @@
             return
         if renewed.is_alive:
             self._renewed_at = renewed.sent_at
-            self.confirmation = Confirmation(renewed.sent_at, ConfirmationSource.STORE)
+            self._confirm(renewed.sent_at, ConfirmationSource.STORE)
         else:
             # The lease has expired; another entry may already hold the leader key.
             spawn(self._refresh_election_keys())
@@ -509,11 +519,20 @@
 
     # Confirmation by the store and by peers.
 
-    def _handle_confirmation(self, peer: str) -> None:
-        if self._is_leading:
-            now = self.clock.now()
-            self._peer_confirmations[peer] = now
-            self.confirmation = Confirmation(now, ConfirmationSource.PEERS)
+    def _handle_confirmation(self, msg: LeadershipConfirmed) -> None:
+        own = self._own_leader
+        is_confirmed = self._is_leading and own is not None and msg.fence == own.fence
+        if not is_confirmed or msg.announced_at is None:
+            return
+        at = min(msg.announced_at, self.clock.now())
+        known = self._peer_confirmations.get(msg.peer, at)
+        self._peer_confirmations[msg.peer] = max(known, at)
+        self._confirm(at, ConfirmationSource.PEERS)
+
+    def _confirm(self, at: dt.datetime, source: ConfirmationSource) -> None:
+        """Record a confirmation unless a later one is known."""
+        if self.confirmation is None or at > self.confirmation.at:
+            self.confirmation = Confirmation(at, source)
 
     def _log_authority(self) -> None:
         """Log when the leader loses or regains its authority."""
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -153,6 +153,15 @@
     assert from_wire(frame, JOB_MESSAGES).can_lead is False
 
 
+def test_an_answer_keeps_the_time_of_the_announcement_that_it_answers():
+    sent_at = START_TIME + dt.timedelta(milliseconds=1234)
+    frame = to_wire(LeaderIs("e1", None, sent_at=sent_at, answered_at=sent_at))
+    answer = from_wire(frame, JOB_MESSAGES)
+    assert abs(answer.sent_at - sent_at) < dt.timedelta(milliseconds=1)
+    assert answer.answered_at == answer.sent_at
+    assert from_wire(to_wire(LeaderIs("e1", None)), JOB_MESSAGES).answered_at is None
+
+
 def test_a_small_leader_does_not_lead_on_beside_a_large_entry():
     cluster = make_cluster(large=1, small=2, started=["small0", "small1"])
     cluster.submit(job_id(1), LONG_JOB)
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -346,6 +346,34 @@
     return cluster, names
 
 
+def freeze_before_answers_are_read(cluster, leader):
+    """Freeze a leader that has lost the store, then cut it off from all others."""
+    process = cluster.entries[leader]
+    process.store.is_cut = True
+    cluster.advance(1)
+    process.entry._announce_leader()
+    process.gate.is_frozen = True
+    cluster.advance(0.04)
+    cut_off(cluster, leader)
+
+
+def test_answers_of_peers_read_after_a_freeze_give_no_authority():
+    cluster, (leader, *_) = start_parted_cluster()
+    freeze_before_answers_are_read(cluster, leader)
+    cluster.advance(5)
+    cluster.entries[leader].gate.unfreeze()
+    assert advance_to_overdue_leader(cluster, 10) == []
+
+
+def test_no_task_runs_twice_after_a_freeze_with_unread_answers_of_peers():
+    cluster, (leader, *_) = start_parted_cluster()
+    freeze_before_answers_are_read(cluster, leader)
+    cluster.advance(5)
+    cluster.entries[leader].gate.unfreeze()
+    cluster.advance(30)
+    assert not cluster.find_breaches()
+
+
 def test_a_leader_cut_off_alone_stops_to_act_in_time():
     cluster, (leader, *_) = start_parted_cluster()
     cut_off(cluster, leader)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -10,7 +10,7 @@
 from fighead.clock import ReactorClock
 from fighead.mailbox import spawn
 from fighead.model import Member
-from fighead.tasks.leadership import LeadershipTask, Resign
+from fighead.tasks.leadership import LeadershipConfirmed, LeadershipTask, Resign
 from memory_store import MemoryStore
 
 
@@ -151,3 +151,46 @@
     (line,) = [line for line in lines if line["event_name"] == "leader_deposed"]
     assert (line["confirmed_by"], line["members"]) == ("store", 3)
     assert line["age_ms"] < 1000
+
+
+def start_leader_without_store(reactor, clock, store):
+    """Return the first of three entries to lead, a second after it lost the store."""
+    entries = [Entry(f"e{n}", store, clock) for n in range(3)]
+    advance(reactor, 3)
+    (leader,) = find_leaders(entries)
+    store.is_unavailable = True
+    advance(reactor, 1)
+    return leader.task
+
+
+def confirm(task, fence, announced_at):
+    for peer in {"e0", "e1", "e2"} - {task.me.name}:
+        task.mailbox.offer(LeadershipConfirmed(peer, False, fence, announced_at))
+
+
+def test_a_confirmation_counts_from_the_announcement_that_it_answers(
+    reactor, clock, store
+):
+    task = start_leader_without_store(reactor, clock, store)
+    announced_at = clock.now()
+    advance(reactor, 2.5)
+    confirm(task, task.view.leader.fence, announced_at)
+    assert task.confirmation.at == announced_at and task.may_act()
+    advance(reactor, 0.6)
+    assert not task.may_act()
+
+
+def test_a_confirmation_of_another_leader_or_without_a_date_counts_for_nothing(
+    reactor, clock, store
+):
+    task = start_leader_without_store(reactor, clock, store)
+    known = task.confirmation
+    confirm(task, task.view.leader.fence - 1, clock.now())
+    confirm(task, task.view.leader.fence, None)
+    assert task.confirmation == known
+
+
+def test_no_confirmation_counts_from_the_future(reactor, clock, store):
+    task = start_leader_without_store(reactor, clock, store)
+    confirm(task, task.view.leader.fence, clock.now() + dt.timedelta(hours=1))
+    assert task.confirmation.at == clock.now()
