Require most members to confirm a leader without the store

Any one peer that knew of no later leader confirmed the leader. Two entries cut off together from the store and the others confirmed each other for ever, while the others elected a leader through the store. The earlier leader went on to renew leases, and its successor started the same tasks once it took the leases to have ended.

Without the store, authority now takes answers from so many members that more than half of them, the leader included, knew of no later leader; it counts from the oldest announcement among the ones needed. The member keys in the store are the members. election.find_majority_date does the counting. While the store is down and most members live, runs go on as before.

A leader that loses the store with half of the members, or of two members with one, now stops acting after 3 s. What remains: the election needs only the store, so a leader with most members, all cut off from the store, can act beside one elected by the rest.

--- a/src/fighead/decisions/election.py
+++ b/src/fighead/decisions/election.py
@@ -174,6 +174,31 @@
     return known is None or (reported.term, reported.fence) > (known.term, known.fence)
 
 
+def find_majority_date(
+    own_name: str,
+    members: t.Collection[str],
+    confirmed_at: t.Mapping[str, dt.datetime],
+) -> dt.datetime | None:
+    """Return the latest time at which most members confirmed the leader ``own_name``.
+
+    The leader counts as one of them. Peers that are no members don't count, and a
+    leader without peers has nobody to tell it of a later leader, so that it returns
+    ``None`` as without a majority.
+
+    >>> at = dt.datetime(2030, 1, 1)
+    >>> find_majority_date("a", ("a", "b", "c"), {"c": at}) == at
+    True
+    >>> find_majority_date("a", ("a", "b", "c", "d"), {"c": at}) is None
+    True
+    """
+    peers = set(members) - {own_name}
+    peers_needed = (len(peers) + 1) // 2
+    dates = sorted(
+        (date for peer, date in confirmed_at.items() if peer in peers), reverse=True
+    )
+    return dates[peers_needed - 1] if 0 < peers_needed <= len(dates) else None
+
+
 def may_act(
     now: dt.datetime, confirmed_at: dt.datetime, authority_timeout: dt.timedelta
 ) -> bool:
--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -14,7 +14,7 @@
 #: Maximum share by which an instance's steady clock may run slow, as specified by
 #: the page on running tasks.
 MAX_CLOCK_LAG_SHARE = 0.02
-#: How long a scheduler may act without confirmation from the store or a peer.
+#: How long a scheduler may act without confirmation by the store or by most members.
 AUTHORITY_TIMEOUT = dt.timedelta(seconds=3)
 #: Margin added to each time limit because timers may fire late.
 TIMER_SLACK = dt.timedelta(milliseconds=200)
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -527,10 +527,17 @@
         at = min(msg.announced_at, self.clock.now())
         known = self._peer_confirmations.get(msg.peer, at)
         self._peer_confirmations[msg.peer] = max(known, at)
-        self._confirm(at, ConfirmationSource.PEERS)
+        self._confirm(
+            election.find_majority_date(
+                self.me.name, self.view.members, self._peer_confirmations
+            ),
+            ConfirmationSource.PEERS,
+        )
 
-    def _confirm(self, at: dt.datetime, source: ConfirmationSource) -> None:
-        """Record a confirmation unless a later one is known."""
+    def _confirm(self, at: dt.datetime | None, source: ConfirmationSource) -> None:
+        """Record a confirmation, if there is one, unless a later one is known."""
+        if at is None:
+            return
         if self.confirmation is None or at > self.confirmation.at:
             self.confirmation = Confirmation(at, source)
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -17,6 +17,7 @@
     Leader,
     add_report,
     candidacy_delay,
+    find_majority_date,
     find_shares,
     is_successor,
     rank_candidates,
@@ -162,6 +163,44 @@
     assert from_wire(to_wire(LeaderIs("e1", None)), JOB_MESSAGES).answered_at is None
 
 
+def at_s(seconds):
+    return START_TIME + dt.timedelta(seconds=seconds)
+
+
+@pytest.mark.parametrize(
+    ("peers", "needed"), [(1, 1), (2, 1), (3, 2), (4, 2), (5, 3), (40, 20)]
+)
+def test_a_leader_needs_more_than_half_of_the_members_with_itself(peers, needed):
+    members = ["own", *(f"e{n}" for n in range(peers))]
+    dates = {f"e{n}": at_s(n) for n in range(needed)}
+    assert find_majority_date("own", members, dates) == at_s(0)
+    del dates["e0"]
+    assert find_majority_date("own", members, dates) is None
+
+
+def test_a_majority_is_as_old_as_the_oldest_confirmation_that_it_needs():
+    members = ("own", "a", "b", "c", "d")
+    dates = {"a": at_s(9), "b": at_s(1), "c": at_s(5), "d": at_s(3)}
+    assert find_majority_date("own", members, dates) == at_s(5)
+
+
+def test_a_leader_without_peers_never_confirms_itself():
+    assert find_majority_date("own", ("own",), {"own": at_s(1)}) is None
+    assert find_majority_date("own", (), {}) is None
+
+
+def test_neither_the_leader_itself_nor_strangers_add_to_a_majority():
+    members = ("own", "a", "b", "c")
+    dates = {"own": at_s(1), "stranger": at_s(1), "a": at_s(1)}
+    assert find_majority_date("own", members, dates) is None
+
+
+def test_a_leader_that_is_not_listed_counts_as_a_member():
+    members = ("a", "b", "c")
+    assert find_majority_date("own", members, {"a": at_s(1)}) is None
+    assert find_majority_date("own", members, {"a": at_s(1), "b": at_s(2)}) == at_s(1)
+
+
 def test_a_small_leader_does_not_lead_on_beside_a_large_entry():
     cluster = make_cluster(large=1, small=2, started=["small0", "small1"])
     cluster.submit(job_id(1), LONG_JOB)
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -374,6 +374,19 @@
     assert not cluster.find_breaches()
 
 
+def test_two_entries_cut_off_together_do_not_confirm_each_other():
+    cluster, (leader, peer, *_) = start_parted_cluster()
+    cut_off(cluster, leader, peer)
+    assert advance_to_overdue_leader(cluster, 15) == []
+
+
+def test_no_task_runs_twice_while_two_entries_are_cut_off_together():
+    cluster, (leader, peer, *_) = start_parted_cluster()
+    cut_off(cluster, leader, peer)
+    cluster.advance(30)
+    assert not cluster.find_breaches()
+
+
 def test_a_leader_cut_off_alone_stops_to_act_in_time():
     cluster, (leader, *_) = start_parted_cluster()
     cut_off(cluster, leader)
