Delete an entry's member key at the end of its planned stop

Member keys have no lease and were never deleted, so entries that are gone for good counted as members. Now that a leader without the store needs most of the members, enough of them would keep runs from going on while the store is down.

At the end of a planned stop, when no request is in flight and its peers may close their connections, an entry deletes its own key, on condition that it is the one that it wrote: a process that has started under the name since keeps its key.

Before this commit test_an_entry_that_has_stopped_as_planned_is_no_member fails; the other two new tests hold the limits of the deletion.

The key of an entry that was killed and never starts again under its name stays, and counts.

--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -204,9 +204,12 @@
             port.stopListening()
         while self.front_context.in_flight and self.clock.now() < deadline:
             await sleep(self.clock, DRAIN_POLL_INTERVAL)
-        log_event(Event.ENTRY_STOPPED)
-        self.peer.stop()
-        self.on_end()
+        try:
+            await call(self.leadership.mailbox, leadership.Leave())
+        finally:
+            log_event(Event.ENTRY_STOPPED)
+            self.peer.stop()
+            self.on_end()
 
     # Configuration.
 
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -6,6 +6,7 @@
 import uuid
 
 from attrs import asdict, define, evolve, field, frozen
+from twisted.internet.defer import Deferred
 
 from ..clock import Clock, sleep
 from ..codec import from_json, to_json
@@ -31,7 +32,9 @@
     Range,
     Txn,
     TxnResult,
+    delete_if_unchanged,
 )
+from .call import Call
 from .watch import (
     STORE_TIMEOUT,
     Changes,
@@ -44,6 +47,8 @@
 #: Timeout of a lease renewal. With the renewal interval, it leaves time for another
 #: renewal before the lease expires.
 RENEWAL_TIMEOUT = dt.timedelta(milliseconds=700)
+#: Timeout of the deletion of the member key, at the end of a planned stop.
+LEAVE_TIMEOUT = dt.timedelta(milliseconds=400)
 #: Pause before a failed write of the member key or the leader key is retried.
 RETRY_PAUSE = dt.timedelta(milliseconds=300)
 
@@ -97,6 +102,11 @@
     """The entry is stopping; it deletes its leader key and is no longer a candidate."""
 
 
+@frozen
+class Leave:
+    """Request to delete the member key; peers then close their connections."""
+
+
 @frozen
 class CandidacyDue:
     """The candidacy delay of this entry has passed.
@@ -165,6 +175,8 @@
     _is_candidate: bool = False
     _is_resigned: bool = False
     _has_snapshot: bool = False
+    # Revision of the member key that this process wrote; 0 before.
+    _member_revision: int = 0
     _lease: int = 0
     # When the last renewal that succeeded was sent. Unlike the confirmation, it shows
     # that the store was reached.
@@ -217,14 +229,27 @@
         member = JobMember(**asdict(self.me), capacity=self.capacity)
         while True:
             try:
-                await self.store.call(
+                result: TxnResult = await self.store.call(
                     Txn(success=(Put(key, to_json(member)),)), STORE_TIMEOUT
                 )
+                self._member_revision = result.revision
                 return
             except StoreError as exc:
                 log_event(Event.STORE_CALL_FAILED, what="register", reason=exc.message)
                 await sleep(self.clock, RETRY_PAUSE)
 
+    async def _leave(self, reply: Deferred[None]) -> None:
+        # The condition keeps the key of a process that has started since.
+        key = JOB_MEMBERS_PREFIX + self.me.name
+        try:
+            if self._member_revision:
+                txn = delete_if_unchanged(key, self._member_revision)
+                await self.store.call(txn, LEAVE_TIMEOUT)
+        except StoreError as exc:
+            log_event(Event.STORE_CALL_FAILED, what="leave", reason=exc.message)
+        finally:
+            reply.callback(None)
+
     def _handle(self, msg: t.Any) -> None:
         match msg:
             case Snapshot(kvs=kvs):
@@ -249,6 +274,8 @@
                 self._handle_renewal(msg)
             case Resign():
                 self._resign()
+            case Call(Leave(), reply):
+                spawn(self._leave(reply))
             case StoreContact():
                 return
         self._log_authority()
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -349,6 +349,7 @@
     :param lost_paths: Pairs of an entry and an instance that it does not reach.
     :param late_share: Share of calls to instances that get no answer and are
         executed 2 to :data:`MAX_CALL_DELAY_S` seconds later.
+    :param on_end: Called with the name of an entry whose planned stop is complete.
     :param failing_tasks: Pairs of job id and task index whose runs fail.
     :param history: Events of all runs, in order.
     :param accepted_at: Time of the first accepting answer by job id.
@@ -371,6 +372,7 @@
     parted_entries: set = field(factory=set)
     lost_paths: set = field(factory=set)
     late_share: float = 0.0
+    on_end: object = field(default=lambda _: None)
     failing_tasks: set = field(factory=set)
     history: list = field(factory=list)
     accepted_at: dict = field(factory=dict)
@@ -445,7 +447,7 @@
             make_codec(),
             clock,
             FakeReactor(),
-            lambda: None,
+            lambda: self.on_end(name),
             make_peer,
             ProcessClocks(self.reactor.seconds, self.reactor.seconds, lambda: 0.0),
         )
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -9,7 +9,7 @@
 
 from fighead.codec import from_json
 from fighead.job import JobPhase, JobRecord, JobSpec, Stage
-from fighead.store import JOBS_PREFIX
+from fighead.store import JOB_MEMBERS_PREFIX, JOBS_PREFIX
 from job_cluster import NO_ERROR, START_TIME, JobCluster, has_ended
 
 SHORT_STAGE = Stage(count=3, cpu=2000, memory_mb=100, estimate_ms=400)
@@ -404,6 +404,43 @@
     assert len(starts) == 4 and not cluster.find_breaches()
 
 
+def find_member_keys(cluster):
+    return {
+        key.removeprefix(JOB_MEMBERS_PREFIX)
+        for key in cluster.store.items
+        if key.startswith(JOB_MEMBERS_PREFIX)
+    }
+
+
+def test_an_entry_that_has_stopped_as_planned_is_no_member(cluster):
+    cluster.entries["e1"].entry.stop()
+    cluster.advance(1)
+    assert find_member_keys(cluster) == {"e1", "e2", "e3"}
+    cluster.advance(6)
+    assert find_member_keys(cluster) == {"e2", "e3"}
+    cluster.start_entry("e1")
+    cluster.advance(1)
+    assert find_member_keys(cluster) == {"e1", "e2", "e3"}
+
+
+def test_a_stopped_entry_does_not_remove_the_member_that_replaced_it(cluster):
+    cluster.entries["e1"].entry.stop()
+    cluster.advance(1)
+    cluster.start_entry("e1")
+    cluster.advance(6)
+    assert find_member_keys(cluster) == {"e1", "e2", "e3"}
+
+
+def test_a_planned_stop_ends_although_the_store_is_unavailable():
+    ended = []
+    cluster = JobCluster(on_end=ended.append)
+    cluster.store.is_unavailable = True
+    entry = cluster.entries["e1"].entry
+    entry.stop()
+    cluster.advance(entry.cfg.grace.total_seconds())
+    assert ended == ["e1"]
+
+
 FAULT_KINDS = (
     "kill",
     "kill all",
