Confirm a leader by a read of its key instead of a renewal of its lease

A successful renewal shows that the lease exists, not that the leader key does: the platform may remove keys at once. Only the watch told of it, and a watch on which nothing arrives times out after up to 5 s and then begins anew, on connections of its own. Until then each renewal gave 3 s of authority, while another entry could be elected.

Every 500 ms the leader now also reads its key. The read is linearizable, so that a key with this entry's fence proves that nobody else had been elected when the read was sent, and authority counts from then. Another key or none is treated as a lost lease: both election keys are read, and the leader steps down or claims the key again. Renewals only keep the lease, and still show for a hand-over that the store was reached.

Before this commit the three new tests fail: the earlier leader may act more than 3 s after the next election; a sole leader never learns that its key is gone; and renewals alone give authority. Only the leader reads, 2 calls a second.

--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -130,6 +130,19 @@
     sent_at: dt.datetime
 
 
+@frozen
+class LeaderKeyRead:
+    """The store answered a read of the leader key.
+
+    :param fence: Fence of this entry when the read was sent.
+    :param kv: The leader key; its revision is 0 if it is absent.
+    """
+
+    fence: int
+    kv: KeyValue
+    sent_at: dt.datetime
+
+
 @frozen
 class Elected:
     """This entry has written the leader key.
@@ -272,6 +285,8 @@
                 self._handle_elected(msg)
             case RenewalAnswered():
                 self._handle_renewal(msg)
+            case LeaderKeyRead():
+                self._handle_read_key(msg)
             case Resign():
                 self._resign()
             case Call(Leave(), reply):
@@ -484,8 +499,9 @@
         while True:
             await sleep(self.clock, election.RENEWAL_INTERVAL)
             self._log_authority()
-            if self._is_leading:
+            if self._is_leading and self._own_leader is not None:
                 spawn(self._renew(self._lease))
+                spawn(self._read_leader_key(self._own_leader.fence))
 
     async def _renew(self, lease: int) -> None:
         sent_at = self.clock.now()
@@ -503,11 +519,30 @@
             return
         if renewed.is_alive:
             self._renewed_at = renewed.sent_at
-            self._confirm(renewed.sent_at, ConfirmationSource.STORE)
         else:
             # The lease has expired; another entry may already hold the leader key.
             spawn(self._refresh_election_keys())
 
+    async def _read_leader_key(self, fence: int) -> None:
+        """Read the leader key, which may be gone although its lease lives."""
+        sent_at = self.clock.now()
+        try:
+            result = await self.store.call(Range(JOB_LEADER_KEY), RENEWAL_TIMEOUT)
+        except StoreError as exc:
+            log_event(Event.STORE_CALL_FAILED, what="confirm", reason=exc.message)
+            return
+        kv = next(iter(result.kvs), KeyValue(JOB_LEADER_KEY))
+        self.mailbox.offer(LeaderKeyRead(fence, kv, sent_at))
+
+    def _handle_read_key(self, read: LeaderKeyRead) -> None:
+        own = self._own_leader
+        if not self._is_leading or own is None or read.fence != own.fence:
+            return
+        if read.kv.mod_revision == own.fence:
+            self._confirm(read.sent_at, ConfirmationSource.STORE)
+        elif not self._is_candidate:
+            spawn(self._refresh_election_keys())
+
     async def _refresh_election_keys(self) -> None:
         try:
             await self._read_election_keys()
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -43,6 +43,8 @@
     :param page_items: Maximum number of items in a page; 0 for no limit.
     :param fails_second_pages: Whether every second read of a page under a prefix
         fails.
+    :param fails_key_reads: Whether every read of a single key fails.
+    :param watch_hides: Key whose changes no watch delivers.
     :param reads: All reads so far.
     :param most_key_reads: Most reads of a single key that were open at once.
     """
@@ -55,6 +57,8 @@
     lose_answers: int = 0
     page_items: int = 0
     fails_second_pages: bool = False
+    fails_key_reads: bool = False
+    watch_hides: str = ""
     reads: list = field(factory=list)
     open_key_reads: int = 0
     most_key_reads: int = 0
@@ -95,6 +99,8 @@
             is_second = req.is_prefix and self.count_reads(req.key) % 2 == 0
             if is_second and self.fails_second_pages:
                 raise StoreUnavailableError("the page is lost", "read it again")
+        if is_key_read and self.fails_key_reads:
+            raise StoreUnavailableError("the read is lost", "read it again")
         if isinstance(req, LeaseGrant):
             self.grants += 1
             await sleep(self.clock, self.grant_delay * self.grants)
@@ -218,7 +224,9 @@
             events = tuple(
                 event
                 for event in self.history
-                if event.kv.key.startswith(prefix) and event.kv.mod_revision > after
+                if event.kv.key.startswith(prefix)
+                and event.kv.key != self.watch_hides
+                and event.kv.mod_revision > after
             )
             if events or self.clock.now() >= deadline:
                 return WatchBatch(self.revision, events)
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -9,7 +9,7 @@
 
 from fighead.codec import from_json
 from fighead.job import JobPhase, JobRecord, JobSpec, Stage
-from fighead.store import JOB_MEMBERS_PREFIX, JOBS_PREFIX
+from fighead.store import JOB_LEADER_KEY, JOB_MEMBERS_PREFIX, JOBS_PREFIX
 from job_cluster import NO_ERROR, START_TIME, JobCluster, has_ended
 
 SHORT_STAGE = Stage(count=3, cpu=2000, memory_mb=100, estimate_ms=400)
@@ -387,6 +387,14 @@
     assert not cluster.find_breaches()
 
 
+def test_a_living_lease_gives_no_authority_without_the_leader_key():
+    cluster, (leader, *_) = start_parted_cluster()
+    cluster.entries[leader].store.is_watch_silent = True
+    cluster.part((leader,), ("i0",))
+    cluster.store.remove(JOB_LEADER_KEY)
+    assert advance_to_overdue_leader(cluster, 15) == []
+
+
 def test_a_leader_cut_off_alone_stops_to_act_in_time():
     cluster, (leader, *_) = start_parted_cluster()
     cut_off(cluster, leader)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -10,6 +10,7 @@
 from fighead.clock import ReactorClock
 from fighead.mailbox import spawn
 from fighead.model import Member
+from fighead.store import JOB_LEADER_KEY
 from fighead.tasks.leadership import LeadershipConfirmed, LeadershipTask, Resign
 from memory_store import MemoryStore
 
@@ -194,3 +195,23 @@
     task = start_leader_without_store(reactor, clock, store)
     confirm(task, task.view.leader.fence, clock.now() + dt.timedelta(hours=1))
     assert task.confirmation.at == clock.now()
+
+
+def test_a_leader_whose_key_is_taken_away_is_elected_again(reactor, clock, store):
+    entry = Entry("e0", store, clock)
+    advance(reactor, 3)
+    store.watch_hides = JOB_LEADER_KEY
+    store.remove(JOB_LEADER_KEY)
+    advance(reactor, 2)
+    assert entry.elections == [(1, False), (2, True)]
+
+
+def test_a_renewal_alone_does_not_confirm_a_leader(reactor, clock, store):
+    entry = Entry("e0", store, clock)
+    advance(reactor, 3)
+    store.fails_key_reads = True
+    advance(reactor, 4)
+    assert entry.task.is_leading and not entry.task.may_act()
+    store.fails_key_reads = False
+    advance(reactor, 1)
+    assert entry.task.may_act() and entry.elections == [(1, False)]
