Keep a schedule over a re-election only if no term was missed

A re-election counted as uninterrupted if the entry still took itself for the leader and knew of no other. It may not know: a watch whose history the store has discarded continues from the present keys, which no longer name a leader that has resigned. The entry then kept its schedule, with tasks that the other leader had started or ended elsewhere, and took a higher fence.

Every election raises the stored term by one, under a compare on the term's key. The schedule is now kept only if the new term is the one after this process's own last term. A claim of its own whose answer was lost but took effect also raises the term; the schedule is then read anew, which is safe.

Before this commit both new tests in test_leadership.py fail with is_uninterrupted after terms 1 and 3.

--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -471,11 +471,11 @@
         is_outdated = known is not None and election.is_newer(leader, known)
         if self._is_resigned or is_outdated:
             return
+        # Every election raises the term by one, also one that this entry missed.
         is_uninterrupted = (
             self._is_leading
             and self._own_leader is not None
-            and known is not None
-            and known.nonce == self._nonce
+            and leader.term == self._own_leader.term + 1
         )
         self._lease, self._renewed_at = elected.lease, elected.sent_at
         self.confirmation = Confirmation(elected.sent_at, ConfirmationSource.ELECTION)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -10,7 +10,7 @@
 from fighead.clock import ReactorClock
 from fighead.mailbox import spawn
 from fighead.model import Member
-from fighead.store import JOB_LEADER_KEY
+from fighead.store import JOB_LEADER_KEY, JOB_TERM_KEY
 from fighead.tasks.leadership import LeadershipConfirmed, LeadershipTask, Resign
 from memory_store import MemoryStore
 
@@ -215,3 +215,26 @@
     store.fails_key_reads = False
     advance(reactor, 1)
     assert entry.task.may_act() and entry.elections == [(1, False)]
+
+
+def test_a_leader_that_missed_a_term_of_another_entry_is_not_uninterrupted(
+    reactor, clock, store
+):
+    entry = Entry("e0", store, clock)
+    advance(reactor, 3)
+    # What the store holds after another entry led and resigned, without its history.
+    store.put(JOB_TERM_KEY, "2")
+    store.remove(JOB_LEADER_KEY)
+    advance(reactor, 3)
+    assert entry.elections == [(1, False), (3, False)]
+
+
+def test_a_leader_is_not_uninterrupted_after_a_claim_of_its_own_whose_answer_was_lost(
+    reactor, clock, store
+):
+    entry = Entry("e0", store, clock)
+    advance(reactor, 3)
+    store.lose_answers = 1
+    store.remove(JOB_LEADER_KEY)
+    advance(reactor, 6)
+    assert entry.elections == [(1, False), (3, False)]
