--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -329,12 +329,12 @@
     return cluster.find_overdue_leaders()
 
 
-def cut_off(cluster, *names):
-    """Cut entries off, with ``i0``, from the store and all else."""
+def cut_off(cluster, names, instances=("i0",)):
+    """Cut entries and instances off together from the store and all else."""
     for name in names:
         store = cluster.entries[name].store
         store.is_cut = store.is_watch_silent = True
-    cluster.part(names, ("i0",))
+    cluster.part(names, instances)
 
 
 def start_parted_cluster(entries=5):
@@ -354,7 +354,7 @@
     process.entry._announce_leader()
     process.gate.is_frozen = True
     cluster.advance(0.04)
-    cut_off(cluster, leader)
+    cut_off(cluster, (leader,))
 
 
 def test_answers_of_peers_read_after_a_freeze_give_no_authority():
@@ -376,13 +376,13 @@
 
 def test_two_entries_cut_off_together_do_not_confirm_each_other():
     cluster, (leader, peer, *_) = start_parted_cluster()
-    cut_off(cluster, leader, peer)
+    cut_off(cluster, (leader, peer))
     assert advance_to_overdue_leader(cluster, 15) == []
 
 
 def test_no_task_runs_twice_while_two_entries_are_cut_off_together():
     cluster, (leader, peer, *_) = start_parted_cluster()
-    cut_off(cluster, leader, peer)
+    cut_off(cluster, (leader, peer))
     cluster.advance(30)
     assert not cluster.find_breaches()
 
@@ -397,7 +397,7 @@
 
 def test_a_leader_cut_off_alone_stops_to_act_in_time():
     cluster, (leader, *_) = start_parted_cluster()
-    cut_off(cluster, leader)
+    cut_off(cluster, (leader,))
     assert advance_to_overdue_leader(cluster, 15) == []
 
 
@@ -647,3 +647,49 @@
     assert not cluster.find_breaches()
     for accepted_job_id in cluster.accepted_at:
         assert has_ended(cluster.find_phase(accepted_job_id)), accepted_job_id
+
+
+def part_at_random(cluster, rng):
+    """Part at most two of five entries, mostly with the leader; return it or ``e0``."""
+    leader = cluster.leader() or "e0"
+    others = [name for name in cluster.entries if name != leader]
+    if rng.random() < 0.7:
+        names = [leader, *rng.sample(others, rng.randint(0, 1))]
+    else:
+        names = rng.sample(others, rng.randint(1, 2))
+    instances = rng.sample(sorted(cluster.instances), rng.randint(1, 3))
+    cut_off(cluster, names, instances)
+    return leader
+
+
+def end_parting(cluster):
+    cluster.parted_entries.clear()
+    cluster.lost_paths.clear()
+    for process in cluster.entries.values():
+        process.store.is_cut = process.store.is_watch_silent = False
+
+
+#: With seeds 1, 9 and 10 a task once started after its end was acknowledged.
+@pytest.mark.parametrize("seed", [0, 1, 2, 3, 9, 10])
+def test_guarantees_hold_while_entries_are_parted(seed):
+    cluster = JobCluster(seed, entry_names=tuple(f"e{n}" for n in range(5)))
+    rng = random.Random(seed)
+    cluster.late_share = 0.08 * (seed % 2)
+    medium = JobSpec("x", (Stage(count=3, cpu=1000, estimate_ms=15_000),))
+    overdue = []
+    for number in range(10):
+        spec = rng.choice([TWO_STAGE_JOB, JobSpec("x", (LONG_STAGE,)), medium])
+        cluster.submit(job_id(number), spec, rng.choice(["checks", "plans"]))
+        gate = cluster.entries[part_at_random(cluster, rng)].gate
+        gate.is_frozen = rng.random() < 0.4
+        overdue += advance_to_overdue_leader(cluster, rng.uniform(0.5, 5))
+        gate.unfreeze()
+        overdue += advance_to_overdue_leader(cluster, rng.uniform(0, 9))
+        end_parting(cluster)
+        cluster.advance(rng.uniform(0.1, 3))
+    cluster.late_share = 0.0
+    cluster.advance(60)
+    assert not cluster.find_breaches()
+    assert overdue == []
+    for accepted_job_id in cluster.accepted_at:
+        assert has_ended(cluster.find_phase(accepted_job_id)), accepted_job_id
