Record that a leader with most members acts beside an elected one

An election asks only the store. A leader that is cut off from the store together with most members is confirmed by them for as long as the cut lasts, and acts beside the entry that the others elect.

A new scheduler would have to count the authority of the earlier one from when most members know of the new one. Without most members it would then never take a silent instance's leases to have ended, nor settle beside one, so killing half of the entries would hold up accepted jobs.

--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -401,6 +401,12 @@
     assert advance_to_overdue_leader(cluster, 15) == []
 
 
+def test_a_leader_cut_off_with_most_entries_stops_acting_in_time():
+    cluster, (leader, *peers) = start_parted_cluster()
+    cut_off(cluster, (leader, *peers[:2]))
+    assert advance_to_overdue_leader(cluster, 15) == []
+
+
 def test_runs_continue_without_the_store_while_most_entries_live():
     cluster, (_, *others) = start_parted_cluster()
     cluster.kill_entries(*others[:2])
