--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -15,7 +15,6 @@
 from .decisions.admission import QueuedStarts
 from .decisions.config_request import ConfigRequest
 from .decisions.election import Leader
-from .decisions.instance_tracking import AUTHORITY_TIMEOUT
 from .decisions.schedule_state import Schedule
 from .exceptions import MailboxFullError, PeerUnreachableError
 from .fronts.job import JobCodec, JobFront
@@ -201,9 +200,12 @@
             port.stopListening()
         while self.front_context.in_flight and self.clock.now() < deadline:
             await sleep(self.clock, DRAIN_POLL_INTERVAL)
-        log_event(Event.ENTRY_STOPPED)
-        self.peer.stop()
-        self.on_end()
+        try:
+            await call(self.leadership.mailbox, leadership.Leave())
+        finally:
+            log_event(Event.ENTRY_STOPPED)
+            self.peer.stop()
+            self.on_end()
 
     # Configuration.
 
@@ -261,7 +263,7 @@
             self.clock,
             self._random,
             self.cfg.lease,
-            self._may_act,
+            self.leadership.may_act,
             lambda fence: self.leadership.mailbox.offer(
                 leadership.OwnFenceRefused(fence)
             ),
@@ -282,12 +284,6 @@
     def _take_scheduler_load(self) -> SchedulerLoad | None:
         return self.scheduler.take_load() if self.scheduler is not None else None
 
-    def _may_act(self) -> bool:
-        confirmed_at = self.leadership.confirmed_at
-        return confirmed_at is not None and election.may_act(
-            self.clock.now(), confirmed_at, AUTHORITY_TIMEOUT
-        )
-
     async def _announce_periodically(self) -> None:
         while True:
             await sleep(self.clock, ANNOUNCEMENT_INTERVAL)
@@ -299,7 +295,8 @@
         for peer in self.peer.peers():
             self.peer.send(peer, announcement)
 
-    def _make_announcement(self) -> m.LeaderIs:
+    def _make_announcement(self, answered: m.LeaderIs | None = None) -> m.LeaderIs:
+        """Return what this entry announces, maybe in answer to a leader's message."""
         version = self.front_context.config.version if self.front_context.config else 0
         backlog = self.scheduler.find_backlog() if self.scheduler is not None else ()
         return m.LeaderIs(
@@ -308,6 +305,8 @@
             version,
             self._can_lead(),
             backlog,
+            self.clock.now(),
+            answered.sent_at if answered is not None else None,
         )
 
     def _can_lead(self) -> bool:
@@ -352,14 +351,16 @@
             self.front_context.view.leader, leader
         ):
             self.leadership.mailbox.offer(
-                leadership.LeadershipConfirmed(sender, msg.can_lead)
+                leadership.LeadershipConfirmed(
+                    sender, msg.can_lead, leader.fence, msg.answered_at
+                )
             )
             return
         self.leadership.mailbox.offer(leadership.LeaderAnnounced(leader))
         if leader.name == sender:
             self._backlog, self._backlog_at = msg.backlog, self.clock.now()
             # Lets the leader see whether its peers know of a later one.
-            self.peer.send(sender, self._make_announcement())
+            self.peer.send(sender, self._make_announcement(msg))
 
     def _ask_scheduler(self, msg: t.Any) -> Deferred[t.Any]:
         """Send a request to the scheduler and return its answer."""
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -6,11 +6,13 @@
 import uuid
 
 from attrs import asdict, define, evolve, field, frozen
+from twisted.internet.defer import Deferred
 
 from ..clock import Clock, sleep
 from ..codec import from_json, to_json
 from ..decisions import election
-from ..decisions.election import Availability, Leader
+from ..decisions.election import Availability, Confirmation, ConfirmationSource, Leader
+from ..decisions.instance_tracking import AUTHORITY_TIMEOUT
 from ..exceptions import RequestError, StoreError, StoreOutcomeUnknownError
 from ..log import Event, log_event
 from ..mailbox import Mailbox, process_messages, spawn
@@ -30,7 +32,9 @@
     Range,
     Txn,
     TxnResult,
+    delete_if_unchanged,
 )
+from .call import Call
 from .watch import (
     STORE_TIMEOUT,
     Changes,
@@ -43,6 +47,8 @@
 #: Timeout of a lease renewal. With the renewal interval, it leaves time for another
 #: renewal before the lease expires.
 RENEWAL_TIMEOUT = dt.timedelta(milliseconds=700)
+#: Timeout of the deletion of the member key, at the end of a planned stop.
+LEAVE_TIMEOUT = dt.timedelta(milliseconds=400)
 #: Pause before a failed write of the member key or the leader key is retried.
 RETRY_PAUSE = dt.timedelta(milliseconds=300)
 
@@ -64,13 +70,21 @@
 
 @frozen
 class LeadershipConfirmed:
-    """A peer knows of no later leader, which confirms this entry as the leader.
+    """A peer knows of no later leader.
+
+    It confirms this entry if it names it and answers one of its announcements. The
+    answer may be handled long after it was sent, so that only the time of the
+    announcement bounds its age.
 
     :param can_lead: Whether the peer could lead now.
+    :param fence: Fence of the leader that the peer named.
+    :param announced_at: When this entry sent the announcement that the peer answered.
     """
 
     peer: str
     can_lead: bool
+    fence: int = 0
+    announced_at: dt.datetime | None = None
 
 
 @frozen
@@ -88,6 +102,11 @@
     """The entry is stopping; it deletes its leader key and is no longer a candidate."""
 
 
+@frozen
+class Leave:
+    """Request to delete the member key; peers then close their connections."""
+
+
 @frozen
 class CandidacyDue:
     """The candidacy delay of this entry has passed.
@@ -111,6 +130,19 @@
     sent_at: dt.datetime
 
 
+@frozen
+class LeaderKeyRead:
+    """The store answered a read of the leader key.
+
+    :param fence: Fence of this entry when the read was sent.
+    :param kv: The leader key; its revision is 0 if it is absent.
+    """
+
+    fence: int
+    kv: KeyValue
+    sent_at: dt.datetime
+
+
 @frozen
 class Elected:
     """This entry has written the leader key.
@@ -133,7 +165,7 @@
         whether this process already led and no other has led since.
     :param on_deposed: Called when this entry stops being the leader.
     :param capacity: What this entry's machine provides.
-    :param confirmed_at: When the store or a peer last confirmed this entry as leader.
+    :param confirmation: What last confirmed this entry as the leader.
     """
 
     me: Member
@@ -146,7 +178,7 @@
     capacity: Capacity = Capacity()
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("leadership"))
     view: ControlView = ControlView()
-    confirmed_at: dt.datetime | None = None
+    confirmation: Confirmation | None = None
     _nonce: str = field(factory=lambda: uuid.uuid4().hex)
     _leader_kv: KeyValue = KeyValue(JOB_LEADER_KEY)
     _term_kv: KeyValue = KeyValue(JOB_TERM_KEY)
@@ -156,8 +188,10 @@
     _is_candidate: bool = False
     _is_resigned: bool = False
     _has_snapshot: bool = False
+    # Revision of the member key that this process wrote; 0 before.
+    _member_revision: int = 0
     _lease: int = 0
-    # When the last renewal that succeeded was sent. Unlike ``confirmed_at``, it shows
+    # When the last renewal that succeeded was sent. Unlike the confirmation, it shows
     # that the store was reached.
     _renewed_at: dt.datetime | None = None
     # When this entry last failed to become or remain the leader.
@@ -165,6 +199,11 @@
     _handed_over_at: dt.datetime | None = None
     # By peer, while this entry leads.
     _availability: dict[str, Availability] = field(factory=dict)
+    # When the announcement was sent with which each peer last confirmed this entry,
+    # while it leads.
+    _peer_confirmations: dict[str, dt.datetime] = field(factory=dict)
+    # Whether the leader had authority when that was last checked.
+    _had_authority: bool = False
 
     @property
     def is_leading(self) -> bool:
@@ -179,6 +218,12 @@
             and not self._is_within(election.FAILURE_PAUSE, self._failed_at)
         )
 
+    def may_act(self) -> bool:
+        """Whether this entry, if it leads, may send orders now."""
+        return self.confirmation is not None and election.may_act(
+            self.clock.now(), self.confirmation.at, AUTHORITY_TIMEOUT
+        )
+
     def _is_within(self, interval: dt.timedelta, since: dt.datetime | None) -> bool:
         return since is not None and self.clock.now() - since < interval
 
@@ -197,14 +242,27 @@
         member = JobMember(**asdict(self.me), capacity=self.capacity)
         while True:
             try:
-                await self.store.call(
+                result: TxnResult = await self.store.call(
                     Txn(success=(Put(key, to_json(member)),)), STORE_TIMEOUT
                 )
+                self._member_revision = result.revision
                 return
             except StoreError as exc:
                 log_event(Event.STORE_CALL_FAILED, what="register", reason=exc.message)
                 await sleep(self.clock, RETRY_PAUSE)
 
+    async def _leave(self, reply: Deferred[None]) -> None:
+        # The condition keeps the key of a process that has started since.
+        key = JOB_MEMBERS_PREFIX + self.me.name
+        try:
+            if self._member_revision:
+                txn = delete_if_unchanged(key, self._member_revision)
+                await self.store.call(txn, LEAVE_TIMEOUT)
+        except StoreError as exc:
+            log_event(Event.STORE_CALL_FAILED, what="leave", reason=exc.message)
+        finally:
+            reply.callback(None)
+
     def _handle(self, msg: t.Any) -> None:
         match msg:
             case Snapshot(kvs=kvs):
@@ -216,7 +274,7 @@
             case LeaderAnnounced(leader):
                 self._update_leader(leader)
             case LeadershipConfirmed(peer, can_lead):
-                self.confirmed_at = self.clock.now()
+                self._handle_confirmation(msg)
                 self._handle_report(peer, can_lead)
             case OwnFenceRefused(fence):
                 if self._own_leader is not None and fence == self._own_leader.fence:
@@ -227,10 +285,15 @@
                 self._handle_elected(msg)
             case RenewalAnswered():
                 self._handle_renewal(msg)
+            case LeaderKeyRead():
+                self._handle_read_key(msg)
             case Resign():
                 self._resign()
+            case Call(Leave(), reply):
+                spawn(self._leave(reply))
             case StoreContact():
                 return
+        self._log_authority()
         self._schedule_candidacy()
 
     # State reported by the store and by peers.
@@ -408,14 +471,16 @@
         is_outdated = known is not None and election.is_newer(leader, known)
         if self._is_resigned or is_outdated:
             return
+        # Every election raises the term by one, also one that this entry missed.
         is_uninterrupted = (
             self._is_leading
             and self._own_leader is not None
-            and known is not None
-            and known.nonce == self._nonce
+            and leader.term == self._own_leader.term + 1
         )
-        self._lease, self.confirmed_at = elected.lease, elected.sent_at
-        self._renewed_at = elected.sent_at
+        self._lease, self._renewed_at = elected.lease, elected.sent_at
+        self.confirmation = Confirmation(elected.sent_at, ConfirmationSource.ELECTION)
+        self._peer_confirmations.clear()
+        self._had_authority |= not self._is_leading
         self._is_leading, self._own_leader = True, leader
         self._leader_kv = KeyValue(JOB_LEADER_KEY, "", leader.fence, leader.fence)
         took = self.clock.now() - elected.sent_at
@@ -433,8 +498,10 @@
     async def _renew_periodically(self) -> None:
         while True:
             await sleep(self.clock, election.RENEWAL_INTERVAL)
-            if self._is_leading:
+            self._log_authority()
+            if self._is_leading and self._own_leader is not None:
                 spawn(self._renew(self._lease))
+                spawn(self._read_leader_key(self._own_leader.fence))
 
     async def _renew(self, lease: int) -> None:
         sent_at = self.clock.now()
@@ -451,11 +518,31 @@
         if not self._is_leading:
             return
         if renewed.is_alive:
-            self.confirmed_at = self._renewed_at = renewed.sent_at
+            self._renewed_at = renewed.sent_at
         else:
             # The lease has expired; another entry may already hold the leader key.
             spawn(self._refresh_election_keys())
 
+    async def _read_leader_key(self, fence: int) -> None:
+        """Read the leader key, which may be gone although its lease lives."""
+        sent_at = self.clock.now()
+        try:
+            result = await self.store.call(Range(JOB_LEADER_KEY), RENEWAL_TIMEOUT)
+        except StoreError as exc:
+            log_event(Event.STORE_CALL_FAILED, what="confirm", reason=exc.message)
+            return
+        kv = next(iter(result.kvs), KeyValue(JOB_LEADER_KEY))
+        self.mailbox.offer(LeaderKeyRead(fence, kv, sent_at))
+
+    def _handle_read_key(self, read: LeaderKeyRead) -> None:
+        own = self._own_leader
+        if not self._is_leading or own is None or read.fence != own.fence:
+            return
+        if read.kv.mod_revision == own.fence:
+            self._confirm(read.sent_at, ConfirmationSource.STORE)
+        elif not self._is_candidate:
+            spawn(self._refresh_election_keys())
+
     async def _refresh_election_keys(self) -> None:
         try:
             await self._read_election_keys()
@@ -473,9 +560,15 @@
         if not self._is_leading:
             return
         self._is_leading = False
-        self._availability.clear()
         term = self._own_leader.term if self._own_leader else 0
-        log_event(Event.LEADER_DEPOSED, reason=reason, term=term)
+        log_event(
+            Event.LEADER_DEPOSED,
+            reason=reason,
+            term=term,
+            **self._describe_confirmation(),
+        )
+        self._availability.clear()
+        self._peer_confirmations.clear()
         self.on_deposed()
         spawn(self._refresh_election_keys())
 
@@ -486,6 +579,56 @@
             self._step_down("the entry is stopping")
             spawn(self._delete_leader_key(fence))
 
+    # Confirmation by the store and by peers.
+
+    def _handle_confirmation(self, msg: LeadershipConfirmed) -> None:
+        own = self._own_leader
+        is_confirmed = self._is_leading and own is not None and msg.fence == own.fence
+        if not is_confirmed or msg.announced_at is None:
+            return
+        at = min(msg.announced_at, self.clock.now())
+        known = self._peer_confirmations.get(msg.peer, at)
+        self._peer_confirmations[msg.peer] = max(known, at)
+        self._confirm(
+            election.find_majority_date(
+                self.me.name, self.view.members, self._peer_confirmations
+            ),
+            ConfirmationSource.PEERS,
+        )
+
+    def _confirm(self, at: dt.datetime | None, source: ConfirmationSource) -> None:
+        """Record a confirmation, if there is one, unless a later one is known."""
+        if at is None:
+            return
+        if self.confirmation is None or at > self.confirmation.at:
+            self.confirmation = Confirmation(at, source)
+
+    def _log_authority(self) -> None:
+        """Log when the leader loses or regains its authority."""
+        if not self._is_leading or self.may_act() == self._had_authority:
+            return
+        self._had_authority = not self._had_authority
+        log_event(
+            Event.AUTHORITY_REGAINED if self._had_authority else Event.AUTHORITY_ENDED,
+            term=self._own_leader.term if self._own_leader else 0,
+            **self._describe_confirmation(),
+        )
+
+    def _describe_confirmation(self) -> dict[str, t.Any]:
+        """Return the fields of the log that tell what last confirmed this entry."""
+        if self.confirmation is None:
+            return {}
+        dates = self._peer_confirmations.values()
+        age = self.clock.now() - self.confirmation.at
+        return {
+            "confirmed_by": self.confirmation.source.value,
+            "age_ms": int(age.total_seconds() * 1000),
+            "peers": sum(self._is_within(AUTHORITY_TIMEOUT, date) for date in dates),
+            "members": len(self.view.members.keys() | {self.me.name}),
+        }
+
+    # Hand-over to a larger peer.
+
     def _handle_report(self, peer: str, can_lead: bool) -> None:
         if not self._is_leading:
             return
