--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -10,12 +10,7 @@
 
 from fighead.codec import from_json
 from fighead.job import JobPhase, JobRecord, JobSpec, Stage
-from fighead.store import (
-    FLEET_KEY,
-    JOB_LEADER_KEY,
-    JOB_MEMBERS_PREFIX,
-    JOBS_PREFIX,
-)
+from fighead.store import FLEET_KEY, JOB_LEADER_KEY, JOB_MEMBERS_PREFIX, JOBS_PREFIX
 from job_cluster import NO_ERROR, START_TIME, JobCluster, has_ended
 
 SHORT_STAGE = Stage(count=3, cpu=2000, memory_mb=100, estimate_ms=400)
