Log the first listing of each incarnation, and what a restart resets

What callers see: nothing. The log names a restart (5306), but not which incarnation was replaced, what it held by the schedule and until when its tasks wait; nor when the next one was first listed under its own fence and what it ran. Whether a restarted instance ran something unseen can't be told without. Change: 5306 carries the earlier incarnation, its runs and the bound of its leases; 5310 is logged with the first listing of each incarnation in a term, with the number of runs that it listed.

--- a/src/fighead/decisions/run_updates.py
+++ b/src/fighead/decisions/run_updates.py
@@ -64,6 +64,8 @@
         and is not listed has ended.
     """
     effects: list[Effect] = []
+    if not state.is_listed:
+        effects.append(_note_first_listing(state, listing))
     earlier_unwanted, state.unwanted = state.unwanted, {}
     for listed_run in listing.running:
         effects += _apply_listed_run(schedule, state, listed_run, earlier_unwanted, now)
@@ -82,6 +84,13 @@
     return effects + filler_control.pace_fillers(schedule, state, now)
 
 
+def _note_first_listing(state: InstanceState, listing: Listing) -> LogNote:
+    fields: dict[str, t.Any] = {"instance": state.instance.instance_id}
+    fields |= {"incarnation": state.instance.incarnation}
+    fields |= {"restarts": state.restart_count, "runs": len(listing.running)}
+    return LogNote(Event.INSTANCE_LISTED, fields)
+
+
 def _apply_listed_run(
     schedule: Schedule,
     state: InstanceState,
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -106,6 +106,11 @@
         "info",
         "An instance is no longer suspected of being unhealthy.",
     )
+    INSTANCE_LISTED = (
+        5310,
+        "info",
+        "An incarnation of an instance is listed for the first time in this term.",
+    )
     REGISTRATION_UNREADABLE = (5307, "warning", "A registration is unusable.")
     CONFIG_APPLIED = (5401, "info", "A configuration is in force.")
     CONFIG_UNREADABLE = (5402, "warning", "A configuration can't be read.")
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -621,11 +621,17 @@
 
     def _handle_restart(self, instance_id: str) -> None:
         """Reset an instance; its next registration starts a new agent."""
-        instance_tracking.reset_after_restart(
-            self.schedule.instances[instance_id], self.lease, self.clock.now()
-        )
+        state, now = self.schedule.instances[instance_id], self.clock.now()
+        earlier = state.instance.incarnation
+        instance_tracking.reset_after_restart(state, self.lease, now)
         self._remove_agent(instance_id)
-        log_event(Event.INSTANCE_REBORN, instance=instance_id)
+        log_event(
+            Event.INSTANCE_REBORN,
+            instance=instance_id,
+            earlier=earlier,
+            runs=len(state.runs),
+            leases_ms=int((state.leases_end_at - now).total_seconds() * 1000),
+        )
 
     def _remove_agent(self, instance_id: str) -> None:
         agent = self.agents.pop(instance_id, None)
