List the next incarnation of an instance before it registers

What callers see: a task that must run once runs twice at the same time. Cause: an instance that crashes and starts again while it is cut off from the store answers the entries, but its agent was dropped and the next one waited for its registration. Until then nothing fenced the new incarnation, so it took starts meant for the earlier one, which may be carried out 2 to 12 s late, for a whole lease from their arrival. The tasks were started elsewhere 6.3 s after the restart was noticed. Orders to stop were dropped meanwhile. A start answered by another incarnation counted as refused, though it ran. Evidence: tests/test_restarts.py. Change: the answer of another incarnation is an error of its own that carries which one answered. The scheduler lists that one at once, under a higher fence that turns the late starts away; what it runs already is adopted or stopped, and its leases are renewed. It gets no runs until it has registered, and registrations of replaced incarnations are ignored, so that neither they nor the one that follows count as a further restart. An agent sends nothing more once another incarnation has answered it. The simulated cluster no longer tells the incarnation with the answers of starts, stops and paces, as the platform doesn't; that is stricter.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -68,6 +68,20 @@
     return bool(instance.incarnation and known and instance.incarnation != known)
 
 
+def is_outdated(state: InstanceState, instance: RegisteredInstance) -> bool:
+    """Whether a registration is from an incarnation that another has replaced."""
+    return instance.incarnation in state.replaced_incarnations
+
+
+def replace_incarnation(state: InstanceState, incarnation: str) -> None:
+    """Set the incarnation of an instance that answered before it registered.
+
+    Nothing is placed on it until then, since its capacity may have changed.
+    """
+    state.instance = evolve(state.instance, incarnation=incarnation)
+    state.is_registered = False
+
+
 def reset_after_restart(
     state: InstanceState, lease: dt.timedelta, now: dt.datetime
 ) -> None:
@@ -78,6 +92,7 @@
     under its own fence or all leases on it have expired.
     """
     state.restart_count += 1
+    state.replaced_incarnations.add(state.instance.incarnation)
     state.instance = evolve(state.instance, is_draining=False)
     state.is_reachable = state.is_listed = False
     state.last_end_sequence = 0
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -196,9 +196,11 @@
     :param unwanted: Runs in the latest listing that the schedule lacks, with the time
         at which their stop was last ordered. What they hold is not known.
     :param restart_count: Number of restarts of the instance in this term.
+    :param replaced_incarnations: Its earlier incarnations, as far as they are known.
     :param is_listed: Whether the current incarnation has sent a listing in this term.
     :param is_reachable: Whether the last call to the instance was answered.
-    :param is_registered: Whether the store holds its registration.
+    :param is_registered: Whether the store holds the registration of its current
+        incarnation.
     :param is_in_stored_fleet: Whether the stored fleet includes the instance.
     :param start_backoff_until: Until when no run is placed on the instance because it
         refused a start.
@@ -219,6 +221,7 @@
     serving: dict[tuple[TaskKey, int], RunState] = field(factory=dict)
     unwanted: dict[tuple[TaskKey, int], dt.datetime] = field(factory=dict)
     restart_count: int = 0
+    replaced_incarnations: set[str] = field(factory=set)
     is_listed: bool = False
     is_reachable: bool = False
     is_registered: bool = True
--- a/src/fighead/exceptions.py
+++ b/src/fighead/exceptions.py
@@ -155,6 +155,19 @@
         self.reason = reason
 
 
+class WorkerRestartedError(WorkerError):
+    """Another incarnation answered a call, which may have taken effect there.
+
+    :param incarnation: The incarnation that answered.
+    """
+
+    kind = "worker_restarted"
+
+    def __init__(self, message: str, remedy: str, incarnation: str) -> None:
+        super().__init__(message, remedy)
+        self.incarnation = incarnation
+
+
 class WorkerUnreachableError(WorkerError):
     """A call to an instance got no answer; it may have taken effect."""
 
--- a/src/fighead/platform/instance.py
+++ b/src/fighead/platform/instance.py
@@ -9,6 +9,7 @@
 from ..exceptions import (
     WorkerNotReachedError,
     WorkerRefusedError,
+    WorkerRestartedError,
     WorkerUnreachableError,
 )
 from ..http_client import (
@@ -72,6 +73,7 @@
         :param lease_until_ms: Expiry of the lease, in ms on the instance's clock.
         :return: The instance's clock in ms.
         :raises WorkerRefusedError: If the run was not started.
+        :raises WorkerRestartedError: If another incarnation may have started it.
         :raises WorkerUnreachableError: If the run may have started or may still
             start.
         """
@@ -193,11 +195,12 @@
                 "No action needed: the call is retried.",
             )
         # After a restart, a later incarnation answers at the same address and id.
-        if _decode_incarnation(body) not in ("", self.instance.incarnation):
-            raise WorkerRefusedError(
+        incarnation = _decode_incarnation(body)
+        if incarnation not in ("", self.instance.incarnation):
+            raise WorkerRestartedError(
                 f"Instance {self.instance.instance_id} has restarted.",
-                "No action needed: it registers again with its new incarnation.",
-                RefusalReason.OTHER_INCARNATION.value,
+                "No action needed: the next calls are sent to the new incarnation.",
+                incarnation,
             )
         return body
 
--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -12,6 +12,7 @@
     WorkerError,
     WorkerNotReachedError,
     WorkerRefusedError,
+    WorkerRestartedError,
     WorkerUnreachableError,
 )
 from ..job import TaskKey
@@ -117,9 +118,13 @@
 
 @frozen
 class InstanceRestarted:
-    """Another incarnation of the instance has replaced the called one."""
+    """Another incarnation of the instance has replaced the called one.
+
+    :param incarnation: The one that answered; empty if it is not known.
+    """
 
     identity: str
+    incarnation: str = ""
 
 
 @frozen
@@ -333,7 +338,15 @@
         if fence == self.fence:
             self.report(FenceRefused(self.identity, fence))
 
+    def _report_restart(self, exc: WorkerRestartedError) -> None:
+        """Report the next incarnation, and send it nothing meant for this one."""
+        self.report(InstanceRestarted(self.identity, exc.incarnation))
+        self._is_stopped = True
+
     def _report_error(self, exc: WorkerError, fence: int) -> None:
+        if isinstance(exc, WorkerRestartedError):
+            self._report_restart(exc)
+            return
         if isinstance(exc, WorkerRefusedError):
             if exc.reason == RefusalReason.FENCED.value:
                 self._report_refused_fence(fence)
@@ -360,6 +373,9 @@
                 await self.client.start(order, lease_until_ms, fence, CALL_TIMEOUT)
             except WorkerRefusedError as exc:
                 refusal = RefusalReason(exc.reason)
+            except WorkerRestartedError as exc:
+                self._report_restart(exc)
+                break
             except WorkerUnreachableError as exc:
                 is_uncertain |= not isinstance(exc, WorkerNotReachedError)
                 self._report_failed_call(exc.message)
@@ -393,6 +409,9 @@
             except WorkerUnreachableError:
                 await sleep(self.clock, RETRY_PAUSE * 2)
                 continue
+            except WorkerRestartedError as exc:
+                self._report_restart(exc)
+                return
             except WorkerRefusedError as exc:
                 if exc.reason == RefusalReason.FENCED.value:
                     self._report_refused_fence(fence)
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -502,6 +502,8 @@
         if instance.upstream not in self.schedule.config.upstreams:
             return
         known = self.schedule.instances.get(instance_id)
+        if known is not None and instance_tracking.is_outdated(known, instance):
+            return
         if known is not None and instance_tracking.has_restarted(known, instance):
             self._handle_restart(instance_id)
         effects = instance_tracking.add_instance(
@@ -592,8 +594,11 @@
             case agent_messages.FenceRefused(_, fence):
                 log_event(Event.SCHEDULER_FENCED, instance=instance_id, fence=fence)
                 self._notify_fence_refused(fence // INCARNATIONS_PER_TERM)
-            case agent_messages.InstanceRestarted():
+            case agent_messages.InstanceRestarted(_, incarnation):
                 self._handle_restart(instance_id)
+                if incarnation:
+                    instance_tracking.replace_incarnation(state, incarnation)
+                    self._start_agent(state.instance)
             case agent_messages.StartAnswered(_, task, number, refusal):
                 window = self.schedule.start_window
                 start_window.note_answer(window, (task, number), now)
@@ -620,7 +625,7 @@
         self.clock.call_later(dt.timedelta(), lambda: self.on_fence_refused(fence))
 
     def _handle_restart(self, instance_id: str) -> None:
-        """Reset an instance; its next registration starts a new agent."""
+        """Reset an instance, whose next incarnation needs an agent of its own."""
         state, now = self.schedule.instances[instance_id], self.clock.now()
         earlier = state.instance.incarnation
         instance_tracking.reset_after_restart(state, self.lease, now)
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -21,7 +21,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
     WorkerError,
-    WorkerRefusedError,
+    WorkerRestartedError,
     WorkerUnreachableError,
 )
 from fighead.fronts.job import JobCodec
@@ -32,7 +32,7 @@
 from fighead.model import Capacity
 from fighead.process_load import ProcessClocks
 from fighead.queries import job as queries
-from fighead.run import EndKind, RefusalReason, RegisteredInstance, RunEnd
+from fighead.run import EndKind, RegisteredInstance, RunEnd
 from fighead.settings import ListenAddress
 from fighead.standins.simulated_job_instance import SimulatedJobInstance, restart
 from fighead.tasks.scheduler import PlatformAdapter
@@ -199,8 +199,8 @@
         seen = acknowledged
         while True:
             listing = await self._call(
-                lambda instance: instance.renew_and_list(
-                    fence, acknowledged, lease_until_ms
+                lambda instance: self._list(
+                    instance, fence, acknowledged, lease_until_ms
                 ),
                 timeout,
             )
@@ -228,16 +228,20 @@
             raise
         return await self.gate.pass_through(result)
 
-    def _execute(self, operation):
-        # The next incarnation under the same id executes calls meant for this one.
-        simulated = self.cluster.instances[self.instance.instance_id]
-        result = operation(simulated)
+    def _list(self, simulated, fence, acknowledged, lease_until_ms):
+        # Only listings name the incarnation that answers.
+        listing = simulated.renew_and_list(fence, acknowledged, lease_until_ms)
         if simulated.instance.incarnation != self.instance.incarnation:
-            reason = RefusalReason.OTHER_INCARNATION.value
-            raise WorkerRefusedError(
-                "the instance has restarted", "list it again", reason
+            raise WorkerRestartedError(
+                "the instance has restarted",
+                "list it again",
+                simulated.instance.incarnation,
             )
-        return result
+        return listing
+
+    def _execute(self, operation):
+        # The next incarnation under the same id executes calls meant for this one.
+        return operation(self.cluster.instances[self.instance.instance_id])
 
     def _execute_late(self, operation):
         # The instance may refuse a late order like any other.
@@ -467,12 +471,21 @@
         for name in entry_names or self.entries:
             self.entries[name].clock.wall_error = error
 
-    def crash_instance(self, name):
-        """Crash an instance and register its next incarnation."""
+    def crash_instance(self, name, is_cut=False):
+        """Crash an instance and register its next incarnation.
+
+        :param is_cut: Whether the next incarnation can't register, because it is cut
+            off from the store.
+        """
         self.instances[name].crash()
         incarnation = str(int(self.instances[name].instance.incarnation) + 1)
         self.instances[name] = restart(self.instances[name], incarnation)
-        self.register_instance(name)
+        if not is_cut:
+            self.register_instance(name)
+
+    def unregister_instance(self, name):
+        """Remove the registration of an instance, as the store does when it lapses."""
+        self.store.remove(f"servers/{name}")
 
     def add_removed_jobs(self, name, count):
         """Let an instance list the ends of jobs that the store no longer has."""
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -10,6 +10,7 @@
 from fighead.exceptions import (
     WorkerNotReachedError,
     WorkerRefusedError,
+    WorkerRestartedError,
     WorkerUnreachableError,
 )
 from fighead.job import TaskKey
@@ -21,7 +22,13 @@
     RunEnd,
     StartRun,
 )
-from fighead.tasks.agent import Acknowledge, AgentTask, StartAnswered, StartUnanswered
+from fighead.tasks.agent import (
+    Acknowledge,
+    AgentTask,
+    InstanceRestarted,
+    StartAnswered,
+    StartUnanswered,
+)
 
 START_TIME = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
 LEASE = dt.timedelta(seconds=5)
@@ -109,6 +116,23 @@
     assert (report.refusal is None) == (refusal is None)
 
 
+def test_a_start_that_another_incarnation_answered_is_not_settled(timer):
+    restarted = WorkerRestartedError("Restarted.", "List it.", "2")
+    (report,) = start_results(timer, [restarted])
+    assert report == StartUnanswered("i-1/1", TASK, 1)
+
+
+def test_an_agent_sends_no_start_to_the_next_incarnation_once_it_has_answered(timer):
+    instance = ScriptedInstance([5])
+    agent, reports = start_agent(timer, instance)
+    restarted = WorkerRestartedError("Restarted.", "List it.", "2")
+    instance.listing_calls[-1][1].errback(restarted)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.1] * 20)
+    assert InstanceRestarted("i-1/1", "2") in reports
+    assert not instance.start_leases_ms and len(instance.listing_calls) == 1
+
+
 def test_a_repeated_start_has_the_lease_of_the_moment_it_was_ordered(timer):
     """A process that was paused in between must not extend what it may do."""
     instance = ScriptedInstance([LOST, 5])
--- a/tests/test_platform_instance.py
+++ b/tests/test_platform_instance.py
@@ -6,7 +6,12 @@
 import pytest
 from hypothesis import given
 
-from fighead.exceptions import WorkerError, WorkerRefusedError, WorkerUnreachableError
+from fighead.exceptions import (
+    WorkerError,
+    WorkerRefusedError,
+    WorkerRestartedError,
+    WorkerUnreachableError,
+)
 from fighead.job import TaskKey
 from fighead.platform.instance import PlatformInstanceClient, decode_instance
 from fighead.run import Listing, RegisteredInstance, StartRun, StopRun
@@ -79,6 +84,14 @@
         start(make_client(status, body))
 
 
+def test_an_answer_of_another_incarnation_names_it_and_is_no_refusal():
+    client = make_client(200, json.dumps(LISTING | {"born": 77}).encode())
+    for call in (list_runs, start):
+        with pytest.raises(WorkerRestartedError) as caught:
+            call(client)
+        assert caught.value.incarnation == "77"
+
+
 def test_a_stop_is_answered_by_its_status_alone():
     client = make_client(200, b"no JSON")
     assert result_of(client.stop(StopRun(TASK, 1), 1, TIMEOUT)) is None
--- /dev/null
+++ b/tests/test_restarts.py
@@ -0,0 +1,126 @@
+"""Instances that restart under their ID while they can't register."""
+
+import pytest
+from attrs import evolve
+from structlog.testing import capture_logs
+
+from fighead.job import JobPhase, JobSpec, Stage
+from job_cluster import JobCluster, has_ended
+
+JOB_ID = f"{1:016x}"
+LONG_JOB = JobSpec("x", (Stage(cpu=1000, memory_mb=1, estimate_ms=8000),))
+
+
+def order_late_start(cluster):
+    """Let a start at i0 get no answer, so that it is executed seconds later."""
+    cluster.advance(2)
+    others = sorted(cluster.instances.keys() - {"i0"})
+    for name in others:
+        cluster.drain_instance(name, 60_000)
+    cluster.advance(0.5)
+    cluster.late_share = 1.0
+    cluster.submit(JOB_ID, LONG_JOB)
+    cluster.advance(0.3)
+    for name in others:
+        simulated = cluster.instances[name]
+        simulated.instance = evolve(simulated.instance, is_draining=False)
+        cluster.register_instance(name)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_a_late_start_at_an_incarnation_that_can_not_register_runs_nowhere_else(seed):
+    cluster = JobCluster(seed)
+    order_late_start(cluster)
+    cluster.crash_instance("i0", is_cut=True)
+    cluster.late_share = 0.0
+    cluster.advance(4)
+    cluster.unregister_instance("i0")
+    cluster.advance(12)
+    cluster.register_instance("i0")
+    cluster.advance(20)
+    assert not cluster.find_breaches()
+    assert cluster.find_phase(JOB_ID) is JobPhase.COMPLETED
+
+
+def scheduler_state(cluster, name):
+    leader = cluster.entries[cluster.leader()].entry
+    return leader.scheduler.schedule.instances[name]
+
+
+def test_an_incarnation_that_has_not_registered_is_listed_but_gets_no_run():
+    cluster = JobCluster(instance_count=1)
+    cluster.advance(2)
+    with capture_logs() as lines:
+        cluster.crash_instance("i0", is_cut=True)
+        cluster.advance(1)
+        cluster.submit(JOB_ID, LONG_JOB)
+        cluster.advance(8)
+    assert not cluster.history
+    listed = [line for line in lines if line["event_name"] == "instance_listed"]
+    assert [(line["incarnation"], line["restarts"]) for line in listed] == [("2", 1)]
+    assert scheduler_state(cluster, "i0").is_reachable
+    cluster.register_instance("i0")
+    cluster.advance(12)
+    assert cluster.find_phase(JOB_ID) is JobPhase.COMPLETED
+
+
+def test_registrations_of_earlier_and_later_incarnations_are_no_further_restart():
+    cluster = JobCluster()
+    cluster.advance(2)
+    earlier = cluster.store.items["servers/i0"].value
+    cluster.crash_instance("i0", is_cut=True)
+    cluster.advance(1)
+    with capture_logs() as lines:
+        cluster.store.put("servers/i0", earlier)
+        cluster.advance(1)
+        assert not scheduler_state(cluster, "i0").is_registered
+        cluster.register_instance("i0")
+        cluster.advance(1)
+    assert not [line for line in lines if line["event_name"] == "instance_reborn"]
+    state = scheduler_state(cluster, "i0")
+    assert state.is_registered and state.is_listed and state.restart_count == 1
+
+
+#: Faults of which several may occur at once.
+RESTART_FAULTS = ("reborn", "reborn", "late", "silence", "kill", "away")
+
+
+def inject_restart_fault(cluster, kind):
+    """Inject a fault and return the function that ends it."""
+    name = cluster.rng.choice(sorted(cluster.instances))
+    leader = cluster.leader() or cluster.entry_names[0]
+    match kind:
+        case "reborn":
+            cluster.crash_instance(name, is_cut=True)
+            return lambda: cluster.register_instance(name)
+        case "late":
+            cluster.late_share = 0.4
+            return lambda: setattr(cluster, "late_share", 0.0)
+        case "silence":
+            cluster.silent_instances.add(name)
+            return lambda: cluster.silent_instances.discard(name)
+        case "kill":
+            cluster.kill_entries(leader)
+            return lambda: cluster.start_entry(leader)
+        case "away":
+            cluster.store.is_unavailable = True
+            return lambda: setattr(cluster.store, "is_unavailable", False)
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_guarantees_hold_while_instances_restart_behind_a_cut(seed):
+    cluster = JobCluster(seed)
+    for number in range(8):
+        for index in range(3):
+            spec = JobSpec("x", (Stage(count=3, cpu=1000, estimate_ms=5000),))
+            cluster.submit(f"{number * 3 + index:016x}", spec)
+        kinds = cluster.rng.sample(RESTART_FAULTS, 2)
+        ends = [inject_restart_fault(cluster, kind) for kind in kinds]
+        cluster.advance(cluster.rng.uniform(0.2, 7))
+        for end in ends:
+            end()
+        cluster.advance(cluster.rng.uniform(0.1, 1))
+    cluster.advance(60)
+    assert not cluster.find_breaches()
+    for job_id in cluster.accepted_at:
+        assert has_ended(cluster.find_phase(job_id)), job_id
