Raise the fence of an instance that comes back after its removal

What callers see: an instance that has restarted in a term, was lost and registers again refuses the leader's fence, so that the leader steps down and nothing starts until the next election; or a task that runs twice, if the instance restarted while it was away. Cause: the number of restarts, which is part of the fence, was forgotten with the instance. It came back with a fence below one that it had seen; a new incarnation came back under that of the earlier one, and took its late starts. Evidence: two tests in tests/test_restarts.py. Change: the number survives the removal, and a return counts as a restart, since the instance may have restarted.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -49,6 +49,7 @@
         bound = latest_lease_expiry(schedule.elected_at + AUTHORITY_TIMEOUT, lease)
         state = InstanceState(instance, bound)
         state.is_in_stored_fleet = instance.instance_id in schedule.stored_fleet
+        state.restart_count = schedule.restart_counts.get(instance.instance_id, 0)
         schedule.instances[instance.instance_id] = state
         fields = {"instance": instance.instance_id, "address": instance.address}
         return [LogNote(Event.INSTANCE_FOUND, fields)]
@@ -227,5 +228,7 @@
     for run in list(state.runs.values()):
         requeue_lost_run(schedule, run)
     if not state.is_registered:
-        del schedule.instances[state.instance.instance_id]
+        instance_id = state.instance.instance_id
+        schedule.restart_counts[instance_id] = state.restart_count + 1
+        del schedule.instances[instance_id]
     return effects
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -195,7 +195,8 @@
     :param serving: The runs that have a target latency.
     :param unwanted: Runs in the latest listing that the schedule lacks, with the time
         at which their stop was last ordered. What they hold is not known.
-    :param restart_count: Number of restarts of the instance in this term.
+    :param restart_count: Number of restarts of the instance in this term. One that was
+        removed and registers again may have restarted, so it counts as restarted.
     :param replaced_incarnations: Its earlier incarnations, as far as they are known.
     :param is_listed: Whether the current incarnation has sent a listing in this term.
     :param is_reachable: Whether the last call to the instance was answered.
@@ -290,6 +291,8 @@
     :param stored_fleet: Instances in the fleet record that this scheduler has stored.
     :param no_inherited_runs_after: A job with a higher store revision cannot have
         runs from an earlier scheduler; ``None`` if that revision is not yet known.
+    :param restart_counts: Restart counts that removed instances continue with, by
+        instance ID.
     :param unsaved_jobs: IDs of jobs whose progress or end has yet to be stored.
     :param ended_phases: Final phases of jobs that ended in this term, by job ID.
     :param is_settled: Whether each instance has been listed or its leases have
@@ -313,6 +316,7 @@
     config: JobConfig = JobConfig()
     jobs: dict[str, JobState] = field(factory=dict)
     instances: dict[str, InstanceState] = field(factory=dict)
+    restart_counts: dict[str, int] = field(factory=dict)
     unsaved_jobs: set[str] = field(factory=set)
     ended_phases: dict[str, JobPhase] = field(factory=dict)
     is_settled: bool = False
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -42,9 +42,12 @@
     assert cluster.find_phase(JOB_ID) is JobPhase.COMPLETED
 
 
+def schedule_of_leader(cluster):
+    return cluster.entries[cluster.leader()].entry.scheduler.schedule
+
+
 def scheduler_state(cluster, name):
-    leader = cluster.entries[cluster.leader()].entry
-    return leader.scheduler.schedule.instances[name]
+    return schedule_of_leader(cluster).instances[name]
 
 
 def test_an_incarnation_that_has_not_registered_is_listed_but_gets_no_run():
@@ -81,6 +84,43 @@
     assert state.is_registered and state.is_listed and state.restart_count == 1
 
 
+def test_a_restarted_instance_that_comes_back_does_not_depose_the_leader():
+    cluster = JobCluster()
+    cluster.advance(2)
+    cluster.crash_instance("i0", is_cut=True)
+    cluster.advance(1)
+    cluster.unregister_instance("i0")
+    cluster.silent_instances.add("i0")
+    cluster.advance(20)
+    assert "i0" not in schedule_of_leader(cluster).instances
+    with capture_logs() as lines:
+        cluster.silent_instances.clear()
+        cluster.register_instance("i0")
+        cluster.advance(2)
+    assert not [line for line in lines if line["event_name"] == "scheduler_fenced"]
+    assert scheduler_state(cluster, "i0").is_listed
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_an_instance_that_was_lost_and_restarted_refuses_late_starts(seed):
+    cluster = JobCluster(seed)
+    order_late_start(cluster)
+    cluster.silent_instances.add("i0")
+    cluster.late_share = 0.0
+    cluster.unregister_instance("i0")
+    cluster.crash_instance("i0", is_cut=True)
+    while "i0" in schedule_of_leader(cluster).instances:
+        cluster.advance(0.1)
+    cluster.silent_instances.clear()
+    cluster.register_instance("i0")
+    cluster.advance(0.5)
+    listed_at = cluster.clock.now()
+    assert scheduler_state(cluster, "i0").is_listed
+    cluster.advance(20)
+    breaches = [event for _, event in cluster.find_breaches()]
+    assert not [event for event in breaches if event.at > listed_at]
+
+
 #: Faults of which several may occur at once.
 RESTART_FAULTS = ("reborn", "reborn", "late", "silence", "kill", "away")
 
