Wait for late starts at a restarted instance that can't be listed

What callers see: a task that must run once runs twice at the same time. Cause: after a restart the runs of an instance are kept until the new incarnation is listed or a lease has passed since the restart was noticed. If the instance has registered but doesn't answer, a start meant for its earlier incarnation may arrive up to 12 s after it was sent, and holds a lease from then on: later than the end of that wait. Change: the runs of a restarted instance are kept until a late start of theirs has run out of its lease, unless the instance is listed before. Runs ordered 13 s before the restart or earlier wait no longer than they did.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -8,7 +8,7 @@
 from ..log import Event
 from ..run import RegisteredInstance
 from .run_updates import requeue_lost_run
-from .schedule_state import Effect, InstanceState, LogNote, Schedule
+from .schedule_state import Effect, InstanceState, LogNote, RunState, Schedule
 from .stopping import stop_runs
 
 #: Maximum share by which an instance's steady clock may run slow, as specified by
@@ -18,6 +18,9 @@
 AUTHORITY_TIMEOUT = dt.timedelta(seconds=3)
 #: Margin added to each time limit because timers may fire late.
 TIMER_SLACK = dt.timedelta(milliseconds=200)
+#: How long after its order a start without an answer may still be carried out. The
+#: platform's pages set no limit but "seconds later".
+MAX_ORDER_DELAY = dt.timedelta(seconds=13)
 #: Time before the drain deadline at which checkpointed runs are stopped, so that
 #: their checkpoints are saved.
 CHECKPOINT_NOTICE = dt.timedelta(milliseconds=1000)
@@ -90,7 +93,8 @@
 
     Its runs have ended, but a start order in transit may still reach the new
     incarnation. The runs are therefore kept until that incarnation has been listed
-    under its own fence or all leases on it have expired.
+    under its own fence, or all leases on it have expired and no start arrives any
+    more.
     """
     state.restart_count += 1
     state.replaced_incarnations.add(state.instance.incarnation)
@@ -102,6 +106,7 @@
     state.recent_ends.clear()
     state.leases_end_at = max(state.leases_end_at, latest_lease_expiry(now, lease))
     for run in state.runs.values():
+        expect_late_start(run, lease)
         run.confirmed_at = run.progressed_at = now
         run.percent = run.first_listed_percent = 0
         run.first_listed_at = None
@@ -166,7 +171,7 @@
         effects += _stop_checkpointed_runs(state, now)
         if state.is_reachable or now < state.leases_end_at:
             continue
-        effects += _expire_instance(schedule, state)
+        effects += _expire_instance(schedule, state, now)
     if (
         not schedule.is_settled
         and schedule.instances
@@ -220,15 +225,30 @@
         state.is_in_stored_fleet = instance_id in schedule.stored_fleet
 
 
-def _expire_instance(schedule: Schedule, state: InstanceState) -> list[Effect]:
+def _expire_instance(
+    schedule: Schedule, state: InstanceState, now: dt.datetime
+) -> list[Effect]:
     effects: list[Effect] = []
-    if state.runs:
-        fields = {"instance": state.instance.instance_id, "runs": len(state.runs)}
+    lost = [
+        run
+        for run in state.runs.values()
+        if run.late_until is None or now >= run.late_until
+    ]
+    if lost:
+        fields = {"instance": state.instance.instance_id, "runs": len(lost)}
         effects.append(LogNote(Event.INSTANCE_LOST, fields))
-    for run in list(state.runs.values()):
+    for run in lost:
         requeue_lost_run(schedule, run)
-    if not state.is_registered:
+    if not state.is_registered and not state.runs:
         instance_id = state.instance.instance_id
         schedule.restart_counts[instance_id] = state.restart_count + 1
         del schedule.instances[instance_id]
     return effects
+
+
+def expect_late_start(run: RunState, lease: dt.timedelta) -> None:
+    """Keep a run until its start, should it arrive late, has run out of its lease.
+
+    An incarnation that has not been listed accepts it.
+    """
+    run.late_until = latest_lease_expiry(run.ordered_at + MAX_ORDER_DELAY, lease)
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -44,6 +44,8 @@
     :param confirmed_at: When the instance last confirmed an order for the run, or
         first listed it. If a listing requested after this time lacks the run, the
         run has ended.
+    :param late_until: Until when its start, should it arrive late, can keep it running
+        at a later incarnation; ``None`` if it can't arrive late.
     :param progressed_at: When the run was started or ``percent`` last increased.
     :param percent: Completed share of the work.
     :param usage: Tail latency in ms for a serving task, otherwise millicores.
@@ -61,6 +63,7 @@
     ordered_at: dt.datetime
     stage: Stage
     confirmed_at: dt.datetime | None = None
+    late_until: dt.datetime | None = None
     progressed_at: dt.datetime | None = None
     percent: int = 0
     usage: int = 0
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -121,6 +121,36 @@
     assert not [event for event in breaches if event.at > listed_at]
 
 
+@pytest.mark.parametrize("seed", range(12))
+def test_a_task_waits_for_late_starts_at_a_restarted_instance_never_listed(seed):
+    cluster = JobCluster(seed)
+    order_late_start(cluster)
+    cluster.silent_instances.add("i0")
+    cluster.crash_instance("i0")
+    cluster.late_share = 0.0
+    cluster.advance(45)
+    assert not cluster.find_breaches()
+    assert cluster.find_phase(JOB_ID) is JobPhase.COMPLETED
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_a_late_start_listed_once_keeps_its_task_while_its_instance_is_silent(seed):
+    cluster = JobCluster(seed)
+    order_late_start(cluster)
+    cluster.silent_instances.add("i0")
+    cluster.crash_instance("i0")
+    cluster.late_share = 0.0
+    cluster.advance(0.3 * (seed % 16))
+    cluster.silent_instances.clear()
+    state = scheduler_state(cluster, "i0")
+    while not state.restart_count or not state.is_listed:
+        cluster.advance(0.02)
+    cluster.silent_instances.add("i0")
+    cluster.advance(45)
+    assert not cluster.find_breaches()
+    assert cluster.find_phase(JOB_ID) is JobPhase.COMPLETED
+
+
 #: Faults of which several may occur at once.
 RESTART_FAULTS = ("reborn", "reborn", "late", "silence", "kill", "away")
 
