Wait for late starts where a restart may have gone unnoticed

What callers see: a task that must run once runs twice at the same time. Cause: an instance that is cut off from the store and from the entries may crash and start again unnoticed. A start without an answer may be carried out there up to 12 s after it was sent, and the new incarnation, which has seen no fence and whose clock began anew, takes it for a whole lease. Its task was started elsewhere as soon as the leases of the earlier incarnation had ended. Change: agents report each attempt at a start without an answer.

--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -157,6 +157,15 @@
     number: int
 
 
+@frozen
+class StartAttemptLost:
+    """An attempt at a start got no answer, and may be carried out after the others."""
+
+    identity: str
+    task: TaskKey
+    number: int
+
+
 @frozen
 class StopAnswered:
     """An instance answered a stop, so that the order need not be repeated."""
@@ -173,6 +182,7 @@
     | FenceRefused
     | StartAnswered
     | StartUnanswered
+    | StartAttemptLost
     | StopAnswered
 )
 AgentOrder = StartRun | StopRun | PaceRun | Acknowledge | SetFence
@@ -377,7 +387,10 @@
                 self._report_restart(exc)
                 break
             except WorkerUnreachableError as exc:
-                is_uncertain |= not isinstance(exc, WorkerNotReachedError)
+                if not isinstance(exc, WorkerNotReachedError):
+                    is_uncertain = True
+                    lost = StartAttemptLost(self.identity, order.task, order.number)
+                    self.report(lost)
                 self._report_failed_call(exc.message)
                 await sleep(self.clock, RETRY_PAUSE)
                 continue
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -151,6 +151,19 @@
     assert cluster.find_phase(JOB_ID) is JobPhase.COMPLETED
 
 
+@pytest.mark.parametrize("seed", range(12))
+def test_a_task_waits_for_its_late_start_though_a_restart_goes_unnoticed(seed):
+    cluster = JobCluster(seed)
+    order_late_start(cluster)
+    cluster.silent_instances.add("i0")
+    cluster.unregister_instance("i0")
+    cluster.crash_instance("i0", is_cut=True)
+    cluster.late_share = 0.0
+    cluster.advance(45)
+    assert not cluster.find_breaches()
+    assert cluster.find_phase(JOB_ID) is JobPhase.COMPLETED
+
+
 #: Faults of which several may occur at once.
 RESTART_FAULTS = ("reborn", "reborn", "late", "silence", "kill", "away")
 
