--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -8,7 +8,7 @@
 from ..log import Event
 from ..run import RegisteredInstance
 from .run_updates import requeue_lost_run
-from .schedule_state import Effect, InstanceState, LogNote, Schedule
+from .schedule_state import Effect, InstanceState, LogNote, RunState, Schedule
 from .stopping import stop_runs
 
 #: Maximum share by which an instance's steady clock may run slow, as specified by
@@ -18,6 +18,9 @@
 AUTHORITY_TIMEOUT = dt.timedelta(seconds=3)
 #: Margin added to each time limit because timers may fire late.
 TIMER_SLACK = dt.timedelta(milliseconds=200)
+#: How long after its order a start without an answer may still be carried out. The
+#: platform's pages set no limit but "seconds later".
+MAX_ORDER_DELAY = dt.timedelta(seconds=13)
 #: Time before the drain deadline at which checkpointed runs are stopped, so that
 #: their checkpoints are saved.
 CHECKPOINT_NOTICE = dt.timedelta(milliseconds=1000)
@@ -72,6 +75,7 @@
 ) -> InstanceState:
     state = InstanceState(instance, inherited_lease_bound(schedule, lease))
     state.is_in_stored_fleet = instance.instance_id in schedule.stored_fleet
+    state.restart_count = schedule.restart_counts.get(instance.instance_id, 0)
     schedule.instances[instance.instance_id] = state
     return state
 
@@ -87,6 +91,20 @@
     return bool(instance.incarnation and known and instance.incarnation != known)
 
 
+def is_outdated(state: InstanceState, instance: RegisteredInstance) -> bool:
+    """Whether a registration is from an incarnation that another has replaced."""
+    return instance.incarnation in state.replaced_incarnations
+
+
+def replace_incarnation(state: InstanceState, incarnation: str) -> None:
+    """Set the incarnation of an instance that answered before it registered.
+
+    Nothing is placed on it until then, since its capacity may have changed.
+    """
+    state.instance = evolve(state.instance, incarnation=incarnation)
+    state.is_registered = False
+
+
 def reset_after_restart(
     state: InstanceState, lease: dt.timedelta, now: dt.datetime
 ) -> None:
@@ -94,9 +112,11 @@
 
     Its runs have ended, but a start order in transit may still reach the new
     incarnation. The runs are therefore kept until that incarnation has been listed
-    under its own fence or all leases on it have expired.
+    under its own fence, or all leases on it have expired and no start arrives any
+    more.
     """
     state.restart_count += 1
+    state.replaced_incarnations.add(state.instance.incarnation)
     state.instance = evolve(state.instance, is_draining=False)
     state.is_reachable = state.is_listed = False
     state.last_end_sequence = 0
@@ -105,6 +125,7 @@
     state.recent_ends.clear()
     state.leases_end_at = max(state.leases_end_at, latest_lease_expiry(now, lease))
     for run in state.runs.values():
+        expect_late_start(run, lease)
         run.confirmed_at = run.progressed_at = now
         run.percent = run.first_listed_percent = 0
         run.first_listed_at = None
@@ -173,7 +194,7 @@
         effects += _stop_checkpointed_runs(state, now)
         if state.is_reachable or now < state.leases_end_at:
             continue
-        effects += _expire_instance(schedule, state)
+        effects += _expire_instance(schedule, state, now)
     if not schedule.is_settled and _can_settle(schedule, lease, now):
         schedule.is_settled = True
         effects.append(_describe_settling(schedule, now))
@@ -282,13 +303,36 @@
         state.is_in_stored_fleet = instance_id in schedule.stored_fleet
 
 
-def _expire_instance(schedule: Schedule, state: InstanceState) -> list[Effect]:
+def _expire_instance(
+    schedule: Schedule, state: InstanceState, now: dt.datetime
+) -> list[Effect]:
     effects: list[Effect] = []
-    if state.runs:
-        fields = {"instance": state.instance.instance_id, "runs": len(state.runs)}
+    lost = [run for run in state.runs.values() if not _may_start_late(state, run, now)]
+    if lost:
+        fields = {"instance": state.instance.instance_id, "runs": len(lost)}
         effects.append(LogNote(Event.INSTANCE_LOST, fields))
-    for run in list(state.runs.values()):
+    for run in lost:
         requeue_lost_run(schedule, run)
-    if not state.is_registered:
-        del schedule.instances[state.instance.instance_id]
+    if not state.is_registered and not state.runs:
+        instance_id = state.instance.instance_id
+        schedule.restart_counts[instance_id] = state.restart_count + 1
+        del schedule.instances[instance_id]
     return effects
+
+
+def expect_late_start(run: RunState, lease: dt.timedelta) -> None:
+    """Keep a run until its start, should it arrive late, has run out of its lease.
+
+    An incarnation that has not been listed accepts it.
+    """
+    run.late_until = latest_lease_expiry(run.ordered_at + MAX_ORDER_DELAY, lease)
+
+
+def _may_start_late(state: InstanceState, run: RunState, now: dt.datetime) -> bool:
+    """Whether an incarnation that was not listed may yet take the start of a run.
+
+    An instance that is still registered as the incarnation that was listed has not
+    restarted.
+    """
+    may_be_unlisted = not state.is_listed or not state.is_registered
+    return may_be_unlisted and run.late_until is not None and now < run.late_until
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -112,6 +112,11 @@
         "info",
         "An instance is no longer suspected of being unhealthy.",
     )
+    INSTANCE_LISTED = (
+        5310,
+        "info",
+        "An incarnation of an instance is listed for the first time in this term.",
+    )
     REGISTRATION_UNREADABLE = (5307, "warning", "A registration is unusable.")
     FLEET_INCOMPLETE = (
         5320,
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -523,6 +523,8 @@
             self._ignored_registrations[instance_id] = kv
             return
         known = self.schedule.instances.get(instance_id)
+        if known is not None and instance_tracking.is_outdated(known, instance):
+            return
         if known is not None and instance_tracking.has_restarted(known, instance):
             self._handle_restart(instance_id)
         effects = instance_tracking.add_instance(
@@ -629,8 +631,11 @@
             case agent_messages.FenceRefused(_, fence):
                 log_event(Event.SCHEDULER_FENCED, instance=instance_id, fence=fence)
                 self._notify_fence_refused(fence // INCARNATIONS_PER_TERM)
-            case agent_messages.InstanceRestarted():
+            case agent_messages.InstanceRestarted(_, incarnation):
                 self._handle_restart(instance_id)
+                if incarnation:
+                    instance_tracking.replace_incarnation(state, incarnation)
+                    self._start_agent(state.instance)
             case agent_messages.StartAnswered(_, task, number, refusal):
                 window = self.schedule.start_window
                 start_window.note_answer(window, (task, number), now)
@@ -644,6 +649,10 @@
                 self._apply_effects(
                     run_updates.stop_unanswered_start(self.schedule, task, number)
                 )
+            case agent_messages.StartAttemptLost(_, task, number):
+                run = run_updates.find_run(self.schedule, task, number)
+                if run is not None:
+                    instance_tracking.expect_late_start(run, self.lease)
             case agent_messages.StopAnswered(_, task, number):
                 self._apply_effects(
                     run_updates.record_stop_confirmation(
@@ -657,12 +666,18 @@
         self.clock.call_later(dt.timedelta(), lambda: self.on_fence_refused(fence))
 
     def _handle_restart(self, instance_id: str) -> None:
-        """Reset an instance; its next registration starts a new agent."""
-        instance_tracking.reset_after_restart(
-            self.schedule.instances[instance_id], self.lease, self.clock.now()
-        )
+        """Reset an instance, whose next incarnation needs an agent of its own."""
+        state, now = self.schedule.instances[instance_id], self.clock.now()
+        earlier = state.instance.incarnation
+        instance_tracking.reset_after_restart(state, self.lease, now)
         self._remove_agent(instance_id)
-        log_event(Event.INSTANCE_REBORN, instance=instance_id)
+        log_event(
+            Event.INSTANCE_REBORN,
+            instance=instance_id,
+            earlier=earlier,
+            runs=len(state.runs),
+            leases_ms=int((state.leases_end_at - now).total_seconds() * 1000),
+        )
 
     def _remove_agent(self, instance_id: str) -> None:
         agent = self.agents.pop(instance_id, None)
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -23,7 +23,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
     WorkerError,
-    WorkerRefusedError,
+    WorkerRestartedError,
     WorkerUnreachableError,
 )
 from fighead.fronts.job import JobCodec
@@ -35,7 +35,7 @@
 from fighead.platform.store import WATCH_TIMEOUT_MARGIN
 from fighead.process_load import ProcessClocks
 from fighead.queries import job as queries
-from fighead.run import EndKind, RefusalReason, RegisteredInstance, RunEnd
+from fighead.run import EndKind, RegisteredInstance, RunEnd
 from fighead.settings import ListenAddress
 from fighead.standins.simulated_job_instance import SimulatedJobInstance, restart
 from fighead.tasks.scheduler import PlatformAdapter
@@ -212,8 +212,8 @@
         seen = acknowledged
         while True:
             listing = await self._call(
-                lambda instance: instance.renew_and_list(
-                    fence, acknowledged, lease_until_ms
+                lambda instance: self._list(
+                    instance, fence, acknowledged, lease_until_ms
                 ),
                 timeout,
             )
@@ -241,16 +241,20 @@
             raise
         return await self.gate.pass_through(result)
 
-    def _execute(self, operation):
-        # The next incarnation under the same id executes calls meant for this one.
-        simulated = self.cluster.instances[self.instance.instance_id]
-        result = operation(simulated)
+    def _list(self, simulated, fence, acknowledged, lease_until_ms):
+        # Only listings name the incarnation that answers.
+        listing = simulated.renew_and_list(fence, acknowledged, lease_until_ms)
         if simulated.instance.incarnation != self.instance.incarnation:
-            reason = RefusalReason.OTHER_INCARNATION.value
-            raise WorkerRefusedError(
-                "the instance has restarted", "list it again", reason
+            raise WorkerRestartedError(
+                "the instance has restarted",
+                "list it again",
+                simulated.instance.incarnation,
             )
-        return result
+        return listing
+
+    def _execute(self, operation):
+        # The next incarnation under the same id executes calls meant for this one.
+        return operation(self.cluster.instances[self.instance.instance_id])
 
     def _execute_late(self, operation):
         # The instance may refuse a late order like any other.
@@ -499,12 +503,21 @@
         for name in entry_names or self.entries:
             self.entries[name].clock.wall_error = error
 
-    def crash_instance(self, name):
-        """Crash an instance and register its next incarnation."""
+    def crash_instance(self, name, is_cut=False):
+        """Crash an instance and register its next incarnation.
+
+        :param is_cut: Whether the next incarnation can't register, because it is cut
+            off from the store.
+        """
         self.instances[name].crash()
         incarnation = str(int(self.instances[name].instance.incarnation) + 1)
         self.instances[name] = restart(self.instances[name], incarnation)
-        self.register_instance(name)
+        if not is_cut:
+            self.register_instance(name)
+
+    def unregister_instance(self, name):
+        """Remove the registration of an instance, as the store does when it lapses."""
+        self.store.remove(f"servers/{name}")
 
     def add_removed_jobs(self, name, count):
         """Let an instance list the ends of jobs that the store no longer has."""
