Wait for a listing that a reached instance has yet to send

An instance that answers again after its leases ended by the bound counted as empty before its first listing was applied. Found in the review, by reading; the decision is guarded by test_no_scheduler_settles_while_a_listing_of_a_reached_instance_is_pending, which failed before.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -221,7 +221,9 @@
 
 
 def _has_no_unknown_run(state: InstanceState, now: dt.datetime) -> bool:
-    return state.is_listed or now >= state.leases_end_at
+    # A listing of an instance that answers may be on its way.
+    is_lost = not state.is_reachable and now >= state.leases_end_at
+    return state.is_listed or is_lost
 
 
 def _describe_settling(schedule: Schedule, now: dt.datetime) -> LogNote:
