Let no late write of the fleet bring back an older record

A write without an answer is repeated, and the store may carry out the first attempt seconds later. It expected only the leader's key, so it could replace a later record that names an instance in use; the next scheduler would not wait for that one. Each write expects the record before it now.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -191,6 +191,7 @@
     _lookup: JobLookupTask = field(init=False)
     # By instance ID, those of upstreams that are not configured.
     _ignored_registrations: dict[str, KeyValue] = field(factory=dict)
+    _fleet_read_revision: int = 0
     _requested_fleet: Fleet | None = None
     _is_fleet_write_pending: bool = False
     _deferreds: list[t.Any] = field(factory=list)
@@ -551,6 +552,7 @@
         agent.start()
 
     def _inherit_fleet(self, record: KeyValue | None) -> None:
+        self._fleet_read_revision = record.mod_revision if record else 0
         fleet = _decode_record(record, Fleet) if record else Fleet()
         if fleet is None:
             return
@@ -782,7 +784,9 @@
         instance_tracking.set_stored_fleet(
             self.schedule, self.schedule.stored_fleet.intersection(fleet.instances)
         )
-        self._fleet.mailbox.offer(RecordFleet(self.schedule.fence, fleet))
+        self._fleet.mailbox.offer(
+            RecordFleet(self.schedule.fence, fleet, self._fleet_read_revision)
+        )
 
     def _handle_recorded_fleet(self, fleet: Fleet) -> None:
         # A write under an earlier fence may be answered late.
