Take a fleet record without its instances as unreadable

A record of another writer that decodes to nothing named no instance, so that a scheduler settled at once. The field is required now; without it the scheduler waits for all leases. Found in the review; test_a_fleet_record_of_another_writer_is_no_proof_that_nothing_runs failed before.

--- a/src/fighead/tasks/fleet.py
+++ b/src/fighead/tasks/fleet.py
@@ -26,7 +26,7 @@
     :param unregistered: Those without a registration, as they last registered.
     """
 
-    instances: tuple[str, ...] = ()
+    instances: tuple[str, ...]
     unregistered: tuple[RegisteredInstance, ...] = ()
 
 
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -553,7 +553,7 @@
 
     def _inherit_fleet(self, record: KeyValue | None) -> None:
         self._fleet_read_revision = record.mod_revision if record else 0
-        fleet = _decode_record(record, Fleet) if record else Fleet()
+        fleet = _decode_record(record, Fleet) if record else Fleet(())
         if fleet is None:
             return
         instance_tracking.inherit_fleet(
