Count no connection to an address that can't be used

Callers saw: after four calls to a registered address without a valid port all later calls to it waited for a free connection until they timed out. Cause: the pool counted the connection before it read the port, and the error of that reading passed by the code that uncounts a failed attempt. Change: the address is read, by the reader that the settings use, before the pool is touched, and everything after the count is inside the block that undoes it. That reader takes ASCII digits only, and no character in the host that could end a header.

--- a/src/fighead/http_client.py
+++ b/src/fighead/http_client.py
@@ -19,6 +19,7 @@
 
 from .clock import Clock, Timeout
 from .process_load import CallCounts
+from .settings import ListenAddress, read_address
 
 #: Limit on establishing a connection: several times the latency of the slowest
 #: link between two availability zones.
@@ -286,26 +287,30 @@
         progress: "_Progress",
         on_data: t.Callable[[], None],
     ) -> HttpResponse:
+        peer = read_address(address)
         data = encode_request(req, address)
         pool = self._pools.setdefault(address, _AddressPool())
         while not pool.idle and pool.open_count >= self.max_per_address:
             permit: Deferred[None] = Deferred(pool.waiting.remove)
             pool.waiting.append(permit)
             await permit
-        conn = pool.idle.pop() if pool.idle else await self._connect(address, pool)
+        conn = (
+            pool.idle.pop() if pool.idle else await self._connect(address, peer, pool)
+        )
         self.calls += 1
         progress.is_sent = True
         return await conn.send(data, on_data)
 
-    async def _connect(self, address: str, pool: _AddressPool) -> _Connection:
+    async def _connect(
+        self, address: str, peer: ListenAddress, pool: _AddressPool
+    ) -> _Connection:
         pool.open_count += 1
         self.connections += 1
-        host, _, port = address.rpartition(":")
-        conn = _Connection(lambda c: self._release(address, pool, c))
-        endpoint = TCP4ClientEndpoint(
-            self.reactor, host, int(port), CONNECT_TIMEOUT.total_seconds()
-        )
         try:
+            conn = _Connection(lambda c: self._release(address, pool, c))
+            endpoint = TCP4ClientEndpoint(
+                self.reactor, peer.host, peer.port, CONNECT_TIMEOUT.total_seconds()
+            )
             await connectProtocol(endpoint, conn)
         except BaseException:
             self._discard_connection(pool)
--- a/src/fighead/settings.py
+++ b/src/fighead/settings.py
@@ -19,6 +19,10 @@
     read_name,
 )
 
+#: Address with a port: an IP address, which may have brackets, or a host name.
+ADDRESS_PATTERN = re.compile(
+    r"(\[[0-9A-Za-z.:%]{1,253}\]|[\w.:%-]{1,253}):(\d{1,5})", re.ASCII
+)
 #: Address of a peer link: ``tcp://IP:port``, IPv4 only.
 PEER_PATTERN = re.compile(r"^tcp://[0-9.]+:\d+$")
 #: Base URL with an IPv4 or IPv6 address and a port.
@@ -191,10 +195,10 @@
 
     :raises ValueError: If there is no host, or no port from 1 to 65535.
     """
-    host, _, port = raw.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    found = ADDRESS_PATTERN.fullmatch(raw)
+    if found is None or not 0 < int(found[2]) < 65536:
         raise ValueError("must have the form IP:port, for example 127.0.0.1:7100")
-    return ListenAddress(host.strip("[]"), int(port))
+    return ListenAddress(found[1].strip("[]"), int(found[2]))
 
 
 def _read_seconds_between(minimum: float, maximum: float) -> Reader:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -87,11 +87,11 @@
     return protocol
 
 
-def ask(pool, req=None):
+def ask(pool, req=None, address="10.0.0.1:80"):
     """Send a request; return a list that receives the response or the failure."""
     results = []
     req = req or HttpRequest("POST", "/call", b"{}", (("Fighead-Target", "i-1"),))
-    fut = pool.request("10.0.0.1:80", req, dt.timedelta(seconds=2))
+    fut = pool.request(address, req, dt.timedelta(seconds=2))
     fut.addCallbacks(results.append, lambda failure: results.append(failure.type))
     return results
 
@@ -181,3 +181,21 @@
 def test_a_request_that_can_not_be_encoded_is_not_sent(reactor, pool, req):
     assert ask(pool, req) == [HttpNotSentError]
     assert pool.counts() == CallCounts(failed=1)
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:99999", "10.0.0.1:-1"]
+    + ["10.0.0.1:" + "9" * 5000, "10.0.0.1:x", ":80", "a\r\nX: y:80", "\ud800:80"],
+)
+def test_calls_to_an_address_that_can_not_be_used_all_fail_at_once(
+    reactor, pool, address
+):
+    # More calls than the pool opens connections to one address.
+    for _ in range(2 * pool.max_per_address):
+        assert ask(pool, address=address) == [HttpNotSentError]
+    assert not reactor.tcpClients
+    assert pool.counts() == CallCounts(failed=2 * pool.max_per_address)
+    results = ask(pool)
+    connect(reactor).dataReceived(OK_RESPONSE)
+    assert results[0].status == 200
