Take no address, id or incarnation from a registration that calls can't use

Cause: decode_instance took any text as address and any key as id, so an entry with port 99999, without a port, or with a line break in its key became an instance that is called for ever. Text or a list as `born` became an incarnation: under the key of a live instance it reset that instance, and one with a slash in it lost all reports of its agent. An object as Labels was read as the list of its keys. Change: the id must be able to be a header's value, the address passes the reader of the settings, `born` is a whole number up to MAX_QUANTITY where it is given (always a whole number, says the protocol), Labels is a list.

--- a/src/fighead/platform/instance.py
+++ b/src/fighead/platform/instance.py
@@ -2,6 +2,7 @@
 
 import datetime as dt
 import json
+import re
 import typing as t
 
 from attrs import define
@@ -30,6 +31,7 @@
     StartRun,
     StopRun,
 )
+from ..settings import read_address
 from .decoding import DECODE_ERRORS
 
 Json = dict[str, t.Any]
@@ -37,6 +39,8 @@
 
 #: Prefix of the keys under which instances register themselves.
 INSTANCES_PREFIX = "servers/"
+#: ID of an instance, which calls carry in a header; the store limits its length.
+_INSTANCE_ID = re.compile(r"[!-~]{1,200}")
 OK = 200
 OTHER_INCARNATION_STATUS = 421
 TARGET_INSTANCE_HEADER = "Fighead-Target-Instance"
@@ -283,17 +287,17 @@
 def decode_instance(key: str, value: str) -> RegisteredInstance | None:
     """Return a registered instance.
 
-    Returns ``None`` if the registration is malformed, or if its state is neither
-    ready nor draining.
+    Returns ``None`` if the registration is malformed, if its ID or address can't be
+    used in calls, or if its state is neither ready nor draining.
     """
     try:
         body = json.loads(value)
         is_draining = {"ready": False, "draining": True}[body["State"]]
         capacity = body["Capacity"]
         return RegisteredInstance(
-            key.removeprefix(INSTANCES_PREFIX),
-            _decode_incarnation(body),
-            _expect_text(body["Address"]),
+            _expect_instance_id(key.removeprefix(INSTANCES_PREFIX)),
+            _decode_registered_incarnation(body),
+            _expect_address(body["Address"]),
             _expect_text(body["Service"]),
             _expect_text(body["Zone"]),
             Demand(
@@ -301,7 +305,7 @@
                 _expect_quantity(capacity["MemMb"]),
                 _expect_quantity(capacity["Gpu"]),
             ),
-            tuple(_expect_text(label) for label in body["Labels"]),
+            tuple(_expect_text(label) for label in _expect_list(body["Labels"])),
             is_draining,
             # Minimum time in ms that a draining instance has left; absent otherwise.
             _expect_quantity(body.get("RemainingMs", 0)),
@@ -310,6 +314,32 @@
         return None
 
 
+def _decode_registered_incarnation(body: Json) -> str:
+    if "born" not in body:
+        return ""
+    # Answers are compared with its text, so a number written otherwise never matches.
+    if not isinstance(body["born"], int):
+        raise TypeError("expected a whole number")
+    return str(_expect_quantity(body["born"]))
+
+
+def _expect_instance_id(value: str) -> str:
+    if not _INSTANCE_ID.fullmatch(value):
+        raise ValueError("expected an ID of printable ASCII characters")
+    return value
+
+
+def _expect_address(value: t.Any) -> str:
+    read_address(_expect_text(value))
+    return value
+
+
+def _expect_list(value: t.Any) -> list[t.Any]:
+    if not isinstance(value, list):
+        raise TypeError("expected a list")
+    return value
+
+
 def _expect_text(value: t.Any) -> str:
     if not isinstance(value, str):
         raise TypeError("expected a string")
