Use no instance whose registration became odd

Callers saw nothing yet: new runs were placed on an instance whose entry another writer had replaced by one that names no worker. Cause: the scheduler logged an unreadable registration and returned, so what it had read under that key before stayed in force; the same for an entry of a service that the configuration doesn't name. Change: such an entry unregisters the instance. Its runs go on, since its agent and its leases stay, and a repaired entry registers it again. An instance whose service left the configuration keeps its place, as before. Evidence: the five cases of test_an_odd_entry_under_the_key_of_a_live_instance_names_none red before, green now. The tests with odd entries at the start and by a watch, beside work and an election, were green before.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -491,16 +491,29 @@
     def _handle_registration(self, kv: KeyValue, is_deleted: bool) -> None:
         instance_id = kv.key.removeprefix(self.adapter.instances_prefix)
         if is_deleted:
-            self._apply_effects(
-                instance_tracking.unregister_instances(self.schedule, (instance_id,))
-            )
+            self._unregister_instance(instance_id)
             return
         instance = self.adapter.decode_instance(kv.key, kv.value)
         if instance is None:
             log_event(Event.REGISTRATION_UNREADABLE, key=kv.key)
-            return
-        if instance.upstream not in self.schedule.config.upstreams:
-            return
+            self._unregister_instance(instance_id)
+        elif instance.upstream in self.schedule.config.upstreams:
+            self._add_instance(instance)
+        elif self._has_moved(instance):
+            self._unregister_instance(instance_id)
+
+    def _has_moved(self, instance: RegisteredInstance) -> bool:
+        """Whether the instance is known, and registered for another upstream before."""
+        known = self.schedule.instances.get(instance.instance_id)
+        return known is not None and known.instance.upstream != instance.upstream
+
+    def _unregister_instance(self, instance_id: str) -> None:
+        self._apply_effects(
+            instance_tracking.unregister_instances(self.schedule, (instance_id,))
+        )
+
+    def _add_instance(self, instance: RegisteredInstance) -> None:
+        instance_id = instance.instance_id
         known = self.schedule.instances.get(instance_id)
         if known is not None and instance_tracking.has_restarted(known, instance):
             self._handle_restart(instance_id)
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -319,6 +319,10 @@
     clock: GatedClock
 
 
+def decode_registration(key, value):
+    return from_json(value, RegisteredInstance)
+
+
 @define(eq=False)
 class JobCluster:
     """A running cluster, with methods that inject faults, submit jobs and check.
@@ -327,6 +331,8 @@
     :param entry_capacities: Capacity of entries by name; that of others is unknown.
     :param capacity: Capacity of each instance.
     :param rng: Source of all random choices, seeded with ``seed``.
+    :param encode_instance: Encodes the registration of an instance.
+    :param decode_instance: Decodes the key and value of a registration.
     :param entries: The latest :class:`EntryProcess` by entry.
     :param instances: The running incarnation of each instance by name.
     :param specs: Specification of every submitted job by job id.
@@ -348,6 +354,8 @@
     clock: ReactorClock = None
     store: MemoryStore = None
     rng: random.Random = None
+    encode_instance: object = to_json
+    decode_instance: object = decode_registration
     entries: dict = field(factory=dict)
     instances: dict = field(factory=dict)
     specs: dict = field(factory=dict)
@@ -384,7 +392,7 @@
     def register_instance(self, name):
         """Write the current registration of an instance to the store."""
         instance = self.instances[name].instance
-        self.store.put(f"servers/{name}", to_json(instance))
+        self.store.put(f"servers/{name}", self.encode_instance(instance))
 
     def find_stage(self, order):
         return self.specs[order.task.job_id].stages[order.task.stage]
@@ -414,7 +422,7 @@
             "op/config",
             "servers/",
             lambda value: from_json(value, JobConfig),
-            lambda key, value: from_json(value, RegisteredInstance),
+            self.decode_instance,
             lambda instance: GatedInstance(self, gate, instance),
         )
 
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,147 @@
+"""Odd entries among the registrations of instances, while a cluster works."""
+
+import pytest
+from twisted.python import log
+
+from fighead.job import JobPhase, JobSpec, Stage
+from fighead.platform.instance import decode_instance
+from job_cluster import JobCluster
+from odd_answers import DEEP, ODD_IDS, ODD_REGISTRATIONS, write_registration
+
+JOB = JobSpec("x", (Stage(count=8, cpu=500, memory_mb=1, estimate_ms=400),))
+LONG_JOB = JobSpec("x", (Stage(count=8, cpu=500, memory_mb=1, estimate_ms=6000),))
+
+
+def job_id(number):
+    return f"{number:016x}"
+
+
+def encode_instance(instance):
+    return write_registration(
+        Service=instance.upstream,
+        Zone=instance.zone,
+        Capacity={
+            "Cpu": instance.capacity.cpu,
+            "MemMb": instance.capacity.memory_mb,
+            "Gpu": instance.capacity.gpu,
+        },
+        Labels=list(instance.labels),
+        State="draining" if instance.is_draining else "ready",
+        RemainingMs=instance.remaining_ms,
+        born=int(instance.incarnation),
+    )
+
+
+def make_cluster(**fields):
+    """Return a cluster whose registrations are those of the platform."""
+    return JobCluster(
+        encode_instance=encode_instance, decode_instance=decode_instance, **fields
+    )
+
+
+@pytest.fixture
+def failures():
+    """Collect the unexpected errors that tasks log."""
+    found = []
+
+    def observe(event):
+        if event.get("isError"):
+            found.append(log.textFromEventDict(event))
+
+    log.addObserver(observe)
+    yield found
+    log.removeObserver(observe)
+
+
+def put_odd_entries(cluster):
+    for number, value in enumerate(ODD_REGISTRATIONS):
+        cluster.store.put(f"servers/odd{number}", value)
+    for name in ODD_IDS:
+        cluster.store.put(f"servers/{name}", write_registration())
+
+
+def complete_job(cluster, number):
+    cluster.submit(job_id(number), JOB)
+    cluster.advance(3)
+    assert cluster.find_phase(job_id(number)) is JobPhase.COMPLETED
+
+
+def known_instances(cluster):
+    """Return the ids of the instances that the scheduler uses."""
+    scheduler = cluster.entries[cluster.leader()].entry.scheduler
+    return {
+        name
+        for name, state in scheduler.schedule.instances.items()
+        if state.is_registered
+    }
+
+
+def test_odd_entries_at_the_start_stop_no_work(failures):
+    cluster = make_cluster(entry_names=())
+    put_odd_entries(cluster)
+    for name in ("e1", "e2", "e3"):
+        cluster.start_entry(name)
+    cluster.advance(2)
+    complete_job(cluster, 1)
+    cluster.add_instance("i8")
+    cluster.advance(2)
+    assert known_instances(cluster) == {"i0", "i1", "i2", "i3", "i8"}
+    assert not failures and not cluster.find_breaches()
+
+
+def test_odd_entries_that_come_by_a_watch_stop_no_work(failures):
+    cluster = make_cluster()
+    cluster.advance(2)
+    put_odd_entries(cluster)
+    complete_job(cluster, 1)
+    cluster.kill_entries(cluster.leader())
+    cluster.advance(8)
+    complete_job(cluster, 2)
+    cluster.add_instance("i8")
+    cluster.advance(2)
+    assert known_instances(cluster) == {"i0", "i1", "i2", "i3", "i8"}
+    assert not failures and not cluster.find_breaches()
+
+
+def starts_on(cluster, name):
+    return [
+        event
+        for event in cluster.history
+        if event.event == "started" and event.instance_id == name
+    ]
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        DEEP,
+        write_registration(Address="10.0.0.1:99999"),
+        write_registration(State="odd"),
+        write_registration(Service="nowhere"),
+        write_registration(born="x"),
+    ],
+)
+def test_an_odd_entry_under_the_key_of_a_live_instance_names_none(failures, value):
+    cluster = make_cluster(instance_count=2)
+    cluster.advance(2)
+    cluster.submit(job_id(1), LONG_JOB)
+    cluster.advance(1)
+    assert starts_on(cluster, "i0") and starts_on(cluster, "i1")
+    count = len(starts_on(cluster, "i0"))
+    cluster.store.put("servers/i0", value)
+    cluster.advance(1)
+    assert known_instances(cluster) == {"i1"}
+    complete_job(cluster, 2)
+    assert len(starts_on(cluster, "i0")) == count
+    # Its runs go on, and none is started a second time.
+    cluster.advance(5)
+    assert cluster.find_phase(job_id(1)) is JobPhase.COMPLETED
+    assert len(cluster.history) and not cluster.find_breaches()
+    starts = [e for e in cluster.history if e.event == "started"]
+    assert len(starts) == len({e.task for e in starts})
+    cluster.register_instance("i0")
+    cluster.advance(1)
+    assert known_instances(cluster) == {"i0", "i1"}
+    complete_job(cluster, 3)
+    assert len(starts_on(cluster, "i0")) > count
+    assert not failures
--- a/tests/test_platform_instance.py
+++ b/tests/test_platform_instance.py
@@ -11,7 +11,19 @@
 from fighead.job import TaskKey
 from fighead.platform.instance import PlatformInstanceClient, decode_instance
 from fighead.run import Listing, RegisteredInstance, StartRun, StopRun
-from odd_answers import JSON_VALUES, Pool, result_of
+from odd_answers import (
+    ADDRESSES,
+    DEEP,
+    JSON_VALUES,
+    NESTED,
+    NUMBERS,
+    ODD_IDS,
+    REGISTRATION,
+    Pool,
+    result_of,
+    with_raw,
+    write_registration,
+)
 
 TIMEOUT = dt.timedelta(seconds=1)
 TASK = TaskKey("5c0e7a21d94b36f8", 0, 0, 1)
@@ -101,32 +113,6 @@
         assert found is None or isinstance(found, RegisteredInstance)
 
 
-REGISTRATION = {
-    "Service": "mill",
-    "Address": "10.0.0.1:80",
-    "Zone": "z",
-    "State": "ready",
-    "Capacity": {"Cpu": 64000, "MemMb": 256000, "Gpu": 0},
-    "Labels": ["a", "r1"],
-    "born": 1_800_000_000_000,
-}
-DEEP = "[" * 100_000
-NESTED = "[" * 900 + "]" * 900
-#: Text that JSON reads as a number, but that no field can hold.
-NUMBERS = ("1" + "0" * 400, "9" * 5000, "1e400", "-1e400", "NaN", "Infinity")
-ADDRESSES = (
-    *("", "10.0.0.1", "10.0.0.1:", ":80", "10.0.0.1:0", "10.0.0.1:65536"),
-    *("10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1:8 0", "10.0.0.1:" + "9" * 5000),
-    *("10.0.0.1:\u0663", "10.0.0.1:80\n", "a\r\nX: y:80", "\u2603:80", "\ud800:80"),
-    *("10.0.0.1\x00:80", "x" * 4000 + ":80"),
-)
-
-
-def with_raw(name, text):
-    """Return a registration with ``text`` as the JSON of one field."""
-    return json.dumps(REGISTRATION | {name: "RAW"}).replace('"RAW"', text)
-
-
 def test_a_registration_is_read():
     found = decode_instance("servers/i-1", json.dumps(REGISTRATION))
     assert found.identity == "i-1/1800000000000" and found.address == "10.0.0.1:80"
@@ -160,27 +146,22 @@
 
 @pytest.mark.parametrize("address", ADDRESSES)
 def test_an_address_without_a_usable_host_and_port_names_no_instance(address):
-    body = json.dumps(REGISTRATION | {"Address": address})
-    assert decode_instance("servers/a", body) is None
+    assert decode_instance("servers/a", write_registration(Address=address)) is None
 
 
 @pytest.mark.parametrize("born", ["5", "a/b", 5.5, -1, 10**15, True, [1]])
 def test_an_incarnation_that_is_no_time_names_no_instance(born):
-    body = json.dumps(REGISTRATION | {"born": born})
-    assert decode_instance("servers/a", body) is None
+    assert decode_instance("servers/a", write_registration(born=born)) is None
 
 
-@pytest.mark.parametrize(
-    "name", ["", "a b", "a\r\nX: y", "\x00", "\u2603", "\ud800", "x" * 4000]
-)
+@pytest.mark.parametrize("name", ODD_IDS)
 def test_an_id_that_can_not_be_the_value_of_a_header_names_no_instance(name):
     assert decode_instance("servers/" + name, json.dumps(REGISTRATION)) is None
 
 
 @given(st.sampled_from(sorted(REGISTRATION)), JSON_VALUES)
 def test_any_field_of_a_registration_is_read_or_names_no_instance(name, value):
-    body = json.dumps(REGISTRATION | {name: value})
-    found = decode_instance("servers/a", body)
+    found = decode_instance("servers/a", write_registration(**{name: value}))
     assert found is None or isinstance(found, RegisteredInstance)
 
 
