Tell once of an odd registration, however often it is written

Warnings overdraw the limit of the log, so they push out the lines that tell of requests. Cause: the scheduler logged each time that it read an unreadable registration. Change: it logs when a key becomes unreadable, and again only after it was readable or gone in between. The logged key is cut to the length that the store allows.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -88,6 +88,8 @@
 MIN_WATCH_INTERVAL = dt.timedelta(milliseconds=300)
 #: Interval at which learned interference is stored for the next scheduler.
 LEARNED_WRITE_INTERVAL = dt.timedelta(seconds=5)
+#: Characters of an unreadable key that are logged, as many as the store allows bytes.
+MAX_LOGGED_KEY_CHARS = 200
 #: Maximum number of remembered IDs of jobs that the store does not contain. One that is
 #: forgotten is looked up again for the next listing that names it.
 MAX_ABSENT_JOBS = 10_000
@@ -194,6 +196,8 @@
     _next_round_at: dt.datetime = field(init=False)
     _counters: SchedulerCounters = field(factory=SchedulerCounters)
     _write_requested_s: float = 0.0
+    #: Registrations that were unreadable when they were last read.
+    _unreadable_keys: set[str] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         self._next_round_at = self.clock.now()
@@ -472,6 +476,7 @@
         if is_snapshot:
             prefix = self.adapter.instances_prefix
             listed_ids = {kv.key.removeprefix(prefix) for kv in msg.kvs}
+            self._unreadable_keys.intersection_update(kv.key for kv in msg.kvs)
             missing = sorted(self.schedule.instances.keys() - listed_ids)
             self._apply_effects(
                 instance_tracking.unregister_instances(self.schedule, missing)
@@ -491,17 +496,26 @@
     def _handle_registration(self, kv: KeyValue, is_deleted: bool) -> None:
         instance_id = kv.key.removeprefix(self.adapter.instances_prefix)
         if is_deleted:
+            self._unreadable_keys.discard(kv.key)
             self._unregister_instance(instance_id)
             return
         instance = self.adapter.decode_instance(kv.key, kv.value)
+        self._note_readability(kv.key, instance is not None)
         if instance is None:
-            log_event(Event.REGISTRATION_UNREADABLE, key=kv.key)
             self._unregister_instance(instance_id)
         elif instance.upstream in self.schedule.config.upstreams:
             self._add_instance(instance)
         elif self._has_moved(instance):
             self._unregister_instance(instance_id)
 
+    def _note_readability(self, key: str, is_readable: bool) -> None:
+        """Log once that a registration became unreadable, however often it changes."""
+        if is_readable:
+            self._unreadable_keys.discard(key)
+        elif key not in self._unreadable_keys:
+            self._unreadable_keys.add(key)
+            log_event(Event.REGISTRATION_UNREADABLE, key=key[:MAX_LOGGED_KEY_CHARS])
+
     def _has_moved(self, instance: RegisteredInstance) -> bool:
         """Whether the instance is known, and registered for another upstream before."""
         known = self.schedule.instances.get(instance.instance_id)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,6 +1,9 @@
 """Odd entries among the registrations of instances, while a cluster works."""
 
+import json
+
 import pytest
+from structlog.testing import capture_logs
 from twisted.python import log
 
 from fighead.job import JobPhase, JobSpec, Stage
@@ -76,6 +79,10 @@
     }
 
 
+def count_unreadable(lines):
+    return sum(line["event_name"] == "registration_unreadable" for line in lines)
+
+
 def test_odd_entries_at_the_start_stop_no_work(failures):
     cluster = make_cluster(entry_names=())
     put_odd_entries(cluster)
@@ -103,6 +110,25 @@
     assert not failures and not cluster.find_breaches()
 
 
+def test_odd_entries_written_again_and_again_stop_no_work(failures):
+    cluster = make_cluster()
+    cluster.advance(2)
+    with capture_logs() as lines:
+        for number in range(1, 4):
+            cluster.submit(job_id(number), JOB)
+            for _ in range(10):
+                put_odd_entries(cluster)
+                cluster.advance(0.2)
+            assert cluster.find_phase(job_id(number)) is JobPhase.COMPLETED
+        cluster.kill_entries(cluster.leader())
+        cluster.advance(8)
+        complete_job(cluster, 9)
+    assert not failures and not cluster.find_breaches()
+    # Two schedulers tell of each odd entry once.
+    assert count_unreadable(lines) <= 2 * (len(ODD_REGISTRATIONS) + len(ODD_IDS))
+    assert all(len(json.dumps(line, default=str)) < 2000 for line in lines)
+
+
 def starts_on(cluster, name):
     return [
         event
@@ -145,3 +171,15 @@
     complete_job(cluster, 3)
     assert len(starts_on(cluster, "i0")) > count
     assert not failures
+
+
+def test_an_entry_that_is_odd_again_after_it_was_repaired_is_told_again(failures):
+    cluster = make_cluster()
+    cluster.advance(2)
+    with capture_logs() as lines:
+        for _ in range(2):
+            cluster.store.put("servers/i0", DEEP)
+            cluster.advance(1)
+            cluster.register_instance("i0")
+            cluster.advance(1)
+    assert count_unreadable(lines) == 2 and not failures
