Take no capacity from a member that is infinite or negative

What was seen, in tests: with one such member in the store no entry was elected. Cause: a capacity that is negative or no number was compared with the largest one, 0 if the own is unknown, and the division failed in every message that the leadership task handled, so no candidacy was ever scheduled. An infinite one gave shares that are no numbers. Change: Capacity checks both figures, so such a member can't be read: one line tells of it and it is left out, as a member with other faults was before.

--- a/src/fighead/model.py
+++ b/src/fighead/model.py
@@ -6,6 +6,8 @@
 
 import datetime as dt
 import enum
+import math
+import typing as t
 
 from attrs import field, frozen
 
@@ -198,6 +200,11 @@
     ready: bool = True
 
 
+def _check_amount(_: t.Any, attribute: t.Any, value: float | None) -> None:
+    if value is not None and not 0 <= value < math.inf:
+        raise ValueError(f"{attribute.name} must be finite and not negative")
+
+
 @frozen
 class Capacity:
     """What the machine of an entry provides; ``None`` where it is unknown.
@@ -206,8 +213,8 @@
     :param link_mbit_s: Rate of the machine's link in Mbit/s.
     """
 
-    processor_cores: float | None = None
-    link_mbit_s: float | None = None
+    processor_cores: float | None = field(default=None, validator=_check_amount)
+    link_mbit_s: float | None = field(default=None, validator=_check_amount)
 
     @property
     def is_known(self) -> bool:
