Hold elections although the stored term is odd

What was seen, in tests: with an odd text under the key of the term no entry was elected, and a leader of a term beyond 64 bits told no peer of itself. Cause: str.isdigit() is true of digits that int() refuses, and int() refuses more than 4,300 digits; the error came in every message of the leadership task. A term of 2^64 and more was taken, but messages to peers can't hold it, so the task that announces the leader ended. Change: decode_term reads up to 19 ASCII digits and ignores the rest, as a missing term; a leader's term is limited to what a message holds. One line of tasks/leadership.py calls it.

--- a/src/fighead/decisions/election.py
+++ b/src/fighead/decisions/election.py
@@ -2,10 +2,12 @@
 
 import datetime as dt
 import math
+import re
 import typing as t
 
 import xxhash
-from attrs import evolve, frozen
+from attrs import evolve, field, frozen
+from attrs.validators import le
 
 from ..model import Capacity
 
@@ -37,6 +39,11 @@
 #: the leader. Smaller entries lead meanwhile, and each of them might hand over.
 FAILURE_PAUSE = dt.timedelta(seconds=20)
 
+#: Largest term: messages to peers hold whole numbers of 64 bits.
+MAX_TERM = 2**63 - 1
+#: Text of a term that an entry stored.
+_STORED_TERM = re.compile(r"[0-9]{1,19}")
+
 #: What each entry's machine provides, by name of the entry.
 Capacities = t.Mapping[str, Capacity]
 
@@ -51,11 +58,21 @@
     """
 
     name: str
-    term: int
+    term: int = field(validator=le(MAX_TERM))
     fence: int = 0
     nonce: str = ""
 
 
+def decode_term(text: str) -> int:
+    """Return a stored term; 0 if it can't be read or leaves no later term.
+
+    >>> decode_term("7"), decode_term("odd")
+    (7, 0)
+    """
+    term = int(text) if _STORED_TERM.fullmatch(text) else 0
+    return term if term < MAX_TERM else 0
+
+
 def candidacy_delay(term: int, own_name: str, capacities: Capacities) -> dt.timedelta:
     """Return how long this entry waits before it claims a free leader key.
 
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -343,8 +343,7 @@
 
     def _next_term(self) -> int:
         known = self.view.leader.term if self.view.leader else 0
-        stored = int(self._term_kv.value) if self._term_kv.value.isdigit() else 0
-        return max(known, stored) + 1
+        return max(known, election.decode_term(self._term_kv.value)) + 1
 
     def _start_candidacy(self, key_revision: int) -> None:
         if not self._is_eligible() or key_revision != self._leader_kv.mod_revision:
--- a/tests/test_odd_control.py
+++ b/tests/test_odd_control.py
@@ -1,12 +1,14 @@
-"""Odd entries among the members that take part in elections."""
+"""Odd entries among the members, and odd values of the keys of the election."""
 
 import json
 
 import pytest
 from structlog.testing import capture_logs
 
+from fighead.codec import from_wire, to_wire
 from fighead.job import JobPhase, JobSpec, Stage
-from fighead.store import JOB_MEMBERS_PREFIX
+from fighead.job_message import JOB_MESSAGES, LeaderIs
+from fighead.store import JOB_MEMBERS_PREFIX, JOB_TERM_KEY
 from job_cluster import JobCluster
 from odd_answers import ADDRESSES, DEEP, NESTED, NUMBERS
 
@@ -41,6 +43,18 @@
         for value in with_capacity(text)
     ),
 )
+ODD_TERMS = (
+    "",
+    "x",
+    "-5",
+    "\u00b2",
+    "9" * 5000,
+    "9" * 400,
+    str(2**63),
+    str(2**64),
+    "1e400",
+    DEEP,
+)
 
 
 def job_id(number):
@@ -77,3 +91,20 @@
         cluster.start_entry(name)
     cluster.advance(2)
     assert cluster.leader() and not failures
+
+
+@pytest.mark.parametrize("value", ODD_TERMS)
+def test_an_odd_term_stops_no_election(failures, value):
+    cluster = JobCluster()
+    cluster.advance(2)
+    leader = cluster.leader()
+    cluster.store.put(JOB_TERM_KEY, value)
+    cluster.kill_entries(leader)
+    cluster.advance(8)
+    assert cluster.leader() not in (leader, None)
+    complete_job(cluster, 1)
+    assert not failures
+    # Its peers can be told of it.
+    view = cluster.entries[cluster.leader()].entry.front_context.view
+    announcement = LeaderIs(cluster.leader(), view.leader)
+    assert from_wire(to_wire(announcement), JOB_MESSAGES) == announcement
