Connect to all other members when the address of one can't be used

What was seen, in tests: a member whose address ZeroMQ refuses ended the task that owns the connections, so the entry opened no connection to later members and closed none to those that left. Cause: the error of connect() was not caught; it also left a socket that the reactor went on reading. Change: such a member is left out and told of once, until its address changes; the socket of a failed attempt is closed.

--- a/src/fighead/tasks/peer.py
+++ b/src/fighead/tasks/peer.py
@@ -53,7 +53,11 @@
         self.socket.set(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         if keys.public:
             self._set_curve_keys(keys, endpoint.type == ZmqEndpointType.bind)
-        self.addEndpoints([endpoint])
+        try:
+            self.addEndpoints([endpoint])
+        except Exception:
+            self.shutdown()
+            raise
 
     def _set_curve_keys(self, keys: CurveKeys, is_server: bool) -> None:
         self.socket.set(zmq.CURVE_PUBLICKEY, keys.public.encode())
@@ -120,6 +124,8 @@
     _factory: ZmqFactory = field(factory=ZmqFactory)
     _connections: dict[str, _OutboundConnection] = field(factory=dict)
     _connected_addresses: dict[str, str] = field(factory=dict)
+    #: Addresses of members to which no connection can be made, by member.
+    _unusable_addresses: dict[str, str] = field(factory=dict)
     _pending_calls: dict[str, Deferred[t.Any]] = field(factory=dict)
     _inbound: _InboundConnection | None = None
     _authenticator: _Authenticator | None = None
@@ -143,15 +149,28 @@
             member = members.get(name)
             if member is None or member.peer_address != self._connected_addresses[name]:
                 self._connections.pop(name).shutdown()
+        for name in self._unusable_addresses.keys() - members.keys():
+            del self._unusable_addresses[name]
         for name, member in members.items():
-            if name == self.me or name in self._connections:
-                continue
-            endpoint = ZmqEndpoint(ZmqEndpointType.connect, member.peer_address)
+            if name != self.me and name not in self._connections:
+                self._connect(name, member.peer_address)
+
+    def _connect(self, name: str, address: str) -> None:
+        if self._unusable_addresses.get(name) == address:
+            return
+        endpoint = ZmqEndpoint(ZmqEndpointType.connect, address)
+        try:
             connection = _OutboundConnection(
                 self._factory, endpoint, self.keys, lambda _: None
             )
-            self._connections[name] = connection
-            self._connected_addresses[name] = member.peer_address
+        except (zmq.ZMQError, ValueError) as exc:
+            self._unusable_addresses[name] = address
+            reason = f"no peer can have its address: {type(exc).__name__}"
+            log_event(Event.RECORD_UNREADABLE, key=name, reason=reason)
+            return
+        self._unusable_addresses.pop(name, None)
+        self._connections[name] = connection
+        self._connected_addresses[name] = address
 
     def peers(self) -> tuple[str, ...]:
         """Return the names of the peers for which there is a connection."""
--- /dev/null
+++ b/tests/test_peer.py
@@ -0,0 +1,74 @@
+"""The task that owns the connections to the other entries."""
+
+import datetime as dt
+
+import pytest
+from attrs import define, field
+from structlog.testing import capture_logs
+from twisted.internet.task import Clock
+
+from fighead.clock import ReactorClock
+from fighead.mailbox import spawn
+from fighead.message import View
+from fighead.model import JobMember
+from fighead.tasks.peer import CurveKeys, PeerTask
+from odd_answers import ADDRESSES, NESTED
+
+START = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
+ODD_ADDRESSES = (
+    *ADDRESSES,
+    *("tcp://" + address for address in ADDRESSES),
+    *("tcp://", "udp://10.0.0.1:80", "ipc://", "inproc://x", "tcp://*:80", NESTED),
+)
+
+
+@define(eq=False)
+class Reactor(Clock):
+    """A simulated clock that knows which sockets are read."""
+
+    readers: set = field(factory=set)
+
+    def __attrs_pre_init__(self):
+        super().__init__()
+
+    def addReader(self, reader):  # noqa: N802
+        self.readers.add(reader)
+
+    def removeReader(self, reader):  # noqa: N802
+        self.readers.discard(reader)
+
+
+@pytest.fixture
+def task():
+    reactor = Reactor()
+    clock = ReactorClock(reactor, START)
+    task = PeerTask(
+        "e1", "tcp://127.0.0.1:*", CurveKeys(), clock, reactor, lambda *_: None
+    )
+    deferred = spawn(task.run())
+    yield task
+    deferred.cancel()
+    task.stop()
+
+
+def make_members(**addresses):
+    return {name: JobMember(name, "z", address) for name, address in addresses.items()}
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+def test_a_member_with_an_odd_address_keeps_no_other_from_a_connection(
+    task, failures, address
+):
+    members = make_members(a=address, b="tcp://127.0.0.1:9", c=address)
+    with capture_logs() as lines:
+        for _ in range(3):
+            task.mailbox.offer(View("e1", members=members))
+    assert "b" in task.peers() and not failures
+    # One line for each odd member, and no socket left of a failed attempt.
+    assert len(lines) == 3 - len(task.peers())
+    assert len(task.reactor.readers) == 1 + len(task.peers())
+    repaired = make_members(a="tcp://127.0.0.1:9", b="tcp://127.0.0.1:9")
+    task.mailbox.offer(View("e1", members=repaired))
+    assert set(task.peers()) == {"a", "b"} and not failures
+    task.mailbox.offer(View("e1", members={}))
+    assert not task.peers() and len(task.reactor.readers) == 1
