Read the other items of an answer of the store when one value is odd

What was seen, in tests: a value that is null, a number or text beyond ASCII made the whole page or watch unreadable, again at each retry, so that the reader stopped following. A revision of 400 digits was taken and then asked for, and a key that is no text reached the readers. Cause: the decoder of items caught binascii.Error only; it checked no key and no range. Change: such a value is read as empty, as one that isn't base64 of UTF-8 was. A key that is no text, or a number beyond 64 bits, makes the answer unreadable: these are the store's own fields, and without them changes would be missed.

--- a/src/fighead/platform/store.py
+++ b/src/fighead/platform/store.py
@@ -1,7 +1,6 @@
 """Client of the platform's key-value service for fighead's store requests."""
 
 import base64
-import binascii
 import datetime as dt
 import json
 import typing as t
@@ -51,6 +50,8 @@
 PRECONDITION_FAILED = 412
 REJECTED = 503
 FIRST_SERVER_ERROR = 500
+#: Largest revision and lease ID: the service counts in 64 bits.
+MAX_INT64 = 2**63 - 1
 #: Time beyond the wait of a watch, and between two arrivals of its data, after which
 #: its call times out.
 WATCH_TIMEOUT_MARGIN = dt.timedelta(seconds=1)
@@ -112,7 +113,7 @@
         try:
             body = _decode_response(response)
             events = tuple(_decode_event(event) for event in body["events"])
-            return WatchBatch(int(body["AtRev"]), events)
+            return WatchBatch(_expect_int64(body["AtRev"]), events)
         except DECODE_ERRORS as exc:
             raise _unavailable(f"the answer can't be read: {exc!r}") from exc
 
@@ -204,16 +205,16 @@
             if response.status == NOT_FOUND:
                 return RangeResult(0)
             body = _decode_response(response)
-            return RangeResult(int(body["AtRev"]), (_decode_item(body),))
+            return RangeResult(_expect_int64(body["AtRev"]), (_decode_item(body),))
         case Range():
             body = _decode_response(response)
             kvs = tuple(_decode_item(item) for item in body["items"])
-            return RangeResult(int(body["AtRev"]), kvs, bool(body["HasMore"]))
+            return RangeResult(_expect_int64(body["AtRev"]), kvs, bool(body["HasMore"]))
         case Txn():
             return _decode_txn(response)
         case LeaseGrant():
             body = _decode_response(response)
-            return LeaseResult(int(body["Lease"]), body["TtlMs"] / 1000)
+            return LeaseResult(_expect_int64(body["Lease"]), body["TtlMs"] / 1000)
         case LeaseKeepAlive(lease):
             if response.status == NOT_FOUND:
                 return LeaseResult(lease, 0)
@@ -233,7 +234,7 @@
     if response.status == PRECONDITION_FAILED:
         items = json.loads(response.body).get("items", [])
         return TxnResult(False, 0, tuple(_decode_item(item) for item in items))
-    return TxnResult(True, int(_decode_response(response)["Revision"]))
+    return TxnResult(True, _expect_int64(_decode_response(response)["Revision"]))
 
 
 def _decode_response(response: HttpResponse) -> Json:
@@ -258,12 +259,24 @@
     """Return an item; a value that isn't base64 of UTF-8 is read as empty."""
     try:
         value = base64.b64decode(item.get("Value", "")).decode()
-    except (binascii.Error, UnicodeDecodeError):
+    except (TypeError, ValueError):
         value = ""
+    if not isinstance(item["Key"], str):
+        raise TypeError("expected a string")
     return KeyValue(
-        item["Key"], value, int(item.get("Created", 0)), int(item.get("Revision", 0))
+        item["Key"],
+        value,
+        _expect_int64(item.get("Created", 0)),
+        _expect_int64(item.get("Revision", 0)),
     )
 
 
+def _expect_int64(value: t.Any) -> int:
+    number = int(value)
+    if not 0 <= number <= MAX_INT64:
+        raise ValueError(f"expected 0 to {MAX_INT64}")
+    return number
+
+
 def _decode_event(event: Json) -> WatchEvent:
     return WatchEvent(_decode_item(event), bool(event.get("Deleted", False)))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -14,7 +14,7 @@
 )
 from fighead.platform.store import PlatformStoreClient
 from fighead.store import LeaseGrant, LeaseKeepAlive, LeaseRevoke, Put, Range, Txn
-from odd_answers import JSON_VALUES, Pool, result_of
+from odd_answers import JSON_VALUES, NUMBERS, Pool, result_of
 
 TIMEOUT = dt.timedelta(seconds=1)
 TXN = Txn((), (Put("k", "v"),))
@@ -78,3 +78,40 @@
         watch(body)
     except StoreError:
         return
+
+
+ITEM = {"Key": "p/a", "Value": "MQ==", "Created": 1, "Revision": 2}
+ODD_VALUES = (None, 5, True, [], {}, "x", "=", "\u2603", "\ud800", "/w==", "MQ" * 3)
+
+
+@pytest.mark.parametrize("value", ODD_VALUES)
+def test_a_value_that_can_not_be_read_leaves_the_other_items(value):
+    items = [ITEM, {**ITEM, "Key": "p/b", "Value": value}]
+    page = json.dumps({"AtRev": 5, "HasMore": False, "items": items}).encode()
+    found = call(Range("p/", is_prefix=True), 200, page)
+    assert [(kv.key, kv.value) for kv in found.kvs] == [("p/a", "1"), ("p/b", "")]
+    batch = watch(json.dumps({"AtRev": 5, "events": items}).encode())
+    assert [event.kv.key for event in batch.events] == ["p/a", "p/b"]
+    single = json.dumps({**items[1], "AtRev": 5}).encode()
+    assert call(Range("p/b"), 200, single).kvs[0].value == ""
+
+
+@pytest.mark.parametrize("number", NUMBERS)
+def test_a_number_that_can_not_be_read_makes_an_answer_unreadable(number):
+    for name in ("AtRev", "Revision", "Created"):
+        body = {"AtRev": 5, "HasMore": False, "items": [ITEM]}
+        row = body if name == "AtRev" else body["items"][0]
+        raw = json.dumps(body | {"items": [{**ITEM, name: "RAW"}]})
+        if row is body:
+            raw = json.dumps(body | {name: "RAW"})
+        with pytest.raises(StoreUnavailableError):
+            call(
+                Range("p/", is_prefix=True), 200, raw.replace('"RAW"', number).encode()
+            )
+
+
+@pytest.mark.parametrize("key", [5, None, ["p/a"], {}])
+def test_an_item_whose_key_is_no_text_makes_an_answer_unreadable(key):
+    body = {"AtRev": 5, "HasMore": False, "items": [{**ITEM, "Key": key}]}
+    with pytest.raises(StoreUnavailableError):
+        call(Range("p/", is_prefix=True), 200, json.dumps(body).encode())
