Load all other jobs when a record or a progress is odd

What was seen, in tests: after the election a new scheduler read a job that was accepted at 10^300 ms, one whose stage waits for a stage that isn't there, or a progress whose "done" is no hexadecimal number; it never came to the end of the load, so no job was started until the record was gone. A record whose id isn't that of its key became a job of its own; one with dots in the id has task names that can't be taken apart, so that no listing of its instance could be read. Cause: these fields passed the decoder, and the error came in the one message with all that was loaded. Change: find_fault checks the id, the time of the acceptance and the stages' order and counts where records are decoded, StageProgress checks "done". Such a record is told of in one line of bounded length and left out; a progress that can't be read counts as missing, as before.

--- a/src/fighead/job.py
+++ b/src/fighead/job.py
@@ -7,8 +7,10 @@
 import enum
 import functools
 import math
+import re
 
 from attrs import field, frozen
+from attrs.validators import matches_re
 
 #: Thousandths of a core in one core.
 MILLICORES_PER_CORE = 1000
@@ -17,6 +19,8 @@
 MAX_TASKS_PER_JOB = 10_000
 #: Largest demand, limit, time or duration; as Unix time in ms it is the year 5138.
 MAX_QUANTITY = 10**14
+#: ID of a job: the names of its tasks are parted by dots.
+_JOB_ID = re.compile(r"[0-9A-Za-z_-]{1,64}")
 
 
 class JobPhase(enum.Enum):
@@ -161,7 +165,10 @@
     if tasks > MAX_TASKS_PER_JOB:
         return f"it has {tasks} tasks, at most {MAX_TASKS_PER_JOB} are allowed"
     numbers = [spec.first_due_ms, spec.interval_ms]
-    for stage in spec.stages:
+    for position, stage in enumerate(spec.stages):
+        if not all(0 <= earlier < position for earlier in stage.after):
+            return f"stage {position} waits for one that isn't before it"
+        numbers.append(stage.count)
         numbers += [stage.cpu, stage.memory_mb, stage.gpu, stage.estimate_ms]
         numbers += [stage.max_per_instance, stage.target_ms, stage.max_unavailable]
     if not all(0 <= number <= MAX_QUANTITY for number in numbers):
@@ -183,6 +190,18 @@
     accepted_ms: int = 0
 
 
+def find_fault(record: JobRecord, job_id: str) -> str:
+    """Return what makes a stored job unusable; an empty string if nothing does.
+
+    :param job_id: ID under which it is stored.
+    """
+    if record.job_id != job_id or not _JOB_ID.fullmatch(job_id):
+        return "its ID isn't that of its key"
+    if not 0 <= record.accepted_ms <= MAX_QUANTITY:
+        return f"its acceptance is outside of 0 to {MAX_QUANTITY}"
+    return find_excess(record.spec)
+
+
 @frozen(order=True, cache_hash=True)
 class TaskKey:
     """Identifies one task of a job.
@@ -213,7 +232,7 @@
 
     occurrence: int
     stage: int
-    done: str = "0"
+    done: str = field(default="0", validator=matches_re("[0-9a-f]+"))
     failures: dict[int, tuple[int, ...]] = field(factory=dict)
     checkpoints: dict[int, str] = field(factory=dict)
 
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -29,7 +29,7 @@
     Schedule,
 )
 from ..exceptions import RequestError, StoreError
-from ..job import JobConfig, JobEnding, JobPhase, JobProgress, JobRecord, find_excess
+from ..job import JobConfig, JobEnding, JobPhase, JobProgress, JobRecord, find_fault
 from ..job_metric import JobMetrics
 from ..log import Event, log_event
 from ..mailbox import Mailbox, process_messages, spawn
@@ -893,16 +893,17 @@
 def _decode_record(kv: KeyValue, cls: type) -> t.Any:
     """Decode a stored value; ``None`` if it can't be read.
 
-    A job that exceeds the limits counts as unreadable: its entry should have refused
-    it.
+    A job with a fault counts as unreadable: its entry should have refused it.
     """
+    record, fault = None, ""
     try:
         record = from_json(kv.value, cls)
     except RequestError as exc:
-        log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=exc.message)
-        return None
-    excess = find_excess(record.spec) if isinstance(record, JobRecord) else ""
-    if excess:
-        log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=excess)
+        fault = exc.message
+    if isinstance(record, JobRecord):
+        fault = find_fault(record, kv.key.removeprefix(JOBS_PREFIX))
+    if fault:
+        key = kv.key[:MAX_LOGGED_KEY_CHARS]
+        log_event(Event.RECORD_UNREADABLE, key=key, reason=fault)
         return None
     return record
