Learn no effect that is no finite number

What was seen, in tests: a stored effect of NaN or infinity was taken over by the next scheduler and stored again for its successor. Cause: JSON of Python reads both, and import_effects took any float. Change: it leaves such a row out; the others hold. Evidence: the six cases of test_an_effect_that_is_no_finite_number_is_not_learned red before, green now.

--- a/src/fighead/decisions/interference.py
+++ b/src/fighead/decisions/interference.py
@@ -11,6 +11,7 @@
 """
 
 import datetime as dt
+import math
 import typing as t
 
 from attrs import define, field, frozen
@@ -139,8 +140,13 @@
 
 
 def import_effects(learned: Interference, stored: Learned) -> None:
-    """Add the effects stored by an earlier scheduler; known ones aren't replaced."""
+    """Add the effects stored by an earlier scheduler; known ones aren't replaced.
+
+    One that is no finite number would spoil all that is learned after it.
+    """
     for row in stored.effects:
+        if not (math.isfinite(row.mean) and math.isfinite(row.variance)):
+            continue
         found = learned.effects.setdefault(row.serving, FillerEffects())
         found.add_filler(row.filler, row.mean, row.variance)
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -1,11 +1,13 @@
 """Odd records of jobs, progress, learned effects and the fleet in the store."""
 
 import json
+import math
 
 import pytest
 from structlog.testing import capture_logs
 
-from fighead.codec import to_json
+from fighead.codec import from_json, to_json
+from fighead.decisions import interference
 from fighead.job import JobPhase, JobRecord, JobSpec, Stage
 from fighead.store import (
     FLEET_KEY,
@@ -156,6 +158,17 @@
     assert not failures
 
 
+@pytest.mark.parametrize("name", ["mean", "variance"])
+@pytest.mark.parametrize("number", [math.inf, -math.inf, math.nan])
+def test_an_effect_that_is_no_finite_number_is_not_learned(name, number):
+    rows = [EFFECT | {name: number}, EFFECT | {"filler": "c"}]
+    stored = from_json(json.dumps({"effects": rows}), interference.Learned)
+    learned = interference.Interference()
+    interference.import_effects(learned, stored)
+    kept = interference.export_effects(learned).effects
+    assert [row.filler for row in kept] == ["c"]
+
+
 def test_an_odd_ending_stops_no_sweep(failures):
     cluster = JobCluster()
     cluster.advance(2)
