Refuse a configuration with fields of another type or numbers out of range

What was seen, in tests: a version of 401 digits was put in force, after which every later version counted as older; a route whose prefix is a number was taken, and failed each request that was compared with it. Cause: the decoder took names as they came, and any number that int() reads. Change: names are text and numbers lie between 0 and MAX_QUANTITY, by the checks of the registrations, which move to platform/decoding.py. Such a configuration counts as unreadable, the one before stays in force. The store accepts valid ones only, so this is a second line.

--- a/src/fighead/platform/config.py
+++ b/src/fighead/platform/config.py
@@ -1,11 +1,10 @@
 """Decoding of the operator's configuration from the platform's store."""
 
 import json
-import math
 import typing as t
 
-from ..job import JobConfig, Queue
-from .decoding import DECODE_ERRORS
+from ..job import MAX_QUANTITY, JobConfig, Queue
+from .decoding import DECODE_ERRORS, expect_quantity, expect_text
 
 #: Key of the current configuration.
 CONFIG_KEY = "op/config"
@@ -21,10 +20,10 @@
         body = json.loads(value)
         limits = body.get("Limits") or {}
         return JobConfig(
-            int(body["Version"]),
+            expect_quantity(body["Version"]),
             tuple(_decode_queue(row) for row in body["Routes"]),
-            tuple(row["Name"] for row in body.get("Services") or ()),
-            int(limits.get("MaxBodyBytes", JobConfig().max_body_bytes)),
+            tuple(expect_text(row["Name"]) for row in body.get("Services") or ()),
+            expect_quantity(limits.get("MaxBodyBytes", JobConfig().max_body_bytes)),
         )
     except DECODE_ERRORS:
         return None
@@ -33,21 +32,21 @@
 def _decode_queue(row: Json) -> Queue:
     advice = row.get("Advice") or {}
     return Queue(
-        row["Name"],
-        row["Host"],
-        row["Prefix"],
-        row["Service"],
-        int(row.get("Priority", 0)),
-        int(row.get("MaxAttempts", 1)),
-        _expect_finite(row.get("SlackFactor", 1.0)),
+        expect_text(row["Name"]),
+        expect_text(row["Host"]),
+        expect_text(row["Prefix"]),
+        expect_text(row["Service"]),
+        expect_quantity(row.get("Priority", 0)),
+        expect_quantity(row.get("MaxAttempts", 1)),
+        _expect_factor(row.get("SlackFactor", 1.0)),
         # Constant term of the job's latency objective.
-        int(row.get("TargetLatencyMs", 0)),
-        int(advice.get("ValidMs", 0)),
+        expect_quantity(row.get("TargetLatencyMs", 0)),
+        expect_quantity(advice.get("ValidMs", 0)),
     )
 
 
-def _expect_finite(value: t.Any) -> float:
+def _expect_factor(value: t.Any) -> float:
     number = float(value)
-    if not math.isfinite(number):
-        raise ValueError(f"expected a finite number, got {value!r}")
+    if isinstance(value, bool) or not 0 <= number <= MAX_QUANTITY:
+        raise ValueError(f"expected 0 to {MAX_QUANTITY}, got {value!r}")
     return number
--- a/src/fighead/platform/instance.py
+++ b/src/fighead/platform/instance.py
@@ -19,7 +19,7 @@
     HttpRequest,
     HttpResponse,
 )
-from ..job import MAX_QUANTITY, Demand, TaskKey
+from ..job import Demand, TaskKey
 from ..run import (
     EndKind,
     ListedRun,
@@ -32,7 +32,13 @@
     StopRun,
 )
 from ..settings import read_address
-from .decoding import DECODE_ERRORS
+from .decoding import (
+    DECODE_ERRORS,
+    expect_list,
+    expect_number,
+    expect_quantity,
+    expect_text,
+)
 
 Json = dict[str, t.Any]
 T = t.TypeVar("T")
@@ -250,12 +256,12 @@
 
 
 def _decode_clock(body: Json) -> int:
-    return _expect_number(body["ClockMs"])
+    return expect_number(body["ClockMs"])
 
 
 def _decode_listing(body: Json) -> Listing:
     return Listing(
-        _expect_number(body["ClockMs"]),
+        expect_number(body["ClockMs"]),
         tuple(_decode_listed_run(row) for row in body.get("Running", ())),
         tuple(_decode_end(row) for row in body.get("Finished", ())),
     )
@@ -266,21 +272,21 @@
     usage = row[4] if len(row) > 4 else 0
     return ListedRun(
         decode_task(task),
-        _expect_number(number),
-        _expect_text(checkpoint),
-        _expect_number(percent),
-        _expect_number(usage),
+        expect_number(number),
+        expect_text(checkpoint),
+        expect_number(percent),
+        expect_number(usage),
     )
 
 
 def _decode_end(row: t.Sequence[t.Any]) -> RunEnd:
     sequence, task, number, kind, checkpoint = row[:5]
     return RunEnd(
-        _expect_number(sequence),
+        expect_number(sequence),
         decode_task(task),
-        _expect_number(number),
+        expect_number(number),
         EndKind(kind),
-        _expect_text(checkpoint),
+        expect_text(checkpoint),
     )
 
 
@@ -298,17 +304,17 @@
             _expect_instance_id(key.removeprefix(INSTANCES_PREFIX)),
             _decode_registered_incarnation(body),
             _expect_address(body["Address"]),
-            _expect_text(body["Service"]),
-            _expect_text(body["Zone"]),
+            expect_text(body["Service"]),
+            expect_text(body["Zone"]),
             Demand(
-                _expect_quantity(capacity["Cpu"], 1),
-                _expect_quantity(capacity["MemMb"]),
-                _expect_quantity(capacity["Gpu"]),
+                expect_quantity(capacity["Cpu"], 1),
+                expect_quantity(capacity["MemMb"]),
+                expect_quantity(capacity["Gpu"]),
             ),
-            tuple(_expect_text(label) for label in _expect_list(body["Labels"])),
+            tuple(expect_text(label) for label in expect_list(body["Labels"])),
             is_draining,
             # Minimum time in ms that a draining instance has left; absent otherwise.
-            _expect_quantity(body.get("RemainingMs", 0)),
+            expect_quantity(body.get("RemainingMs", 0)),
         )
     except DECODE_ERRORS:
         return None
@@ -320,7 +326,7 @@
     # Answers are compared with its text, so a number written otherwise never matches.
     if not isinstance(body["born"], int):
         raise TypeError("expected a whole number")
-    return str(_expect_quantity(body["born"]))
+    return str(expect_quantity(body["born"]))
 
 
 def _expect_instance_id(value: str) -> str:
@@ -330,30 +336,5 @@
 
 
 def _expect_address(value: t.Any) -> str:
-    read_address(_expect_text(value))
-    return value
-
-
-def _expect_list(value: t.Any) -> list[t.Any]:
-    if not isinstance(value, list):
-        raise TypeError("expected a list")
+    read_address(expect_text(value))
     return value
-
-
-def _expect_text(value: t.Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError("expected a string")
-    return value
-
-
-def _expect_quantity(value: t.Any, least: int = 0) -> int:
-    number = _expect_number(value)
-    if not least <= number <= MAX_QUANTITY:
-        raise ValueError(f"expected {least} to {MAX_QUANTITY}, got {number}")
-    return number
-
-
-def _expect_number(value: t.Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError("expected a number")
-    return int(value)
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -319,6 +319,10 @@
     clock: GatedClock
 
 
+def decode_job_config(value):
+    return from_json(value, JobConfig)
+
+
 def decode_registration(key, value):
     return from_json(value, RegisteredInstance)
 
@@ -331,6 +335,7 @@
     :param entry_capacities: Capacity of entries by name; that of others is unknown.
     :param capacity: Capacity of each instance.
     :param rng: Source of all random choices, seeded with ``seed``.
+    :param decode_config: Decodes a configuration.
     :param encode_instance: Encodes the registration of an instance.
     :param decode_instance: Decodes the key and value of a registration.
     :param entries: The latest :class:`EntryProcess` by entry.
@@ -354,6 +359,7 @@
     clock: ReactorClock = None
     store: MemoryStore = None
     rng: random.Random = None
+    decode_config: object = decode_job_config
     encode_instance: object = to_json
     decode_instance: object = decode_registration
     entries: dict = field(factory=dict)
@@ -421,7 +427,7 @@
             "op/",
             "op/config",
             "servers/",
-            lambda value: from_json(value, JobConfig),
+            self.decode_config,
             self.decode_instance,
             lambda instance: GatedInstance(self, gate, instance),
         )
