Test work beside odd entries with real processes

Odd entries come by a watch, are there when an entry starts and when a leader is elected, and are written again and again, also under the key of a live instance.

--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -90,7 +90,10 @@
         return f"http://127.0.0.1:{self.ports[name]}"
 
     def put(self, key, value):
-        encoded = base64.b64encode(json.dumps(value).encode()).decode()
+        return self.put_text(key, json.dumps(value))
+
+    def put_text(self, key, text):
+        encoded = base64.b64encode(text.encode()).decode()
         body = {"Expect": [], "Writes": [{"Key": key, "Value": encoded}]}
         return call("POST", self.url("store") + "/fighead/kv-txn", body)[0] == 200
 
