Test that runs of a live instance without an entry are not started twice

What was seen: an instance lives and works, its entry is odd or has lapsed, and the leader is killed. The successor finds the instance in the stored fleet and not among the registrations. The store was reached for long, so registrations_complete_at has passed: the schedule is settled 240 ms after the election, and the tasks that run on the missing instance are started elsewhere while their leases last.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -158,6 +158,23 @@
     assert not failures
 
 
+@pytest.mark.parametrize("value", [DEEP, None], ids=["odd", "lapsed"])
+def test_runs_of_a_live_instance_without_an_entry_are_not_started_twice(value):
+    cluster = make_cluster(instance_count=2)
+    cluster.advance(3)
+    cluster.submit(job_id(1), LONG_JOB)
+    cluster.advance(1)
+    assert starts_on(cluster, "i0")
+    if value is None:
+        cluster.store.remove("servers/i0")
+    else:
+        cluster.store.put("servers/i0", value)
+    cluster.advance(0.5)
+    cluster.kill_entries(cluster.leader())
+    cluster.advance(12)
+    assert not cluster.find_breaches()
+
+
 def test_an_entry_that_is_odd_again_after_it_was_repaired_is_told_again(failures):
     cluster = make_cluster()
     cluster.advance(2)
