--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -63,11 +63,12 @@
     return []
 
 
-def is_relevant(schedule: Schedule, instance: RegisteredInstance) -> bool:
-    """Whether an instance may be used, or may have runs of an earlier scheduler."""
-    return instance.upstream in schedule.config.upstreams or instance.instance_id in (
-        schedule.inherited_fleet or ()
-    )
+def add_unregistered(
+    schedule: Schedule, instance: RegisteredInstance, lease: dt.timedelta
+) -> None:
+    """Add an instance, unless it is known, whose runs go on but that gets no others."""
+    if instance.instance_id not in schedule.instances:
+        _add_new_instance(schedule, instance, lease).is_registered = False
 
 
 def _add_new_instance(
@@ -248,21 +249,9 @@
     )
 
 
-def inherit_fleet(
-    schedule: Schedule,
-    instance_ids: t.Iterable[str],
-    unregistered: t.Iterable[RegisteredInstance],
-    lease: dt.timedelta,
-) -> None:
-    """Set the instances to which an earlier scheduler may have assigned runs.
-
-    :param unregistered: Those of them that had lost their registrations. Their runs
-        are listed and go on, but no other run is placed on them.
-    """
+def set_inherited_fleet(schedule: Schedule, instance_ids: t.Iterable[str]) -> None:
+    """Set the instances to which an earlier scheduler may have assigned runs."""
     schedule.inherited_fleet = frozenset(instance_ids)
-    for instance in unregistered:
-        if instance.instance_id not in schedule.instances:
-            _add_new_instance(schedule, instance, lease).is_registered = False
 
 
 def describe_incomplete_fleet(schedule: Schedule, now: dt.datetime) -> list[Effect]:
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -29,7 +29,7 @@
     Schedule,
 )
 from ..exceptions import RequestError, StoreError
-from ..job import JobConfig, JobEnding, JobPhase, JobProgress, JobRecord, find_excess
+from ..job import JobConfig, JobEnding, JobPhase, JobProgress, JobRecord, find_fault
 from ..job_metric import JobMetrics
 from ..log import Event, log_event
 from ..mailbox import Mailbox, process_messages, spawn
@@ -88,6 +88,8 @@
 MIN_WATCH_INTERVAL = dt.timedelta(milliseconds=300)
 #: Interval at which learned interference is stored for the next scheduler.
 LEARNED_WRITE_INTERVAL = dt.timedelta(seconds=5)
+#: Characters of an unreadable key that are logged, as many as the store allows bytes.
+MAX_LOGGED_KEY_CHARS = 200
 #: Maximum number of remembered IDs of jobs that the store does not contain. One that is
 #: forgotten is looked up again for the next listing that names it.
 MAX_ABSENT_JOBS = 10_000
@@ -206,6 +208,8 @@
     _next_round_at: dt.datetime = field(init=False)
     _counters: SchedulerCounters = field(factory=SchedulerCounters)
     _write_requested_s: float = 0.0
+    #: Registrations that were unreadable when they were last read.
+    _unreadable_keys: set[str] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         self._next_round_at = self.clock.now()
@@ -489,6 +493,7 @@
             listed_ids = {kv.key.removeprefix(prefix) for kv in msg.kvs}
             for instance_id in self._ignored_registrations.keys() - listed_ids:
                 del self._ignored_registrations[instance_id]
+            self._unreadable_keys.intersection_update(kv.key for kv in msg.kvs)
             missing = sorted(self.schedule.instances.keys() - listed_ids)
             self._apply_effects(
                 instance_tracking.unregister_instances(self.schedule, missing)
@@ -509,20 +514,49 @@
         instance_id = kv.key.removeprefix(self.adapter.instances_prefix)
         self._ignored_registrations.pop(instance_id, None)
         if is_deleted:
-            self._apply_effects(
-                instance_tracking.unregister_instances(self.schedule, (instance_id,))
-            )
+            self._unreadable_keys.discard(kv.key)
+            self._unregister_instance(instance_id)
             return
         instance = self.adapter.decode_instance(kv.key, kv.value)
+        self._note_readability(kv.key, instance is not None)
         if instance is None:
-            log_event(Event.REGISTRATION_UNREADABLE, key=kv.key)
-            self._apply_effects(
-                instance_tracking.unregister_instances(self.schedule, (instance_id,))
-            )
-            return
-        if not instance_tracking.is_relevant(self.schedule, instance):
+            self._unregister_instance(instance_id)
+        elif instance.upstream in self.schedule.config.upstreams:
+            self._add_instance(instance)
+        else:
             self._ignored_registrations[instance_id] = kv
-            return
+            self._handle_unserved_instance(instance)
+
+    def _handle_unserved_instance(self, instance: RegisteredInstance) -> None:
+        """Use no instance of an upstream that isn't configured; its runs go on."""
+        known = self.schedule.instances.get(instance.instance_id)
+        if known is None:
+            if instance.instance_id in (self.schedule.inherited_fleet or ()):
+                self._list_unregistered(instance)
+        elif known.instance.upstream != instance.upstream:
+            self._unregister_instance(instance.instance_id)
+
+    def _list_unregistered(self, instance: RegisteredInstance) -> None:
+        """List an instance that is not used, and renew the leases of its runs."""
+        instance_tracking.add_unregistered(self.schedule, instance, self.lease)
+        if instance.instance_id not in self.agents:
+            self._start_agent(instance)
+
+    def _note_readability(self, key: str, is_readable: bool) -> None:
+        """Log once that a registration became unreadable, however often it changes."""
+        if is_readable:
+            self._unreadable_keys.discard(key)
+        elif key not in self._unreadable_keys:
+            self._unreadable_keys.add(key)
+            log_event(Event.REGISTRATION_UNREADABLE, key=key[:MAX_LOGGED_KEY_CHARS])
+
+    def _unregister_instance(self, instance_id: str) -> None:
+        self._apply_effects(
+            instance_tracking.unregister_instances(self.schedule, (instance_id,))
+        )
+
+    def _add_instance(self, instance: RegisteredInstance) -> None:
+        instance_id = instance.instance_id
         known = self.schedule.instances.get(instance_id)
         if known is not None and instance_tracking.is_outdated(known, instance):
             return
@@ -556,12 +590,9 @@
         fleet = _decode_record(record, Fleet) if record else Fleet(())
         if fleet is None:
             return
-        instance_tracking.inherit_fleet(
-            self.schedule, fleet.instances, fleet.unregistered, self.lease
-        )
+        instance_tracking.set_inherited_fleet(self.schedule, fleet.instances)
         for instance in fleet.unregistered:
-            if instance.instance_id not in self.agents:
-                self._start_agent(instance)
+            self._list_unregistered(instance)
         self._reconsider_ignored_registrations()
 
     def _handle_loaded_state(self, msg: StateLoaded, now: dt.datetime) -> None:
@@ -724,14 +755,13 @@
         self._job_ids_in_lookup.discard(msg.job_id)
         if msg.record is not None:
             self._restore_job(msg.record, msg.progress, now)
-        else:
+        # A record that can't be read counts as absent, so that the listing is applied.
+        is_absent = not self._is_known(msg.job_id)
+        if is_absent:
             self._remember_absent_job(msg.job_id)
-        is_absent = msg.record is None
-        if is_absent or self._is_known(msg.job_id):
-            for instance_id in resolve_job(
-                self._pending, msg.job_id, is_absent=is_absent
-            ):
-                self._apply_listing(instance_id, now)
+        ready = resolve_job(self._pending, msg.job_id, is_absent=is_absent)
+        for instance_id in ready:
+            self._apply_listing(instance_id, now)
 
     def _remember_absent_job(self, job_id: str) -> None:
         while len(self._absent_job_ids) >= MAX_ABSENT_JOBS:
@@ -941,16 +971,17 @@
 def _decode_record(kv: KeyValue, cls: type) -> t.Any:
     """Decode a stored value; ``None`` if it can't be read.
 
-    A job that exceeds the limits counts as unreadable: its entry should have refused
-    it.
+    A job with a fault counts as unreadable: its entry should have refused it.
     """
+    record, fault = None, ""
     try:
         record = from_json(kv.value, cls)
     except RequestError as exc:
-        log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=exc.message)
-        return None
-    excess = find_excess(record.spec) if isinstance(record, JobRecord) else ""
-    if excess:
-        log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=excess)
+        fault = exc.message
+    if isinstance(record, JobRecord):
+        fault = find_fault(record, kv.key.removeprefix(JOBS_PREFIX))
+    if fault:
+        key = kv.key[:MAX_LOGGED_KEY_CHARS]
+        log_event(Event.RECORD_UNREADABLE, key=key, reason=fault)
         return None
     return record
--- a/tests/test_platform_instance.py
+++ b/tests/test_platform_instance.py
@@ -5,6 +5,7 @@
 
 import pytest
 from hypothesis import given
+from hypothesis import strategies as st
 
 from fighead.exceptions import (
     WorkerError,
@@ -15,7 +16,19 @@
 from fighead.job import TaskKey
 from fighead.platform.instance import PlatformInstanceClient, decode_instance
 from fighead.run import Listing, RegisteredInstance, StartRun, StopRun
-from odd_answers import JSON_VALUES, Pool, result_of
+from odd_answers import (
+    ADDRESSES,
+    DEEP,
+    JSON_VALUES,
+    NESTED,
+    NUMBERS,
+    ODD_IDS,
+    REGISTRATION,
+    Pool,
+    result_of,
+    with_raw,
+    write_registration,
+)
 
 TIMEOUT = dt.timedelta(seconds=1)
 TASK = TaskKey("5c0e7a21d94b36f8", 0, 0, 1)
@@ -113,5 +126,57 @@
         assert found is None or isinstance(found, RegisteredInstance)
 
 
+def test_a_registration_is_read():
+    found = decode_instance("servers/i-1", json.dumps(REGISTRATION))
+    assert found.identity == "i-1/1800000000000" and found.address == "10.0.0.1:80"
+    assert found.capacity.cpu == 64000 and found.labels == ("a", "r1")
+
+
+@pytest.mark.parametrize(
+    "value", ["", DEEP, '{"a":' * 100_000, DEEP + "]" * 100_000, NESTED, "\x00", "5"]
+)
+def test_a_registration_that_can_not_be_read_names_no_instance(value):
+    assert decode_instance("servers/a", value) is None
+
+
+@pytest.mark.parametrize("name", REGISTRATION)
+@pytest.mark.parametrize("text", [DEEP, NESTED, "null", "{}", "[[]]", "true", '"\x01"'])
+def test_a_field_of_another_type_names_no_instance(name, text):
+    assert decode_instance("servers/a", with_raw(name, text)) is None
+
+
+@pytest.mark.parametrize("name", [name for name in REGISTRATION if name != "born"])
+def test_a_registration_without_a_field_names_no_instance(name):
+    body = {key: value for key, value in REGISTRATION.items() if key != name}
+    assert decode_instance("servers/a", json.dumps(body)) is None
+
+
+@pytest.mark.parametrize("name", [*REGISTRATION, "RemainingMs"])
+@pytest.mark.parametrize("number", NUMBERS)
+def test_a_number_that_no_field_can_hold_names_no_instance(name, number):
+    assert decode_instance("servers/a", with_raw(name, number)) is None
+
+
+@pytest.mark.parametrize("address", ADDRESSES)
+def test_an_address_without_a_usable_host_and_port_names_no_instance(address):
+    assert decode_instance("servers/a", write_registration(Address=address)) is None
+
+
+@pytest.mark.parametrize("born", ["5", "a/b", 5.5, -1, 10**15, True, [1]])
+def test_an_incarnation_that_is_no_time_names_no_instance(born):
+    assert decode_instance("servers/a", write_registration(born=born)) is None
+
+
+@pytest.mark.parametrize("name", ODD_IDS)
+def test_an_id_that_can_not_be_the_value_of_a_header_names_no_instance(name):
+    assert decode_instance("servers/" + name, json.dumps(REGISTRATION)) is None
+
+
+@given(st.sampled_from(sorted(REGISTRATION)), JSON_VALUES)
+def test_any_field_of_a_registration_is_read_or_names_no_instance(name, value):
+    found = decode_instance("servers/a", write_registration(**{name: value}))
+    assert found is None or isinstance(found, RegisteredInstance)
+
+
 def test_a_deeply_nested_registration_names_no_instance():
     assert decode_instance("servers/a", "[" * 100_000) is None
