Wait for no late start where another instance has the address

Cause: a refusal that names another ID at the address (421) was treated like a restart under the same ID. Such an instance refuses every order for the old ID, late ones too. The new test fails with the refusal treated as a restart.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -87,7 +87,11 @@
 
 
 def reset_after_restart(
-    state: InstanceState, lease: dt.timedelta, now: dt.datetime
+    state: InstanceState,
+    lease: dt.timedelta,
+    now: dt.datetime,
+    *,
+    is_replaced: bool = False,
 ) -> None:
     """Reset the state of an instance that has restarted under the same ID.
 
@@ -95,9 +99,13 @@
     incarnation. The runs are therefore kept until that incarnation has been listed
     under its own fence, or all leases on it have expired and no start arrives any
     more.
+
+    :param is_replaced: Whether an instance with another ID has its address, and so
+        refuses all that was meant for it.
     """
     state.restart_count += 1
-    state.replaced_incarnations.add(state.instance.incarnation)
+    if not is_replaced:
+        state.replaced_incarnations.add(state.instance.incarnation)
     state.instance = evolve(state.instance, is_draining=False)
     state.is_reachable = state.is_listed = False
     state.last_end_sequence = 0
@@ -106,7 +114,10 @@
     state.recent_ends.clear()
     state.leases_end_at = max(state.leases_end_at, latest_lease_expiry(now, lease))
     for run in state.runs.values():
-        expect_late_start(run, lease)
+        if is_replaced:
+            run.late_until = None
+        else:
+            expect_late_start(run, lease)
         run.confirmed_at = run.progressed_at = now
         run.percent = run.first_listed_percent = 0
         run.first_listed_at = None
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -505,7 +505,7 @@
         if known is not None and instance_tracking.is_outdated(known, instance):
             return
         if known is not None and instance_tracking.has_restarted(known, instance):
-            self._handle_restart(instance_id)
+            self._handle_restart(instance_id, instance.incarnation)
         effects = instance_tracking.add_instance(
             self.schedule, instance, self.lease, self.clock.now()
         )
@@ -595,7 +595,7 @@
                 log_event(Event.SCHEDULER_FENCED, instance=instance_id, fence=fence)
                 self._notify_fence_refused(fence // INCARNATIONS_PER_TERM)
             case agent_messages.InstanceRestarted(_, incarnation):
-                self._handle_restart(instance_id)
+                self._handle_restart(instance_id, incarnation)
                 if incarnation:
                     instance_tracking.replace_incarnation(state, incarnation)
                     self._start_agent(state.instance)
@@ -628,16 +628,22 @@
         # refusal, and a running coroutine can't be cancelled.
         self.clock.call_later(dt.timedelta(), lambda: self.on_fence_refused(fence))
 
-    def _handle_restart(self, instance_id: str) -> None:
-        """Reset an instance, whose next incarnation needs an agent of its own."""
+    def _handle_restart(self, instance_id: str, incarnation: str) -> None:
+        """Reset an instance, whose next incarnation needs an agent of its own.
+
+        :param incarnation: The next one; empty if another instance has the address.
+        """
         state, now = self.schedule.instances[instance_id], self.clock.now()
         earlier = state.instance.incarnation
-        instance_tracking.reset_after_restart(state, self.lease, now)
+        instance_tracking.reset_after_restart(
+            state, self.lease, now, is_replaced=not incarnation
+        )
         self._remove_agent(instance_id)
         log_event(
             Event.INSTANCE_REBORN,
             instance=instance_id,
             earlier=earlier,
+            incarnation=incarnation,
             runs=len(state.runs),
             leases_ms=int((state.leases_end_at - now).total_seconds() * 1000),
         )
--- a/tests/test_run_updates.py
+++ b/tests/test_run_updates.py
@@ -1,10 +1,13 @@
 """Tests of how listings and ended runs update jobs."""
 
+import pytest
+
 from fighead.codec import from_json, to_json
-from fighead.decisions import job_lifecycle, placement
+from fighead.decisions import instance_tracking, job_lifecycle, placement
 from fighead.job import JobPhase, JobProgress, Stage
 from fighead.run import EndKind, StartRun
 from job_builders import (
+    LEASE,
     add_job,
     at_seconds,
     ended_run,
@@ -97,3 +100,23 @@
         found = receive_listing(schedule, "i1", running=[listed_run(task, 3)], at=at)
         stops.append(len(orders_in(found)))
     assert stops == [1, 0, 0, 0, 1]
+
+
+@pytest.mark.parametrize(("is_replaced", "expected_s"), [(True, 6.4), (False, 19.4)])
+def test_runs_of_an_instance_whose_address_another_one_has_wait_for_no_late_start(
+    is_replaced, expected_s
+):
+    schedule = make_schedule()
+    add_job(schedule)
+    placement.place_waiting_tasks(schedule, at_seconds(0))
+    state = schedule.instances["i1"]
+    state.leases_end_at = at_seconds(0)
+    (run,) = state.runs.values()
+    instance_tracking.expect_late_start(run, LEASE)
+    instance_tracking.reset_after_restart(
+        state, LEASE, at_seconds(0), is_replaced=is_replaced
+    )
+    instance_tracking.update_instances(schedule, at_seconds(expected_s - 0.2))
+    assert state.runs
+    instance_tracking.update_instances(schedule, at_seconds(expected_s))
+    assert not state.runs
