Revert "Wait for late starts where a restart may have gone unnoticed"

Callers would have seen, after each crash of an instance for good, the tasks whose starts were under way come back 19.3 s later instead of 6.3 s: more than the 10 s after which a lasting task counts as lost. An instance that has been listed after its restart waits for no late start, as with the reverted change.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -310,7 +310,11 @@
     schedule: Schedule, state: InstanceState, now: dt.datetime
 ) -> list[Effect]:
     effects: list[Effect] = []
-    lost = [run for run in state.runs.values() if not _may_start_late(state, run, now)]
+    lost = [
+        run
+        for run in state.runs.values()
+        if state.is_listed or run.late_until is None or now >= run.late_until
+    ]
     if lost:
         fields = {"instance": state.instance.instance_id, "runs": len(lost)}
         effects.append(LogNote(Event.INSTANCE_LOST, fields))
@@ -329,13 +333,3 @@
     An incarnation that has not been listed accepts it.
     """
     run.late_until = latest_lease_expiry(run.ordered_at + MAX_ORDER_DELAY, lease)
-
-
-def _may_start_late(state: InstanceState, run: RunState, now: dt.datetime) -> bool:
-    """Whether an incarnation that was not listed may yet take the start of a run.
-
-    An instance that is still registered as the incarnation that was listed has not
-    restarted.
-    """
-    may_be_unlisted = not state.is_listed or not state.is_registered
-    return may_be_unlisted and run.late_until is not None and now < run.late_until
--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -157,15 +157,6 @@
     number: int
 
 
-@frozen
-class StartAttemptLost:
-    """An attempt at a start got no answer, and may be carried out after the others."""
-
-    identity: str
-    task: TaskKey
-    number: int
-
-
 @frozen
 class StopAnswered:
     """An instance answered a stop, so that the order need not be repeated."""
@@ -182,7 +173,6 @@
     | FenceRefused
     | StartAnswered
     | StartUnanswered
-    | StartAttemptLost
     | StopAnswered
 )
 AgentOrder = StartRun | StopRun | PaceRun | Acknowledge | SetFence
@@ -387,10 +377,7 @@
                 self._report_restart(exc)
                 break
             except WorkerUnreachableError as exc:
-                if not isinstance(exc, WorkerNotReachedError):
-                    is_uncertain = True
-                    lost = StartAttemptLost(self.identity, order.task, order.number)
-                    self.report(lost)
+                is_uncertain |= not isinstance(exc, WorkerNotReachedError)
                 self._report_failed_call(exc.message)
                 await sleep(self.clock, RETRY_PAUSE)
                 continue
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -682,10 +682,6 @@
                 self._apply_effects(
                     run_updates.stop_unanswered_start(self.schedule, task, number)
                 )
-            case agent_messages.StartAttemptLost(_, task, number):
-                run = run_updates.find_run(self.schedule, task, number)
-                if run is not None:
-                    instance_tracking.expect_late_start(run, self.lease)
             case agent_messages.StopAnswered(_, task, number):
                 self._apply_effects(
                     run_updates.record_stop_confirmation(
