Follow the control data although one key is odd

What was seen, in tests: one member, claim or revision that can't be read made the whole of the control data unreadable for an entry of the product's own store: it read all again after each pause, told that the store is away, and followed nothing. Cause: the decoder raised at the first such key. Change: it is logged and left out. An odd member counts as gone; an odd claim and an odd revision change nothing, so what was known stays in force.

--- a/src/fighead/tasks/member.py
+++ b/src/fighead/tasks/member.py
@@ -19,7 +19,7 @@
 from ..decisions import member as member_decisions
 from ..decisions import member_state
 from ..decisions.member import MemberState
-from ..exceptions import FigheadError, LeaseLostError, StoreError
+from ..exceptions import FigheadError, LeaseLostError, RequestError, StoreError
 from ..instance_list import PlatformList
 from ..log import Event, log_event
 from ..mailbox import Mailbox, process_messages, spawn
@@ -43,6 +43,8 @@
 from .store import StoreCall, ask_store, read_prefix
 from .write_retry import write_with_retries
 
+T = t.TypeVar("T")
+
 TICK_INTERVAL = dt.timedelta(milliseconds=500)
 PLATFORM_POLL_INTERVAL = dt.timedelta(seconds=1)
 #: Timeout of reading the platform's list, and of the response headers of a watch.
@@ -235,7 +237,7 @@
 
     async def _load_control(self) -> int:
         kvs, revision = await read_prefix(self.store, CONTROL_PREFIX)
-        control = _decode_control(kvs)
+        control = decode_control(kvs)
         await self.mailbox.put(
             member_state.ControlLoaded(
                 revision, control.members, control.claims, control.current
@@ -256,7 +258,7 @@
         await with_timeout(self.clock, stream.ended, MAX_WATCH_AGE)
 
     def _handle_batch(self, batch: WatchBatch) -> None:
-        changes = _decode_control([event.kv for event in batch.events])
+        changes = decode_control([event.kv for event in batch.events])
         self.mailbox.offer(
             member_state.ControlChanged(
                 batch.revision, changes.members, changes.claims, changes.current
@@ -301,26 +303,36 @@
     current: Revision | None
 
 
-def _decode_control(kvs: t.Iterable[KeyValue]) -> _ControlData:
+def decode_control(kvs: t.Iterable[KeyValue]) -> _ControlData:
+    """Decode the control data; what can't be read is logged and left out."""
     members: dict[str, Member | None] = {}
     claims: dict[str, Claim | None] = {}
     current = None
     for kv in kvs:
         if kv.key.startswith(MEMBERS_PREFIX):
             name = kv.key.removeprefix(MEMBERS_PREFIX)
-            members[name] = from_json(kv.value, Member) if kv.value else None
+            members[name] = _decode(kv, Member)
         elif kv.key.startswith(CLAIMS_PREFIX):
             resource = kv.key.removeprefix(CLAIMS_PREFIX)
-            claims[resource] = _decode_claim(resource, kv)
-        elif kv.key == CURRENT_REVISION_KEY and kv.value:
-            current = from_json(kv.value, Revision)
+            value = _decode(kv, ClaimValue)
+            if value is not None:
+                claims[resource] = Claim(resource, value.owner, kv.create_revision)
+            elif not kv.value:
+                claims[resource] = None
+        elif kv.key == CURRENT_REVISION_KEY:
+            current = _decode(kv, Revision)
     return _ControlData(pmap(members), pmap(claims), current)
 
 
-def _decode_claim(resource: str, kv: KeyValue) -> Claim | None:
+def _decode(kv: KeyValue, cls: type[T]) -> T | None:
+    """Decode a value; ``None`` if the key is deleted or the value can't be read."""
     if not kv.value:
         return None
-    return Claim(resource, from_json(kv.value, ClaimValue).owner, kv.create_revision)
+    try:
+        return from_json(kv.value, cls)
+    except RequestError as exc:
+        log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=exc.message)
+        return None
 
 
 class _WatchStream(Protocol):
