--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -185,3 +185,25 @@
             cluster.register_instance("i0")
             cluster.advance(1)
     assert count_unreadable(lines) == 2 and not failures
+
+
+def test_a_valid_registration_that_never_answers_delays_no_later_job(failures):
+    cluster = make_cluster()
+    cluster.advance(3)
+    cluster.silent_instances.add("i9")
+    cluster.add_instance("i9")
+    cluster.advance(1)
+    cluster.kill_entries(cluster.leader())
+    with capture_logs() as lines:
+        while cluster.leader() is None:
+            cluster.advance(0.1)
+        # An earlier leader may act for 3.2 s after the election.
+        cluster.advance(3.4)
+        cluster.submit(job_id(1), JOB)
+        cluster.advance(1)
+        assert any(e.event == "started" for e in cluster.history)
+        cluster.advance(5.5)
+    # Its leases may last another 6.3 s.
+    settled = [line for line in lines if line["event_name"] == "schedule_settled"]
+    assert settled and settled[0]["since_election_ms"] < 9600
+    assert not failures and not cluster.find_breaches()
