--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -8,19 +8,25 @@
 from ..log import Event
 from ..run import RegisteredInstance
 from .run_updates import requeue_lost_run
-from .schedule_state import Effect, InstanceState, LogNote, Schedule
+from .schedule_state import Effect, InstanceState, LogNote, RunState, Schedule
 from .stopping import stop_runs
 
 #: Maximum share by which an instance's steady clock may run slow, as specified by
 #: the page on running tasks.
 MAX_CLOCK_LAG_SHARE = 0.02
-#: How long a scheduler may act without confirmation from the store or a peer.
-AUTHORITY_TIMEOUT = dt.timedelta(seconds=3)
+#: How long a scheduler may act without confirmation by the store or by most members.
+#: It is confirmed every 0.5 s, and its successor waits as long for its leases.
+AUTHORITY_TIMEOUT = dt.timedelta(milliseconds=1500)
 #: Margin added to each time limit because timers may fire late.
 TIMER_SLACK = dt.timedelta(milliseconds=200)
+#: How long after its order a start without an answer may still be carried out. The
+#: platform's pages set no limit but "seconds later".
+MAX_ORDER_DELAY = dt.timedelta(seconds=13)
 #: Time before the drain deadline at which checkpointed runs are stopped, so that
 #: their checkpoints are saved.
 CHECKPOINT_NOTICE = dt.timedelta(milliseconds=1000)
+#: Maximum number of IDs of instances in one log line.
+MAX_LOGGED_INSTANCES = 20
 
 
 def latest_lease_expiry(sent_at: dt.datetime, lease: dt.timedelta) -> dt.datetime:
@@ -45,11 +51,7 @@
     """
     state = schedule.instances.get(instance.instance_id)
     if state is None:
-        # An earlier scheduler may have granted leases on the instance.
-        bound = latest_lease_expiry(schedule.elected_at + AUTHORITY_TIMEOUT, lease)
-        state = InstanceState(instance, bound)
-        state.is_in_stored_fleet = instance.instance_id in schedule.stored_fleet
-        schedule.instances[instance.instance_id] = state
+        _add_new_instance(schedule, instance, lease)
         fields = {"instance": instance.instance_id, "address": instance.address}
         return [LogNote(Event.INSTANCE_FOUND, fields)]
     was_draining = state.instance.is_draining
@@ -62,22 +64,69 @@
     return []
 
 
+def add_unregistered(
+    schedule: Schedule, instance: RegisteredInstance, lease: dt.timedelta
+) -> None:
+    """Add an instance, unless it is known, whose runs go on but that gets no others."""
+    if instance.instance_id not in schedule.instances:
+        _add_new_instance(schedule, instance, lease).is_registered = False
+
+
+def _add_new_instance(
+    schedule: Schedule, instance: RegisteredInstance, lease: dt.timedelta
+) -> InstanceState:
+    state = InstanceState(instance, inherited_lease_bound(schedule, lease))
+    state.is_in_stored_fleet = instance.instance_id in schedule.stored_fleet
+    state.restart_count = schedule.restart_counts.get(instance.instance_id, 0)
+    schedule.instances[instance.instance_id] = state
+    return state
+
+
+def inherited_lease_bound(schedule: Schedule, lease: dt.timedelta) -> dt.datetime:
+    """Return when all leases granted by earlier schedulers have expired."""
+    return latest_lease_expiry(schedule.elected_at + AUTHORITY_TIMEOUT, lease)
+
+
 def has_restarted(state: InstanceState, instance: RegisteredInstance) -> bool:
     """Whether a registration is from another incarnation than the known one."""
     known = state.instance.incarnation
     return bool(instance.incarnation and known and instance.incarnation != known)
 
 
+def is_outdated(state: InstanceState, instance: RegisteredInstance) -> bool:
+    """Whether a registration is from an incarnation that another has replaced."""
+    return instance.incarnation in state.replaced_incarnations
+
+
+def replace_incarnation(state: InstanceState, incarnation: str) -> None:
+    """Set the incarnation of an instance that answered before it registered.
+
+    Nothing is placed on it until then, since its capacity may have changed.
+    """
+    state.instance = evolve(state.instance, incarnation=incarnation)
+    state.is_registered = False
+
+
 def reset_after_restart(
-    state: InstanceState, lease: dt.timedelta, now: dt.datetime
+    state: InstanceState,
+    lease: dt.timedelta,
+    now: dt.datetime,
+    *,
+    is_replaced: bool = False,
 ) -> None:
     """Reset the state of an instance that has restarted under the same ID.
 
     Its runs have ended, but a start order in transit may still reach the new
     incarnation. The runs are therefore kept until that incarnation has been listed
-    under its own fence or all leases on it have expired.
+    under its own fence, or all leases on it have expired and no start arrives any
+    more.
+
+    :param is_replaced: Whether an instance with another ID has its address, and so
+        refuses all that was meant for it.
     """
     state.restart_count += 1
+    if not is_replaced:
+        state.replaced_incarnations.add(state.instance.incarnation)
     state.instance = evolve(state.instance, is_draining=False)
     state.is_reachable = state.is_listed = False
     state.last_end_sequence = 0
@@ -86,6 +135,10 @@
     state.recent_ends.clear()
     state.leases_end_at = max(state.leases_end_at, latest_lease_expiry(now, lease))
     for run in state.runs.values():
+        if is_replaced:
+            run.late_until = None
+        else:
+            expect_late_start(run, lease)
         run.confirmed_at = run.progressed_at = now
         run.percent = run.first_listed_percent = 0
         run.first_listed_at = None
@@ -138,48 +191,73 @@
         state.leases_end_at = max(state.leases_end_at, leases_end_at)
 
 
-def update_instances(schedule: Schedule, now: dt.datetime) -> list[Effect]:
+def update_instances(
+    schedule: Schedule, lease: dt.timedelta, now: dt.datetime
+) -> list[Effect]:
     """Requeue the runs of instances whose leases have expired.
 
     Such instances are removed if they are no longer registered. Also stops
     checkpointed runs before a drain deadline, and settles the schedule once no unknown
     run can exist.
+
+    :param lease: Lease that earlier schedulers may have granted.
     """
     effects: list[Effect] = []
     for state in list(schedule.instances.values()):
         effects += _stop_checkpointed_runs(state, now)
         if state.is_reachable or now < state.leases_end_at:
             continue
-        effects += _expire_instance(schedule, state)
-    if (
-        not schedule.is_settled
-        and schedule.instances
-        and _has_all_live_instances(schedule, now)
-    ):
-        schedule.is_settled = all(
-            state.is_listed or now >= state.leases_end_at
-            for state in schedule.instances.values()
-        )
-        if schedule.is_settled:
-            fields = {
-                "instances": len(schedule.instances),
-                "term": schedule.term,
-                "since_election_ms": schedule.ms_since_election(now),
-            }
-            effects.append(LogNote(Event.SCHEDULE_SETTLED, fields))
+        effects += _expire_instance(schedule, state, now)
+    if not schedule.is_settled and _can_settle(schedule, lease, now):
+        schedule.is_settled = True
+        effects.append(_describe_settling(schedule, now))
     return effects
 
 
-def _has_all_live_instances(schedule: Schedule, now: dt.datetime) -> bool:
-    """Whether every live instance that may have runs is known."""
-    if (
-        schedule.inherited_fleet is not None
-        and schedule.inherited_fleet <= schedule.instances.keys()
-    ):
-        return True
-    return (
-        schedule.registrations_complete_at is None
-        or now >= schedule.registrations_complete_at
+def _can_settle(schedule: Schedule, lease: dt.timedelta, now: dt.datetime) -> bool:
+    """Whether every run of an earlier scheduler is known or has ended.
+
+    An instance without a registration may still run tasks: it registers in the store,
+    and gets its leases from the scheduler.
+    """
+    if now >= inherited_lease_bound(schedule, lease):
+        fleet: t.Collection[str] = schedule.instances.keys()
+    elif schedule.inherited_fleet is None:
+        return False
+    else:
+        fleet = schedule.inherited_fleet
+    return all(
+        instance_id in schedule.instances
+        and _has_no_unknown_run(schedule.instances[instance_id], now)
+        for instance_id in fleet
+    )
+
+
+def _has_no_unknown_run(state: InstanceState, now: dt.datetime) -> bool:
+    # A listing of an instance that answers may be on its way.
+    is_lost = not state.is_reachable and now >= state.leases_end_at
+    return state.is_listed or is_lost
+
+
+def _describe_settling(schedule: Schedule, now: dt.datetime) -> LogNote:
+    states = schedule.instances.values()
+    fields = {
+        "instances": len(schedule.instances),
+        "listed": sum(state.is_listed for state in states),
+        "unregistered": len(find_unregistered_fleet(schedule)),
+        "term": schedule.term,
+        "since_election_ms": schedule.ms_since_election(now),
+    }
+    return LogNote(Event.SCHEDULE_SETTLED, fields)
+
+
+def find_unregistered_fleet(schedule: Schedule) -> list[str]:
+    """Return the inherited instances that are not registered, in order of ID."""
+    states = schedule.instances
+    return sorted(
+        instance_id
+        for instance_id in schedule.inherited_fleet or ()
+        if instance_id not in states or not states[instance_id].is_registered
     )
 
 
@@ -188,6 +266,21 @@
     schedule.inherited_fleet = frozenset(instance_ids)
 
 
+def describe_incomplete_fleet(schedule: Schedule, now: dt.datetime) -> list[Effect]:
+    """Return a note that names the inherited instances that are not registered."""
+    missing = find_unregistered_fleet(schedule)
+    if not missing:
+        return []
+    fields = {
+        "count": len(missing),
+        "reachable_by_record": sum(i in schedule.instances for i in missing),
+        "instances": missing[:MAX_LOGGED_INSTANCES],
+        "term": schedule.term,
+        "since_election_ms": schedule.ms_since_election(now),
+    }
+    return [LogNote(Event.FLEET_INCOMPLETE, fields)]
+
+
 def fleet_to_store(schedule: Schedule) -> set[str]:
     """Return the IDs of the instances that have, or may be assigned, runs.
 
@@ -197,20 +290,46 @@
     return known if schedule.is_settled else known.union(schedule.inherited_fleet or ())
 
 
+def find_unregistered(schedule: Schedule) -> list[RegisteredInstance]:
+    """Return the known instances that have lost their registrations."""
+    return [
+        state.instance
+        for _, state in sorted(schedule.instances.items())
+        if not state.is_registered
+    ]
+
+
 def set_stored_fleet(schedule: Schedule, instance_ids: t.Iterable[str]) -> None:
-    """Record that the stored fleet consists of these instances."""
+    """Set the instances that the stored fleet record certainly includes."""
     schedule.stored_fleet = frozenset(instance_ids)
     for instance_id, state in schedule.instances.items():
         state.is_in_stored_fleet = instance_id in schedule.stored_fleet
 
 
-def _expire_instance(schedule: Schedule, state: InstanceState) -> list[Effect]:
+def _expire_instance(
+    schedule: Schedule, state: InstanceState, now: dt.datetime
+) -> list[Effect]:
     effects: list[Effect] = []
-    if state.runs:
-        fields = {"instance": state.instance.instance_id, "runs": len(state.runs)}
+    lost = [
+        run
+        for run in state.runs.values()
+        if state.is_listed or run.late_until is None or now >= run.late_until
+    ]
+    if lost:
+        fields = {"instance": state.instance.instance_id, "runs": len(lost)}
         effects.append(LogNote(Event.INSTANCE_LOST, fields))
-    for run in list(state.runs.values()):
+    for run in lost:
         requeue_lost_run(schedule, run)
-    if not state.is_registered:
-        del schedule.instances[state.instance.instance_id]
+    if not state.is_registered and not state.runs:
+        instance_id = state.instance.instance_id
+        schedule.restart_counts[instance_id] = state.restart_count + 1
+        del schedule.instances[instance_id]
     return effects
+
+
+def expect_late_start(run: RunState, lease: dt.timedelta) -> None:
+    """Keep a run until its start, should it arrive late, has run out of its lease.
+
+    An incarnation that has not been listed accepts it.
+    """
+    run.late_until = latest_lease_expiry(run.ordered_at + MAX_ORDER_DELAY, lease)
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -44,6 +44,8 @@
     :param confirmed_at: When the instance last confirmed an order for the run, or
         first listed it. If a listing requested after this time lacks the run, the
         run has ended.
+    :param late_until: Until when its start, should it arrive late, can keep it running
+        at a later incarnation; ``None`` if it can't arrive late.
     :param progressed_at: When the run was started or ``percent`` last increased.
     :param percent: Completed share of the work.
     :param usage: Tail latency in ms for a serving task, otherwise millicores.
@@ -61,6 +63,7 @@
     ordered_at: dt.datetime
     stage: Stage
     confirmed_at: dt.datetime | None = None
+    late_until: dt.datetime | None = None
     progressed_at: dt.datetime | None = None
     percent: int = 0
     usage: int = 0
@@ -195,10 +198,13 @@
     :param serving: The runs that have a target latency.
     :param unwanted: Runs in the latest listing that the schedule lacks, with the time
         at which their stop was last ordered. What they hold is not known.
-    :param restart_count: Number of restarts of the instance in this term.
+    :param restart_count: Number of restarts of the instance in this term. One that was
+        removed and registers again may have restarted, so it counts as restarted.
+    :param replaced_incarnations: Its earlier incarnations, as far as they are known.
     :param is_listed: Whether the current incarnation has sent a listing in this term.
     :param is_reachable: Whether the last call to the instance was answered.
-    :param is_registered: Whether the store holds its registration.
+    :param is_registered: Whether the store holds the registration of its current
+        incarnation.
     :param is_in_stored_fleet: Whether the stored fleet includes the instance.
     :param start_backoff_until: Until when no run is placed on the instance because it
         refused a start.
@@ -219,6 +225,7 @@
     serving: dict[tuple[TaskKey, int], RunState] = field(factory=dict)
     unwanted: dict[tuple[TaskKey, int], dt.datetime] = field(factory=dict)
     restart_count: int = 0
+    replaced_incarnations: set[str] = field(factory=set)
     is_listed: bool = False
     is_reachable: bool = False
     is_registered: bool = True
@@ -280,17 +287,17 @@
 
     :param term: Number of the term. Run numbers grow with the term.
     :param fence: Fence of the term, from which the fence of each order is derived.
-    :param registrations_complete_at: Time from which every live instance is known to
-        be registered; ``None`` if there is no need to wait.
     :param inherited_fleet: Instances to which an earlier scheduler may have assigned
         runs; ``None`` if unknown.
-    :param stored_fleet: Instances in the fleet record that this scheduler has stored.
+    :param stored_fleet: Instances that the stored fleet record certainly includes.
     :param no_inherited_runs_after: A job with a higher store revision cannot have
         runs from an earlier scheduler; ``None`` if that revision is not yet known.
+    :param restart_counts: Restart counts that removed instances continue with, by
+        instance ID.
     :param unsaved_jobs: IDs of jobs whose progress or end has yet to be stored.
     :param ended_phases: Final phases of jobs that ended in this term, by job ID.
-    :param is_settled: Whether each instance has been listed or its leases have
-        expired, so that no unknown run can exist.
+    :param is_settled: Whether each inherited instance has been listed or its leases
+        have expired, so that no unknown run can exist.
     :param interference: Learned interference between images.
     :param log_duration_ratios: Typical natural logarithm of actual to estimated run
         time, by queue.
@@ -303,13 +310,13 @@
     term: int
     fence: int
     elected_at: dt.datetime
-    registrations_complete_at: dt.datetime | None = None
     inherited_fleet: frozenset[str] | None = None
     stored_fleet: frozenset[str] = frozenset()
     no_inherited_runs_after: int | None = None
     config: JobConfig = JobConfig()
     jobs: dict[str, JobState] = field(factory=dict)
     instances: dict[str, InstanceState] = field(factory=dict)
+    restart_counts: dict[str, int] = field(factory=dict)
     unsaved_jobs: set[str] = field(factory=set)
     ended_phases: dict[str, JobPhase] = field(factory=dict)
     is_settled: bool = False
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -15,7 +15,6 @@
 from .decisions.admission import QueuedStarts
 from .decisions.config_request import ConfigRequest
 from .decisions.election import Leader
-from .decisions.instance_tracking import AUTHORITY_TIMEOUT
 from .decisions.schedule_state import Schedule
 from .exceptions import MailboxFullError, PeerUnreachableError
 from .fronts.job import JobCodec, JobFront
@@ -50,9 +49,6 @@
 BALANCER_REACTION_TIME = dt.timedelta(milliseconds=2300)
 #: Part of the grace period that is reserved for the end of a planned stop.
 STOP_RESERVE = dt.timedelta(milliseconds=700)
-#: Time within which instances whose registrations lapsed while the store was
-#: unreachable register again, as the users specify, with slack for late timers.
-REREGISTRATION_TIME = dt.timedelta(milliseconds=2500)
 DRAIN_POLL_INTERVAL = dt.timedelta(milliseconds=50)
 NOT_READY_STATUS = 503
 #: Largest request body that is read, in bytes, whatever the configuration allows.
@@ -88,7 +84,6 @@
     _random: random.Random = field(init=False)
     _relaying_store: RelayingStore = field(init=False)
     _is_store_reached: bool = False
-    _store_reached_at: dt.datetime = field(init=False)
     _is_stopping: bool = False
     _config_request: ConfigRequest = field(factory=ConfigRequest)
     _backlog: tuple[QueuedStarts, ...] = ()
@@ -98,7 +93,7 @@
     def __attrs_post_init__(self) -> None:
         cfg = self.cfg
         self._random = random.Random(cfg.seed or None)
-        self._store_reached_at = self._backlog_at = self.clock.now()
+        self._backlog_at = self.clock.now()
         self._relaying_store = RelayingStore(
             self.adapter.store, self.clock, self._call_store_via_peer
         )
@@ -205,9 +200,12 @@
             port.stopListening()
         while self.front_context.in_flight and self.clock.now() < deadline:
             await sleep(self.clock, DRAIN_POLL_INTERVAL)
-        log_event(Event.ENTRY_STOPPED)
-        self.peer.stop()
-        self.on_end()
+        try:
+            await call(self.leadership.mailbox, leadership.Leave())
+        finally:
+            log_event(Event.ENTRY_STOPPED)
+            self.peer.stop()
+            self.on_end()
 
     # Configuration.
 
@@ -232,8 +230,6 @@
 
     def _record_store_contact(self, is_reached: bool) -> None:
         self._is_store_reached = is_reached
-        if is_reached:
-            self._store_reached_at = self.clock.now()
         log_event(Event.STORE_BACK if is_reached else Event.STORE_AWAY)
 
     def _apply_config(self, cfg: JobConfig, source: str) -> None:
@@ -260,10 +256,6 @@
                 return
             self._stop_scheduling()
         schedule = Schedule(leader.term, leader.fence, self.clock.now())
-        reached_at = (
-            self._store_reached_at if self._is_store_reached else self.clock.now()
-        )
-        schedule.registrations_complete_at = reached_at + REREGISTRATION_TIME
         schedule.config = self.front_context.config or JobConfig()
         self.scheduler = SchedulerTask(
             schedule,
@@ -271,7 +263,7 @@
             self.clock,
             self._random,
             self.cfg.lease,
-            self._may_act,
+            self.leadership.may_act,
             lambda fence: self.leadership.mailbox.offer(
                 leadership.OwnFenceRefused(fence)
             ),
@@ -292,12 +284,6 @@
     def _take_scheduler_load(self) -> SchedulerLoad | None:
         return self.scheduler.take_load() if self.scheduler is not None else None
 
-    def _may_act(self) -> bool:
-        confirmed_at = self.leadership.confirmed_at
-        return confirmed_at is not None and election.may_act(
-            self.clock.now(), confirmed_at, AUTHORITY_TIMEOUT
-        )
-
     async def _announce_periodically(self) -> None:
         while True:
             await sleep(self.clock, ANNOUNCEMENT_INTERVAL)
@@ -309,7 +295,8 @@
         for peer in self.peer.peers():
             self.peer.send(peer, announcement)
 
-    def _make_announcement(self) -> m.LeaderIs:
+    def _make_announcement(self, answered: m.LeaderIs | None = None) -> m.LeaderIs:
+        """Return what this entry announces, maybe in answer to a leader's message."""
         version = self.front_context.config.version if self.front_context.config else 0
         backlog = self.scheduler.find_backlog() if self.scheduler is not None else ()
         return m.LeaderIs(
@@ -318,6 +305,8 @@
             version,
             self._can_lead(),
             backlog,
+            self.clock.now(),
+            answered.sent_at if answered is not None else None,
         )
 
     def _can_lead(self) -> bool:
@@ -362,14 +351,16 @@
             self.front_context.view.leader, leader
         ):
             self.leadership.mailbox.offer(
-                leadership.LeadershipConfirmed(sender, msg.can_lead)
+                leadership.LeadershipConfirmed(
+                    sender, msg.can_lead, leader.fence, msg.answered_at
+                )
             )
             return
         self.leadership.mailbox.offer(leadership.LeaderAnnounced(leader))
         if leader.name == sender:
             self._backlog, self._backlog_at = msg.backlog, self.clock.now()
             # Lets the leader see whether its peers know of a later one.
-            self.peer.send(sender, self._make_announcement())
+            self.peer.send(sender, self._make_announcement(msg))
 
     def _ask_scheduler(self, msg: t.Any) -> Deferred[t.Any]:
         """Send a request to the scheduler and return its answer."""
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -65,6 +65,12 @@
     SCHEDULE_SETTLED = (5006, "info", "No unknown run can exist any more.")
     LEADER_HANDED_OVER = (5007, "info", "A peer can carry more and is to schedule.")
     LEADER_LOAD = (5008, "info", "How busy the scheduling entry is.")
+    AUTHORITY_ENDED = (
+        5009,
+        "warning",
+        "The leader stops acting until it is confirmed again.",
+    )
+    AUTHORITY_REGAINED = (5010, "info", "The leader is confirmed and acts again.")
     JOB_ACCEPTED = (5101, "info", "A job was accepted and is stored.")
     JOB_REFUSED = (5102, "warning", "A job was refused and is not stored.")
     JOB_UNCERTAIN = (5103, "warning", "It is not known whether a job is stored.")
@@ -106,7 +112,17 @@
         "info",
         "An instance is no longer suspected of being unhealthy.",
     )
+    INSTANCE_LISTED = (
+        5310,
+        "info",
+        "An incarnation of an instance is listed for the first time in this term.",
+    )
     REGISTRATION_UNREADABLE = (5307, "warning", "A registration is unusable.")
+    FLEET_INCOMPLETE = (
+        5320,
+        "warning",
+        "Instances that may have runs of an earlier scheduler are not registered.",
+    )
     CONFIG_APPLIED = (5401, "info", "A configuration is in force.")
     CONFIG_UNREADABLE = (5402, "warning", "A configuration can't be read.")
     RECORD_UNREADABLE = (5403, "error", "A stored record can't be read.")
@@ -143,6 +159,7 @@
         Event.SCHEDULE_SETTLED,
         Event.LEADER_HANDED_OVER,
         Event.LEADER_LOAD,
+        Event.AUTHORITY_REGAINED,
     )
 )
 
--- a/src/fighead/platform/instance.py
+++ b/src/fighead/platform/instance.py
@@ -2,6 +2,7 @@
 
 import datetime as dt
 import json
+import re
 import typing as t
 
 from attrs import define
@@ -9,6 +10,7 @@
 from ..exceptions import (
     WorkerNotReachedError,
     WorkerRefusedError,
+    WorkerRestartedError,
     WorkerUnreachableError,
 )
 from ..http_client import (
@@ -18,7 +20,7 @@
     HttpRequest,
     HttpResponse,
 )
-from ..job import MAX_QUANTITY, Demand, TaskKey
+from ..job import Demand, TaskKey
 from ..run import (
     EndKind,
     ListedRun,
@@ -30,13 +32,22 @@
     StartRun,
     StopRun,
 )
-from .decoding import DECODE_ERRORS
+from ..settings import read_address
+from .decoding import (
+    DECODE_ERRORS,
+    expect_list,
+    expect_number,
+    expect_quantity,
+    expect_text,
+)
 
 Json = dict[str, t.Any]
 T = t.TypeVar("T")
 
 #: Prefix of the keys under which instances register themselves.
 INSTANCES_PREFIX = "servers/"
+#: ID of an instance, which calls carry in a header; the store limits its length.
+_INSTANCE_ID = re.compile(r"[!-~]{1,200}")
 OK = 200
 OTHER_INCARNATION_STATUS = 421
 TARGET_INSTANCE_HEADER = "Fighead-Target-Instance"
@@ -72,6 +83,7 @@
         :param lease_until_ms: Expiry of the lease, in ms on the instance's clock.
         :return: The instance's clock in ms.
         :raises WorkerRefusedError: If the run was not started.
+        :raises WorkerRestartedError: If another incarnation may have started it.
         :raises WorkerUnreachableError: If the run may have started or may still
             start.
         """
@@ -193,11 +205,12 @@
                 "No action needed: the call is retried.",
             )
         # After a restart, a later incarnation answers at the same address and id.
-        if _decode_incarnation(body) not in ("", self.instance.incarnation):
-            raise WorkerRefusedError(
+        incarnation = _decode_incarnation(body)
+        if incarnation not in ("", self.instance.incarnation):
+            raise WorkerRestartedError(
                 f"Instance {self.instance.instance_id} has restarted.",
-                "No action needed: it registers again with its new incarnation.",
-                RefusalReason.OTHER_INCARNATION.value,
+                "No action needed: the next calls are sent to the new incarnation.",
+                incarnation,
             )
         return body
 
@@ -246,12 +259,12 @@
 
 
 def _decode_clock(body: Json) -> int:
-    return _expect_number(body["ClockMs"])
+    return expect_number(body["ClockMs"])
 
 
 def _decode_listing(body: Json) -> Listing:
     return Listing(
-        _expect_number(body["ClockMs"]),
+        expect_number(body["ClockMs"]),
         tuple(_decode_listed_run(row) for row in body.get("Running", ())),
         tuple(_decode_end(row) for row in body.get("Finished", ())),
     )
@@ -262,68 +275,69 @@
     usage = row[4] if len(row) > 4 else 0
     return ListedRun(
         decode_task(task),
-        _expect_number(number),
-        _expect_text(checkpoint),
-        _expect_number(percent),
-        _expect_number(usage),
+        expect_number(number),
+        expect_text(checkpoint),
+        expect_number(percent),
+        expect_number(usage),
     )
 
 
 def _decode_end(row: t.Sequence[t.Any]) -> RunEnd:
     sequence, task, number, kind, checkpoint = row[:5]
     return RunEnd(
-        _expect_number(sequence),
+        expect_number(sequence),
         decode_task(task),
-        _expect_number(number),
+        expect_number(number),
         EndKind(kind),
-        _expect_text(checkpoint),
+        expect_text(checkpoint),
     )
 
 
 def decode_instance(key: str, value: str) -> RegisteredInstance | None:
     """Return a registered instance.
 
-    Returns ``None`` if the registration is malformed, or if its state is neither
-    ready nor draining.
+    Returns ``None`` if the registration is malformed, if its ID or address can't be
+    used in calls, or if its state is neither ready nor draining.
     """
     try:
         body = json.loads(value)
         is_draining = {"ready": False, "draining": True}[body["State"]]
         capacity = body["Capacity"]
         return RegisteredInstance(
-            key.removeprefix(INSTANCES_PREFIX),
-            _decode_incarnation(body),
-            _expect_text(body["Address"]),
-            _expect_text(body["Service"]),
-            _expect_text(body["Zone"]),
+            _expect_instance_id(key.removeprefix(INSTANCES_PREFIX)),
+            _decode_registered_incarnation(body),
+            _expect_address(body["Address"]),
+            expect_text(body["Service"]),
+            expect_text(body["Zone"]),
             Demand(
-                _expect_quantity(capacity["Cpu"], 1),
-                _expect_quantity(capacity["MemMb"]),
-                _expect_quantity(capacity["Gpu"]),
+                expect_quantity(capacity["Cpu"], 1),
+                expect_quantity(capacity["MemMb"]),
+                expect_quantity(capacity["Gpu"]),
             ),
-            tuple(_expect_text(label) for label in body["Labels"]),
+            tuple(expect_text(label) for label in expect_list(body["Labels"])),
             is_draining,
             # Minimum time in ms that a draining instance has left; absent otherwise.
-            _expect_quantity(body.get("RemainingMs", 0)),
+            expect_quantity(body.get("RemainingMs", 0)),
         )
     except DECODE_ERRORS:
         return None
 
 
-def _expect_text(value: t.Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError("expected a string")
-    return value
+def _decode_registered_incarnation(body: Json) -> str:
+    if "born" not in body:
+        return ""
+    # Answers are compared with its text, so a number written otherwise never matches.
+    if not isinstance(body["born"], int):
+        raise TypeError("expected a whole number")
+    return str(expect_quantity(body["born"]))
 
 
-def _expect_quantity(value: t.Any, least: int = 0) -> int:
-    number = _expect_number(value)
-    if not least <= number <= MAX_QUANTITY:
-        raise ValueError(f"expected {least} to {MAX_QUANTITY}, got {number}")
-    return number
+def _expect_instance_id(value: str) -> str:
+    if not _INSTANCE_ID.fullmatch(value):
+        raise ValueError("expected an ID of printable ASCII characters")
+    return value
 
 
-def _expect_number(value: t.Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError("expected a number")
-    return int(value)
+def _expect_address(value: t.Any) -> str:
+    read_address(expect_text(value))
+    return value
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -29,7 +29,7 @@
     Schedule,
 )
 from ..exceptions import RequestError, StoreError
-from ..job import JobConfig, JobEnding, JobPhase, JobProgress, JobRecord, find_excess
+from ..job import JobConfig, JobEnding, JobPhase, JobProgress, JobRecord, find_fault
 from ..job_metric import JobMetrics
 from ..log import Event, log_event
 from ..mailbox import Mailbox, process_messages, spawn
@@ -88,6 +88,8 @@
 MIN_WATCH_INTERVAL = dt.timedelta(milliseconds=300)
 #: Interval at which learned interference is stored for the next scheduler.
 LEARNED_WRITE_INTERVAL = dt.timedelta(seconds=5)
+#: Characters of an unreadable key that are logged, as many as the store allows bytes.
+MAX_LOGGED_KEY_CHARS = 200
 #: Maximum number of remembered IDs of jobs that the store does not contain. One that is
 #: forgotten is looked up again for the next listing that names it.
 MAX_ABSENT_JOBS = 10_000
@@ -122,19 +124,27 @@
     """Requests a check of timeouts; sent every ``TICK_INTERVAL``."""
 
 
+@frozen
+class FleetLoaded:
+    """The fleet record has been read from the store.
+
+    :param record: Record of an earlier scheduler; ``None`` if none is stored.
+    """
+
+    record: KeyValue | None
+
+
 @frozen
 class StateLoaded:
     """All jobs have been read from the store.
 
     :param took: Time that the reads took.
     :param learned: Learned interference; ``None`` if none is stored.
-    :param fleet: Fleet record of an earlier scheduler; ``None`` if none is stored.
     """
 
     jobs: Snapshot
     progress: Snapshot
     learned: KeyValue | None
-    fleet: KeyValue | None
     took: dt.timedelta
 
 
@@ -181,7 +191,11 @@
     _sweeper: SweeperTask = field(init=False)
     _fleet: FleetTask = field(init=False)
     _lookup: JobLookupTask = field(init=False)
+    # By instance ID, those of upstreams that are not configured.
+    _ignored_registrations: dict[str, KeyValue] = field(factory=dict)
+    _fleet_read_revision: int = 0
     _requested_fleet: Fleet | None = None
+    _is_fleet_write_pending: bool = False
     _deferreds: list[t.Any] = field(factory=list)
     _is_loaded: bool = False
     _pending: PendingListings = field(factory=PendingListings)
@@ -194,6 +208,8 @@
     _next_round_at: dt.datetime = field(init=False)
     _counters: SchedulerCounters = field(factory=SchedulerCounters)
     _write_requested_s: float = 0.0
+    #: Registrations that were unreadable when they were last read.
+    _unreadable_keys: set[str] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         self._next_round_at = self.clock.now()
@@ -287,7 +303,7 @@
                 self._record_store_failure("keep", exc)
 
     async def _load_state(self) -> None:
-        """Read all jobs once the instances have accepted the fence.
+        """Read the fleet, and all jobs once the instances have accepted the fence.
 
         Every run started by an earlier scheduler then belongs to a job that is read
         here. The wait is limited to ``MAX_FENCING_WAIT``.
@@ -297,6 +313,7 @@
         neither before it has loaded. It would take as long on a slow link, though,
         and leave less of it to the renewals of the leader's lease.
         """
+        self.mailbox.offer(FleetLoaded(await self._read_key(FLEET_KEY, "load")))
         waited = dt.timedelta()
         while not self._has_fenced_all_instances() and waited < MAX_FENCING_WAIT:
             await sleep(self.clock, PLACEMENT_DELAY * 2)
@@ -305,9 +322,8 @@
         jobs = await read_all(store, JOBS_PREFIX, self._pause_load)
         progress = await read_all(store, JOB_PROGRESS_PREFIX, self._pause_load)
         learned = await self._read_key(LEARNED_EFFECTS_KEY, "load")
-        fleet = await self._read_key(FLEET_KEY, "load")
         took = self.clock.now() - started_at
-        self.mailbox.offer(StateLoaded(jobs, progress, learned, fleet, took))
+        self.mailbox.offer(StateLoaded(jobs, progress, learned, took))
         watch = WatchTask(
             self.adapter.store,
             JOBS_PREFIX,
@@ -383,6 +399,8 @@
                     )
             case m.CancelTold(job_id):
                 self._apply_effects(job_lifecycle.cancel_job(self.schedule, job_id))
+            case FleetLoaded(record):
+                self._inherit_fleet(record)
             case StateLoaded():
                 self._handle_loaded_state(msg, now)
             case JobLookedUp():
@@ -392,7 +410,7 @@
             case JobsRecorded():
                 self._handle_recorded(msg)
             case FleetRecorded(fleet):
-                instance_tracking.set_stored_fleet(self.schedule, fleet.instances)
+                self._handle_recorded_fleet(fleet)
             case LeadershipLost(fence):
                 # Requests under an earlier fence were made again under the current one.
                 if fence == self.schedule.fence:
@@ -406,6 +424,7 @@
                 timed(self.steady_s, self._counters.ticks.add, self._handle_tick, now)
             case JobConfig():
                 self.schedule.config = msg
+                self._reconsider_ignored_registrations()
             case StoreContact():
                 return
             case _:
@@ -472,6 +491,9 @@
         if is_snapshot:
             prefix = self.adapter.instances_prefix
             listed_ids = {kv.key.removeprefix(prefix) for kv in msg.kvs}
+            for instance_id in self._ignored_registrations.keys() - listed_ids:
+                del self._ignored_registrations[instance_id]
+            self._unreadable_keys.intersection_update(kv.key for kv in msg.kvs)
             missing = sorted(self.schedule.instances.keys() - listed_ids)
             self._apply_effects(
                 instance_tracking.unregister_instances(self.schedule, missing)
@@ -490,20 +512,56 @@
 
     def _handle_registration(self, kv: KeyValue, is_deleted: bool) -> None:
         instance_id = kv.key.removeprefix(self.adapter.instances_prefix)
+        self._ignored_registrations.pop(instance_id, None)
         if is_deleted:
-            self._apply_effects(
-                instance_tracking.unregister_instances(self.schedule, (instance_id,))
-            )
+            self._unreadable_keys.discard(kv.key)
+            self._unregister_instance(instance_id)
             return
         instance = self.adapter.decode_instance(kv.key, kv.value)
+        self._note_readability(kv.key, instance is not None)
         if instance is None:
-            log_event(Event.REGISTRATION_UNREADABLE, key=kv.key)
-            return
-        if instance.upstream not in self.schedule.config.upstreams:
-            return
+            self._unregister_instance(instance_id)
+        elif instance.upstream in self.schedule.config.upstreams:
+            self._add_instance(instance)
+        else:
+            self._ignored_registrations[instance_id] = kv
+            self._handle_unserved_instance(instance)
+
+    def _handle_unserved_instance(self, instance: RegisteredInstance) -> None:
+        """Use no instance of an upstream that isn't configured; its runs go on."""
+        known = self.schedule.instances.get(instance.instance_id)
+        if known is None:
+            if instance.instance_id in (self.schedule.inherited_fleet or ()):
+                self._list_unregistered(instance)
+        elif known.instance.upstream != instance.upstream:
+            self._unregister_instance(instance.instance_id)
+
+    def _list_unregistered(self, instance: RegisteredInstance) -> None:
+        """List an instance that is not used, and renew the leases of its runs."""
+        instance_tracking.add_unregistered(self.schedule, instance, self.lease)
+        if instance.instance_id not in self.agents:
+            self._start_agent(instance)
+
+    def _note_readability(self, key: str, is_readable: bool) -> None:
+        """Log once that a registration became unreadable, however often it changes."""
+        if is_readable:
+            self._unreadable_keys.discard(key)
+        elif key not in self._unreadable_keys:
+            self._unreadable_keys.add(key)
+            log_event(Event.REGISTRATION_UNREADABLE, key=key[:MAX_LOGGED_KEY_CHARS])
+
+    def _unregister_instance(self, instance_id: str) -> None:
+        self._apply_effects(
+            instance_tracking.unregister_instances(self.schedule, (instance_id,))
+        )
+
+    def _add_instance(self, instance: RegisteredInstance) -> None:
+        instance_id = instance.instance_id
         known = self.schedule.instances.get(instance_id)
+        if known is not None and instance_tracking.is_outdated(known, instance):
+            return
         if known is not None and instance_tracking.has_restarted(known, instance):
-            self._handle_restart(instance_id)
+            self._handle_restart(instance_id, instance.incarnation)
         effects = instance_tracking.add_instance(
             self.schedule, instance, self.lease, self.clock.now()
         )
@@ -511,6 +569,10 @@
             self._start_agent(instance)
         self._apply_effects(effects)
 
+    def _reconsider_ignored_registrations(self) -> None:
+        for kv in list(self._ignored_registrations.values()):
+            self._handle_registration(kv, False)
+
     def _start_agent(self, instance: RegisteredInstance) -> None:
         agent = AgentTask(
             self.adapter.make_client(instance),
@@ -523,6 +585,16 @@
         self.agents[instance.instance_id] = agent
         agent.start()
 
+    def _inherit_fleet(self, record: KeyValue | None) -> None:
+        self._fleet_read_revision = record.mod_revision if record else 0
+        fleet = _decode_record(record, Fleet) if record else Fleet(())
+        if fleet is None:
+            return
+        instance_tracking.set_inherited_fleet(self.schedule, fleet.instances)
+        for instance in fleet.unregistered:
+            self._list_unregistered(instance)
+        self._reconsider_ignored_registrations()
+
     def _handle_loaded_state(self, msg: StateLoaded, now: dt.datetime) -> None:
         progress = {
             kv.key.removeprefix(JOB_PROGRESS_PREFIX): kv for kv in msg.progress.kvs
@@ -539,9 +611,6 @@
         )
         if learned is not None:
             interference.import_effects(self.schedule.interference, learned)
-        fleet = _decode_record(msg.fleet, Fleet) if msg.fleet else None
-        if fleet is not None:
-            instance_tracking.set_inherited_fleet(self.schedule, fleet.instances)
         self._is_loaded = True
         log_event(
             Event.SCHEDULE_LOADED,
@@ -550,6 +619,9 @@
             since_election_ms=self.schedule.ms_since_election(now),
             **_describe_load(msg),
         )
+        self._apply_effects(
+            instance_tracking.describe_incomplete_fleet(self.schedule, now)
+        )
         for instance_id in tuple(self._pending.by_instance):
             self._check_listing(instance_id, now)
 
@@ -592,8 +664,11 @@
             case agent_messages.FenceRefused(_, fence):
                 log_event(Event.SCHEDULER_FENCED, instance=instance_id, fence=fence)
                 self._notify_fence_refused(fence // INCARNATIONS_PER_TERM)
-            case agent_messages.InstanceRestarted():
-                self._handle_restart(instance_id)
+            case agent_messages.InstanceRestarted(_, incarnation):
+                self._handle_restart(instance_id, incarnation)
+                if incarnation:
+                    instance_tracking.replace_incarnation(state, incarnation)
+                    self._start_agent(state.instance)
             case agent_messages.StartAnswered(_, task, number, refusal):
                 window = self.schedule.start_window
                 start_window.note_answer(window, (task, number), now)
@@ -619,13 +694,25 @@
         # refusal, and a running coroutine can't be cancelled.
         self.clock.call_later(dt.timedelta(), lambda: self.on_fence_refused(fence))
 
-    def _handle_restart(self, instance_id: str) -> None:
-        """Reset an instance; its next registration starts a new agent."""
+    def _handle_restart(self, instance_id: str, incarnation: str) -> None:
+        """Reset an instance, whose next incarnation needs an agent of its own.
+
+        :param incarnation: The next one; empty if another instance has the address.
+        """
+        state, now = self.schedule.instances[instance_id], self.clock.now()
+        earlier = state.instance.incarnation
         instance_tracking.reset_after_restart(
-            self.schedule.instances[instance_id], self.lease, self.clock.now()
+            state, self.lease, now, is_replaced=not incarnation
         )
         self._remove_agent(instance_id)
-        log_event(Event.INSTANCE_REBORN, instance=instance_id)
+        log_event(
+            Event.INSTANCE_REBORN,
+            instance=instance_id,
+            earlier=earlier,
+            incarnation=incarnation,
+            runs=len(state.runs),
+            leases_ms=int((state.leases_end_at - now).total_seconds() * 1000),
+        )
 
     def _remove_agent(self, instance_id: str) -> None:
         agent = self.agents.pop(instance_id, None)
@@ -670,14 +757,13 @@
         self._job_ids_in_lookup.discard(msg.job_id)
         if msg.record is not None:
             self._restore_job(msg.record, msg.progress, now)
-        else:
+        # A record that can't be read counts as absent, so that the listing is applied.
+        is_absent = not self._is_known(msg.job_id)
+        if is_absent:
             self._remember_absent_job(msg.job_id)
-        is_absent = msg.record is None
-        if is_absent or self._is_known(msg.job_id):
-            for instance_id in resolve_job(
-                self._pending, msg.job_id, is_absent=is_absent
-            ):
-                self._apply_listing(instance_id, now)
+        ready = resolve_job(self._pending, msg.job_id, is_absent=is_absent)
+        for instance_id in ready:
+            self._apply_listing(instance_id, now)
 
     def _remember_absent_job(self, job_id: str) -> None:
         while len(self._absent_job_ids) >= MAX_ABSENT_JOBS:
@@ -691,7 +777,9 @@
 
     def _handle_tick(self, now: dt.datetime) -> None:
         start_window.adjust(self.schedule.start_window, now)
-        self._apply_effects(instance_tracking.update_instances(self.schedule, now))
+        self._apply_effects(
+            instance_tracking.update_instances(self.schedule, self.lease, now)
+        )
         if self.may_act():
             effects = timed(
                 self.steady_s,
@@ -711,13 +799,32 @@
         self._flush(now)
 
     def _request_fleet_write(self) -> None:
-        """Request a write of the fleet record if the fleet has changed."""
-        if not self._is_loaded:
+        """Request a write of the fleet record if the fleet has changed.
+
+        One write is under way at a time, and until it is made an instance that it
+        leaves out is not used: the record may already lack it.
+        """
+        if not self._is_loaded or self._is_fleet_write_pending:
+            return
+        fleet = Fleet(
+            tuple(sorted(instance_tracking.fleet_to_store(self.schedule))),
+            tuple(instance_tracking.find_unregistered(self.schedule)),
+        )
+        if fleet == self._requested_fleet:
             return
-        fleet = Fleet(tuple(sorted(instance_tracking.fleet_to_store(self.schedule))))
-        if fleet != self._requested_fleet:
-            self._requested_fleet = fleet
-            self._fleet.mailbox.offer(RecordFleet(self.schedule.fence, fleet))
+        self._requested_fleet, self._is_fleet_write_pending = fleet, True
+        instance_tracking.set_stored_fleet(
+            self.schedule, self.schedule.stored_fleet.intersection(fleet.instances)
+        )
+        self._fleet.mailbox.offer(
+            RecordFleet(self.schedule.fence, fleet, self._fleet_read_revision)
+        )
+
+    def _handle_recorded_fleet(self, fleet: Fleet) -> None:
+        # A write under an earlier fence may be answered late.
+        if fleet == self._requested_fleet:
+            self._is_fleet_write_pending = False
+            instance_tracking.set_stored_fleet(self.schedule, fleet.instances)
 
     def _request_placement(self) -> None:
         if self._placement_call is None or not self._placement_call.active():
@@ -838,7 +945,7 @@
             job.job_id for job in self.schedule.jobs.values() if not job.is_end_stored
         )
         self._is_writing = False
-        self._requested_fleet = None
+        self._requested_fleet, self._is_fleet_write_pending = None, False
 
 
 def _describe_load(msg: StateLoaded) -> dict[str, int]:
@@ -866,16 +973,17 @@
 def _decode_record(kv: KeyValue, cls: type) -> t.Any:
     """Decode a stored value; ``None`` if it can't be read.
 
-    A job that exceeds the limits counts as unreadable: its entry should have refused
-    it.
+    A job with a fault counts as unreadable: its entry should have refused it.
     """
+    record, fault = None, ""
     try:
         record = from_json(kv.value, cls)
     except RequestError as exc:
-        log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=exc.message)
-        return None
-    excess = find_excess(record.spec) if isinstance(record, JobRecord) else ""
-    if excess:
-        log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=excess)
+        fault = exc.message
+    if isinstance(record, JobRecord):
+        fault = find_fault(record, kv.key.removeprefix(JOBS_PREFIX))
+    if fault:
+        key = kv.key[:MAX_LOGGED_KEY_CHARS]
+        log_event(Event.RECORD_UNREADABLE, key=key, reason=fault)
         return None
     return record
