Take the time of authority in tests from the code

Two tests of the leadership task held the former 3 s: the age at which authority ends, and a confirmation 2.5 s after its announcement. They use the constant now; the relations that they check are the same.

--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -8,12 +8,15 @@
 from twisted.internet.task import Clock
 
 from fighead.clock import ReactorClock
+from fighead.decisions.instance_tracking import AUTHORITY_TIMEOUT
 from fighead.mailbox import spawn
 from fighead.model import Member
 from fighead.store import JOB_LEADER_KEY, JOB_TERM_KEY
 from fighead.tasks.leadership import LeadershipConfirmed, LeadershipTask, Resign
 from memory_store import MemoryStore
 
+AUTHORITY_S = AUTHORITY_TIMEOUT.total_seconds()
+
 
 class Entry:
     def __init__(self, name, store, clock):
@@ -139,7 +142,7 @@
     names = [line["event_name"] for line in lines]
     assert names == ["authority_ended", "authority_regained"]
     assert [line["confirmed_by"] for line in lines] == ["store", "election"]
-    assert lines[0]["age_ms"] >= 3000 > lines[1]["age_ms"]
+    assert lines[0]["age_ms"] >= AUTHORITY_S * 1000 > lines[1]["age_ms"]
 
 
 def test_a_deposition_tells_what_last_confirmed_the_leader(reactor, clock, store):
@@ -174,7 +177,7 @@
 ):
     task = start_leader_without_store(reactor, clock, store)
     announced_at = clock.now()
-    advance(reactor, 2.5)
+    advance(reactor, AUTHORITY_S - 0.5)
     confirm(task, task.view.leader.fence, announced_at)
     assert task.confirmation.at == announced_at and task.may_act()
     advance(reactor, 0.6)
