--- a/review/support/link.py
+++ b/review/support/link.py
@@ -12,6 +12,9 @@
     [str, str, dict[str, str], t.Any], t.Awaitable[tuple[int, t.Any] | None]
 ]
 
+#: Keeps the tasks that serve connections, also those that wait on a silent channel.
+_serving: set[asyncio.Task | None] = set()
+
 REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone"}
 
 
@@ -97,6 +100,7 @@
     """Serve HTTP/1.1 with persistent connections; return the server and its port."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        _serving.add(asyncio.current_task())
         channel = link.open_channel()
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while await _serve_request(channel, handler, reader, writer):
@@ -176,6 +180,7 @@
         writer.close()
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        _serving.add(asyncio.current_task())
         channel = link.open_channel()
         await channel.wait_for_passage()
         try:
