--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,7 +2,16 @@
 
 import asyncio
 
-from support.fleet import PREFIX, Fleet, job, make_config, make_route, run_case
+from support.checks import find_overlapping_runs
+from support.fleet import (
+    PREFIX,
+    CouldNotRunError,
+    Fleet,
+    job,
+    make_config,
+    make_route,
+    run_case,
+)
 
 JOB_ID = "00000000000000a1"
 TASKS = 6
@@ -17,7 +26,8 @@
     status, _ = await fleet.call(
         "e1", "POST", PREFIX + JOB_ID, job({"ms": 60_000, "cpu": 4000}, TASKS)
     )
-    assert status == 200
+    if status != 200:
+        raise CouldNotRunError(f"the submission was answered {status}")
     await fleet.wait_for(lambda: len(fleet.find("start")) >= TASKS, 10)
     await asyncio.sleep(4)
     leader = fleet.leader()
@@ -36,26 +46,5 @@
     return find_overlapping_runs(fleet)
 
 
-def find_overlapping_runs(fleet: Fleet) -> list[str]:
-    """Return the pairs of runs of one task that were at work at the same time."""
-    spans: dict[str, list[tuple[float, float, str, int]]] = {}
-    for start in fleet.find("start"):
-        ends = fleet.find(
-            "end", worker=start["worker"], task=start["task"], run=start["run"]
-        )
-        end = ends[0]["at"] if ends else fleet.now()
-        spans.setdefault(start["task"], []).append(
-            (start["at"], end, start["worker"], start["run"])
-        )
-    return [
-        f"TWICE: task {task}: run {one[3]} on {one[2]} from {one[0]} to {one[1]}, "
-        f"run {other[3]} on {other[2]} from {other[0]} to {other[1]}"
-        for task, runs in sorted(spans.items())
-        for n, one in enumerate(sorted(runs))
-        for other in sorted(runs)[n + 1 :]
-        if other[0] < one[1]
-    ]
-
-
 if __name__ == "__main__":
     run_case(__file__, entries=3, workers=2, play=play)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,49 +1,73 @@
-"""Open channels to the store go silent; a worker that drains goes on to get starts."""
+"""An entry restarts while the leader stands still, and takes answers to its past."""
 
 import asyncio
 
-from support.fleet import PREFIX, Fleet, job, make_config, make_route, run_case
+from support.fleet import (
+    PREFIX,
+    CouldNotRunError,
+    Fleet,
+    job,
+    make_config,
+    make_route,
+    run_case,
+)
 
-#: Bounds of the deployment, in seconds.
-STABILITY_S = 3.0
-DRAIN_S = 2.0
+DONE_ID = "00000000000000f1"
+RUNNING_ID = "00000000000000f2"
+#: Requests for a state, sent side by side.
+REQUESTS = 10
+#: Longest freeze of the leader, as in the site file, in seconds.
+MAX_FREEZE_S = 4.0
+#: How long the leader stands still after the last requests were sent, in seconds.
+THAW_AFTER_S = 0.2
 
 
 async def play(fleet: Fleet, with_disruption: bool) -> list[str]:
-    """Silence the channels, let a worker drain under a steady load, see its starts."""
+    """Ask an entry for one job, restart it, and ask it for another one."""
     await fleet.start(make_config(1, make_route("plans", PREFIX)))
     await asyncio.sleep(3)
-    load = asyncio.create_task(submit_steadily(fleet))
-    await asyncio.sleep(4)
+    leader = fleet.leader()
+    entry, other = (name for name in fleet.entries if name != leader)
+    await fleet.call(other, "POST", PREFIX + DONE_ID, job({"ms": 200, "cpu": 4000}))
+    running = job({"ms": 40_000, "cpu": 4000})
+    await fleet.call(other, "POST", PREFIX + RUNNING_ID, running)
+    await fleet.wait_for(lambda: fleet.find("end", how="done"), 10)
+    await fleet.wait_for(lambda: fleet.find("acked", how="done"), 10)
+    await asyncio.sleep(1)
     if with_disruption:
-        for entry in fleet.entries:
-            fleet.link(entry, "store").silence_open_channels()
-        fleet.record("open channels to the store are silent")
-    silent_at = fleet.now()
-    await asyncio.sleep(0.5)
-    draining_at = await fleet.drain_worker("w1")
-    await asyncio.sleep(8)
-    load.cancel()
-    late_after = max(draining_at + DRAIN_S, silent_at + STABILITY_S)
-    return [
-        f"DRAIN: {row['task']} started on w1 at {row['at']}, "
-        f"{row['at'] - draining_at:.3f} s after the store accepted that it drains and "
-        f"{row['at'] - silent_at:.3f} s after the channels went silent"
-        for row in fleet.find("start", worker="w1")
-        if row["at"] > late_after
+        renewals = fleet.renewals[leader]
+        await fleet.wait_for(lambda: fleet.renewals[leader] > renewals, 5)
+        fleet.freeze_entry(leader)
+    frozen_at = fleet.now()
+    earlier = [
+        asyncio.create_task(fleet.call(entry, "GET", PREFIX + DONE_ID))
+        for _ in range(REQUESTS)
     ]
-
-
-async def submit_steadily(fleet: Fleet) -> None:
-    """Submit a short job every 150 ms, in turn at all entries."""
-    calls = []
-    for number in range(1000):
-        entry = fleet.entries[number % len(fleet.entries)]
-        body = job({"ms": 500, "cpu": 4000}, 4)
-        path = f"{PREFIX}{0xD000 + number:016x}"
-        calls.append(asyncio.create_task(fleet.call(entry, "POST", path, body)))
-        await asyncio.sleep(0.15)
+    await asyncio.sleep(0.1)
+    fleet.kill_entry(entry)
+    fleet.start_entry(entry)
+    await fleet.wait_until_ready(entry)
+    fleet.record("ready again", entry=entry)
+    later = [
+        asyncio.create_task(fleet.call(entry, "GET", PREFIX + RUNNING_ID))
+        for _ in range(REQUESTS)
+    ]
+    await asyncio.sleep(THAW_AFTER_S)
+    if with_disruption:
+        fleet.thaw_entry(leader)
+        if fleet.now() - frozen_at > MAX_FREEZE_S:
+            raise CouldNotRunError(f"{entry} took too long to start")
+    answers = await asyncio.gather(*later)
+    await asyncio.gather(*earlier)
+    shown = [answer.get("State") for _, answer in answers]
+    wrong = [state for state in shown if state == "completed"]
+    if wrong and not fleet.find("end", task=f"{RUNNING_ID}.0.0.0"):
+        return [
+            f"MIXED: {len(wrong)} of {len(shown)} answers show {RUNNING_ID} as "
+            "completed; its task is still running"
+        ]
+    return []
 
 
 if __name__ == "__main__":
-    run_case(__file__, entries=3, workers=4, play=play)
+    run_case(__file__, entries=3, workers=2, play=play)
--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -31,6 +31,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "mill.example"
 PREFIX = "/plans/"
+#: Longest time that a case may take, in seconds.
+MAX_CASE_S = 110
 #: Bounds of a small deployment, as the pages show them.
 SETTINGS = """
 Node = "{name}"
@@ -80,7 +82,7 @@
 ValueBytes = 1048576
 TtlMinMs = 1000
 """
-_ADDRESS = re.compile(r"127\.0\.0\.\d+:\d+")
+_ADDRESS = re.compile(r"127\.\d+\.\d+\.\d+:\d+")
 
 
 def make_route(name: str, prefix: str, **fields: t.Any) -> dict[str, t.Any]:
@@ -174,7 +176,10 @@
 
     def ip(self, entry: str) -> str:
         """Return the address of an entry's machine."""
-        return f"127.0.0.{10 + int(entry[1:])}"
+        # The port of metrics is fixed, so cases that run side by side need addresses of
+        # their own.
+        pid = os.getpid()
+        return f"127.{20 + pid % 200}.{pid // 200 % 200}.{int(entry[1:])}"
 
     async def start(self, config: dict[str, t.Any]) -> None:
         """Start everything, and wait until all entries are ready."""
@@ -460,17 +465,22 @@
 
     async def run() -> int:
         fleet = Fleet(pathlib.Path(file).resolve().parent, entries, workers)
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, lambda: task and task.cancel())
         try:
-            breaches = await play(fleet, with_disruption)
+            async with asyncio.timeout(MAX_CASE_S):
+                breaches = await play(fleet, with_disruption)
+        except (Exception, asyncio.CancelledError) as exc:
+            fleet.record("could not run", why=repr(exc))
+            print("could not run:", repr(exc))
+            return 2
+        else:
             for breach in breaches:
                 fleet.record("rule broken", what=breach)
                 print("rule broken:", breach)
             fleet.record("verdict", is_broken=bool(breaches), trouble=with_disruption)
             return 1 if breaches else 0
-        except CouldNotRunError as exc:
-            fleet.record("could not run", why=str(exc))
-            print("could not run:", exc)
-            return 2
         finally:
             await fleet.stop()
 
--- a/review/support/link.py
+++ b/review/support/link.py
@@ -131,8 +131,13 @@
     query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
     body = json.loads(content) if content else {}
     body["_target"] = headers.get("fighead-target-instance", "")
-    answer = await _call(channel.link, handler(method, url.path, query, body))
+    try:
+        answer = await _call(channel.link, handler(method, url.path, query, body))
+    except ConnectionResetError:
+        return False
     if answer is None:
+        # The call gets no answer, and the channel returns nothing further.
+        await asyncio.Event().wait()
         return False
     await channel.wait_for_passage()
     data = json.dumps(answer[1]).encode()
@@ -149,7 +154,10 @@
 async def _call(
     link: Link, call: t.Coroutine[t.Any, t.Any, tuple[int, t.Any] | None]
 ) -> tuple[int, t.Any] | None:
-    """Return the answer of a handler; ``None`` if the channel is to be closed."""
+    """Return the answer of a handler.
+
+    :raises ConnectionResetError: If the client is turned away meanwhile.
+    """
     if link.is_refused:
         call.close()
         return 503, {}
@@ -160,7 +168,7 @@
     if answer.done():
         return answer.result()
     answer.cancel()
-    return None
+    raise ConnectionResetError
 
 
 async def forward_tcp(
--- a/review/support/worker.py
+++ b/review/support/worker.py
@@ -22,6 +22,8 @@
 STOP_S = 0.15
 STARTUP_S = 0.3
 TICK_S = 0.01
+#: How long a worker has been up when a case begins.
+UPTIME_S = 480
 
 Answer = tuple[int, t.Any]
 Record = t.Callable[..., None]
@@ -56,7 +58,9 @@
         self.born = int(time.time() * 1000)
         self.runs: dict[tuple[str, int], Run] = {}
         self._record = record
-        self._started_at = time.monotonic()
+        self._started_at = time.monotonic() - UPTIME_S
+        self._tasks: list[asyncio.Task] = []
+        self.late_start_s: float | None = None
         self._fence = 0
         self._lease_until_ms = 0
         self._ends: list[list[t.Any]] = []
@@ -65,6 +69,16 @@
         self._highest_ended: dict[str, int] = {}
         self._attempts = attempts
 
+    def restart(self) -> None:
+        """Crash, and start again under the same id; nothing of before is known."""
+        for task, number in self.runs:
+            self._record("end", worker=self.name, task=task, run=number, how="crash")
+        self.born = int(time.time() * 1000)
+        self._started_at = time.monotonic()
+        self._fence = self._lease_until_ms = self._sequence = self._entry_count = 0
+        self.runs, self._ends, self._highest_ended = {}, [], {}
+        self._record("restarted", worker=self.name, born=self.born)
+
     def clock_ms(self) -> int:
         """Return the time on the worker's clock."""
         return int((time.monotonic() - self._started_at) * 1000)
@@ -135,14 +149,37 @@
 
     async def handle(
         self, method: str, path: str, query: dict[str, str], body: t.Any
-    ) -> Answer:
-        """Carry out one call."""
+    ) -> Answer | None:
+        """Carry out one call, or leave it unanswered."""
         if body["_target"] not in ("", self.name):
             return 421, self._answer()
         call = path.removeprefix("/fighead/")
         if call == "run-start" and self.is_refusing:
             self._record("refused", worker=self.name, task=body["Task"])
             return 503, self._answer()
+        if call == "run-start" and self.late_start_s is not None:
+            self._carry_out_late(body, self.late_start_s)
+            return None
+        return await self._carry_out(call, body)
+
+    def _carry_out_late(self, body: t.Any, delay_s: float) -> None:
+        """Leave a start unanswered, and carry it out after a delay."""
+
+        async def carry_out() -> None:
+            await asyncio.sleep(delay_s)
+            status, answer = await self._carry_out("run-start", body)
+            self._record(
+                "late start carried out",
+                worker=self.name,
+                task=body["Task"],
+                status=status,
+                answer=answer,
+            )
+
+        self._record("start left unanswered", worker=self.name, task=body["Task"])
+        self._tasks.append(asyncio.create_task(carry_out()))
+
+    async def _carry_out(self, call: str, body: t.Any) -> Answer:
         if body["Fence"] < self._fence:
             return 409, self._answer(Reason="fence")
         self._fence = body["Fence"]
