--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,9 @@
-"""A leader and its confirming peer are cut off together and go on beside another."""
+"""The leader is killed before the tasks of a wide step end; some run again."""
 
 import asyncio
+import time
 
-from support.checks import find_overlapping_runs
+from support.checks import find_starts_after_done
 from support.fleet import (
     PREFIX,
     CouldNotRunError,
@@ -13,37 +14,35 @@
     run_case,
 )
 
-JOB_ID = "00000000000000a1"
-TASKS = 6
-#: Length of the cut, as long as the longest ``node_cut`` of the site file, in seconds.
-CUT_S = 12.0
+JOB_ID = "0000000000000011"
+#: Tasks of the step: 1,200 for each of two workers, which list 500 ends at a time.
+TASKS = 2400
+RUN_S = 10.0
+#: How long before the end of the tasks the leader is killed, in seconds.
+KILLED_BEFORE_S = 0.3
 
 
 async def play(fleet: Fleet, with_disruption: bool) -> list[str]:
-    """Cut off the leader, a peer and a worker; look for overlapping runs."""
+    """Run a wide step whose tasks end together; kill the leader shortly before."""
     await fleet.start(make_config(1, make_route("plans", PREFIX)))
     await asyncio.sleep(3)
-    status, _ = await fleet.call(
-        "e1", "POST", PREFIX + JOB_ID, job({"ms": 60_000, "cpu": 4000}, TASKS)
-    )
+    entry = next(name for name in fleet.entries if name != fleet.leader())
+    until = time.time() + RUN_S
+    body = job({"ms": int(RUN_S * 1000), "until": until, "cpu": 50}, TASKS)
+    status, _ = await fleet.call(entry, "POST", PREFIX + JOB_ID, body)
     if status != 200:
         raise CouldNotRunError(f"the submission was answered {status}")
-    await fleet.wait_for(lambda: len(fleet.find("start")) >= TASKS, 10)
-    await asyncio.sleep(4)
-    leader = fleet.leader()
-    peer = next(entry for entry in fleet.entries if entry != leader)
-    side = (leader, peer, "w1")
-    fleet.record("leader", entry=leader)
-    parted = []
+    await fleet.wait_for(lambda: len(fleet.find("start")) == TASKS, RUN_S)
+    await asyncio.sleep(until - KILLED_BEFORE_S - time.time())
     if with_disruption:
-        parted = fleet.part(side)
-        fleet.record("cut off", machines=side)
-    await asyncio.sleep(CUT_S)
-    for link in parted:
-        link.heal()
-    fleet.record("cut ended")
-    await asyncio.sleep(3)
-    return find_overlapping_runs(fleet)
+        fleet.kill_entry(fleet.leader())
+    for _ in range(40):
+        await asyncio.sleep(0.5)
+        _, answer = await fleet.call(entry, "GET", PREFIX + JOB_ID)
+        if answer.get("State") == "completed":
+            break
+    await asyncio.sleep(1)
+    return find_starts_after_done(fleet)
 
 
 if __name__ == "__main__":
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A worker restarts behind a cut, and then carries out a start of before."""
+"""A leader and its confirming peer are cut off together and go on beside another."""
 
 import asyncio
 
@@ -13,35 +13,32 @@
     run_case,
 )
 
-JOB_ID = "00000000000000d1"
-#: When the order is carried out, in seconds; 2 to 12 s are named.
-LATE_S = 11.0
+JOB_ID = "00000000000000a1"
+TASKS = 6
 #: Length of the cut, as long as the longest ``node_cut`` of the site file, in seconds.
 CUT_S = 12.0
 
 
 async def play(fleet: Fleet, with_disruption: bool) -> list[str]:
-    """Leave one start unanswered, and cut off and restart its worker."""
+    """Cut off the leader, a peer and a worker; look for overlapping runs."""
     await fleet.start(make_config(1, make_route("plans", PREFIX)))
-    await asyncio.sleep(4)
-    workers = fleet.workers.values()
-    for worker in workers:
-        worker.late_start_s = LATE_S if with_disruption else None
-    body = job({"ms": 20_000, "cpu": 4000})
-    status, _ = await fleet.call("e1", "POST", PREFIX + JOB_ID, body)
+    await asyncio.sleep(3)
+    status, _ = await fleet.call(
+        "e1", "POST", PREFIX + JOB_ID, job({"ms": 60_000, "cpu": 4000}, TASKS)
+    )
     if status != 200:
         raise CouldNotRunError(f"the submission was answered {status}")
+    await fleet.wait_for(lambda: len(fleet.find("start")) >= TASKS, 10)
+    await asyncio.sleep(4)
+    leader = fleet.leader()
+    peer = next(entry for entry in fleet.entries if entry != leader)
+    side = (leader, peer, "w1")
+    fleet.record("leader", entry=leader)
     parted = []
     if with_disruption:
-        await fleet.wait_for(lambda: fleet.find("start left unanswered"), 10)
-        for worker in workers:
-            worker.late_start_s = None
-        name = fleet.find("start left unanswered")[0]["worker"]
-        parted = fleet.part((name,))
-        fleet.record("cut off", worker=name)
-        await asyncio.sleep(0.5)
-        fleet.workers[name].restart()
-    await asyncio.sleep(CUT_S - 0.5)
+        parted = fleet.part(side)
+        fleet.record("cut off", machines=side)
+    await asyncio.sleep(CUT_S)
     for link in parted:
         link.heal()
     fleet.record("cut ended")
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,61 +1,73 @@
-"""One worker refuses starts; jobs that have not begun no longer count as pending."""
+"""An entry restarts while the leader stands still, and takes answers to its past."""
 
 import asyncio
 
-from support.fleet import PREFIX, Fleet, job, make_config, make_route, run_case
+from support.fleet import (
+    PREFIX,
+    CouldNotRunError,
+    Fleet,
+    job,
+    make_config,
+    make_route,
+    run_case,
+)
 
-WORKERS = 7
-JOBS = 10
-#: Length of the fault in seconds, that of the longest ``srv_grey`` of the site file.
-GREY_S = 6.9
-#: ``visible_ms`` and 2 s more.
-OWED_AFTER_S = 5.0
+DONE_ID = "00000000000000f1"
+RUNNING_ID = "00000000000000f2"
+#: Requests for a state, sent side by side.
+REQUESTS = 10
+#: Longest freeze of the leader, as in the site file, in seconds.
+MAX_FREEZE_S = 4.0
+#: How long the leader stands still after the last requests were sent, in seconds.
+THAW_AFTER_S = 0.2
 
 
 async def play(fleet: Fleet, with_disruption: bool) -> list[str]:
-    """Fill all workers but one, let that one refuse, and ask for ``Pending``."""
+    """Ask an entry for one job, restart it, and ask it for another one."""
     await fleet.start(make_config(1, make_route("plans", PREFIX)))
     await asyncio.sleep(3)
-    watch = job(
-        {"lasts": True, "cpu": 60_000}, WORKERS - 1, LongRunning=True, MaxPerServer=1
-    )
-    await fleet.call("e1", "POST", PREFIX + "00000000000000c0", watch)
-    await fleet.wait_for(lambda: len(fleet.find("start")) >= WORKERS - 1, 10)
+    leader = fleet.leader()
+    entry, other = (name for name in fleet.entries if name != leader)
+    await fleet.call(other, "POST", PREFIX + DONE_ID, job({"ms": 200, "cpu": 4000}))
+    running = job({"ms": 40_000, "cpu": 4000})
+    await fleet.call(other, "POST", PREFIX + RUNNING_ID, running)
+    await fleet.wait_for(lambda: fleet.find("end", how="done"), 10)
+    await fleet.wait_for(lambda: fleet.find("acked", how="done"), 10)
     await asyncio.sleep(1)
-    free = next(worker for worker in fleet.workers.values() if not worker.runs)
-    free.is_refusing = with_disruption
-    fleet.record("refuses starts", worker=free.name, is_refusing=with_disruption)
-    ends_at = fleet.now() + GREY_S
-    accepted = {}
-    for number in range(JOBS):
-        name = f"{0xC1 + number:016x}"
-        entry = fleet.entries[number % len(fleet.entries)]
-        status, _ = await fleet.call(
-            entry, "POST", PREFIX + name, job({"ms": 8000, "cpu": 5000})
-        )
-        if status == 200:
-            accepted[name] = fleet.now()
-    breaches = []
-    while fleet.now() < ends_at - 0.5:
-        for entry in fleet.entries:
-            sent_at = fleet.now()
-            status, answer = await fleet.call(entry, "GET", PREFIX)
-            begun = {row["task"].partition(".")[0] for row in fleet.find("start")}
-            owed = [
-                name
-                for name, at in accepted.items()
-                if sent_at - at > OWED_AFTER_S and name not in begun
-            ]
-            if status == 200 and answer["Pending"] * 2 < len(owed):
-                breaches.append(
-                    f"MIXED: at {sent_at} {entry} gives Pending {answer['Pending']}; "
-                    f"{len(owed)} submissions accepted over 5 s before have not begun"
-                )
-        await asyncio.sleep(0.4)
-    free.is_refusing = False
-    await asyncio.sleep(1)
-    return breaches
+    if with_disruption:
+        renewals = fleet.renewals[leader]
+        await fleet.wait_for(lambda: fleet.renewals[leader] > renewals, 5)
+        fleet.freeze_entry(leader)
+    frozen_at = fleet.now()
+    earlier = [
+        asyncio.create_task(fleet.call(entry, "GET", PREFIX + DONE_ID))
+        for _ in range(REQUESTS)
+    ]
+    await asyncio.sleep(0.1)
+    fleet.kill_entry(entry)
+    fleet.start_entry(entry)
+    await fleet.wait_until_ready(entry)
+    fleet.record("ready again", entry=entry)
+    later = [
+        asyncio.create_task(fleet.call(entry, "GET", PREFIX + RUNNING_ID))
+        for _ in range(REQUESTS)
+    ]
+    await asyncio.sleep(THAW_AFTER_S)
+    if with_disruption:
+        fleet.thaw_entry(leader)
+        if fleet.now() - frozen_at > MAX_FREEZE_S:
+            raise CouldNotRunError(f"{entry} took too long to start")
+    answers = await asyncio.gather(*later)
+    await asyncio.gather(*earlier)
+    shown = [answer.get("State") for _, answer in answers]
+    wrong = [state for state in shown if state == "completed"]
+    if wrong and not fleet.find("end", task=f"{RUNNING_ID}.0.0.0"):
+        return [
+            f"MIXED: {len(wrong)} of {len(shown)} answers show {RUNNING_ID} as "
+            "completed; its task is still running"
+        ]
+    return []
 
 
 if __name__ == "__main__":
-    run_case(__file__, entries=3, workers=WORKERS, play=play)
+    run_case(__file__, entries=3, workers=2, play=play)
--- a/review/support/checks.py
+++ b/review/support/checks.py
@@ -20,3 +20,25 @@
         for other in sorted(runs)[n + 1 :]
         if other[0] < one[1]
     ]
+
+
+def find_starts_after_done(fleet: Fleet) -> list[str]:
+    """Return the starts of tasks after a run of theirs had ended ``done``.
+
+    Only ends that are taken note of count: those acknowledged to the worker, unless its
+    lease lapsed between the end and its acknowledgement.
+    """
+    noted = {
+        (row["worker"], row["task"], row["run"])
+        for row in fleet.find("acked", how="done", has_lapsed=False)
+    }
+    done_at: dict[str, float] = {}
+    for row in fleet.find("end", how="done"):
+        if (row["worker"], row["task"], row["run"]) in noted:
+            done_at.setdefault(row["task"], row["at"])
+    return [
+        f"TWICE: task {row['task']} ended done at {done_at[row['task']]}; run "
+        f"{row['run']} of it started on {row['worker']} at {row['at']}"
+        for row in fleet.find("start")
+        if row["at"] > done_at.get(row["task"], row["at"])
+    ]
--- a/review/support/worker.py
+++ b/review/support/worker.py
@@ -1,9 +1,10 @@
 """Stand-in for a worker, as the page on running tasks has it.
 
 The ``Spec`` of a job is a JSON object that tells the stand-in what its tasks do:
-``ms`` is their run time, ``lasts`` makes them run until they are stopped, ``cpu`` is
-what they need, and ``fails`` names the numbers of the starts, counted from 1 for each
-task on all workers, that end as failed.
+``ms`` is their run time, ``until`` the Unix time in seconds at which all of them end,
+``lasts`` makes them run until they are stopped, ``cpu`` is what they need, and
+``fails`` names the numbers of the starts, counted from 1 for each task on all workers,
+that end as failed.
 """
 
 import asyncio
@@ -35,14 +36,17 @@
     def __init__(self, spec: dict[str, t.Any], attempt: int) -> None:
         self.spec = spec
         self.started_at = time.monotonic()
+        if "until" in spec:
+            self._takes_s = max(0.1, spec["until"] - time.time())
+        else:
+            self._takes_s = STARTUP_S if spec.get("lasts") else spec["ms"] / 1000
         self.stops_at: float | None = None
         self.fails = attempt in spec.get("fails", ())
 
     @property
     def percent(self) -> int:
         """Completed share of the work."""
-        total_s = STARTUP_S if self.spec.get("lasts") else self.spec["ms"] / 1000
-        return min(100, int(100 * (time.monotonic() - self.started_at) / total_s))
+        return min(100, int(100 * (time.monotonic() - self.started_at) / self._takes_s))
 
 
 class Worker:
@@ -63,6 +67,8 @@
         self.late_start_s: float | None = None
         self._fence = 0
         self._lease_until_ms = 0
+        self._lapsed_at = 0.0
+        self._ended_at: dict[int, float] = {}
         self._ends: list[list[t.Any]] = []
         self._sequence = 0
         self._entry_count = 0
@@ -131,6 +137,8 @@
     def _end_due_runs(self) -> None:
         now = time.monotonic()
         has_lapsed = self.clock_ms() >= self._lease_until_ms
+        if has_lapsed:
+            self._lapsed_at = now
         for identity, run in list(self.runs.items()):
             if has_lapsed:
                 self._end(identity, "lapsed")
@@ -145,6 +153,7 @@
         self._highest_ended[task] = max(number, self._highest_ended.get(task, 0))
         self._sequence += 1
         self._ends.append([self._sequence, task, number, how, ""])
+        self._ended_at[self._sequence] = time.monotonic()
         self._record("end", worker=self.name, task=task, run=number, how=how)
 
     async def handle(
@@ -231,7 +240,14 @@
         acked = body["Acked"]
         for sequence, task, number, how, _ in self._ends:
             if sequence <= acked:
-                self._record("acked", worker=self.name, task=task, run=number, how=how)
+                self._record(
+                    "acked",
+                    worker=self.name,
+                    task=task,
+                    run=number,
+                    how=how,
+                    has_lapsed=self._lapsed_at >= self._ended_at[sequence],
+                )
         self._ends = [row for row in self._ends if row[0] > acked]
         deadline = time.monotonic() + body.get("WaitMs", 0) / 1000
         while time.monotonic() < deadline and not self._ends:
