Keep the settings of a job's queue with the job

Cause: the leader looked the queue up once, in its own configuration, and kept defaults for life if it lacked it: one attempt, priority 0. The record of a job named its queue and nothing else.

Fix: the record holds the queue as its entry had it, with the version of that configuration, and the later of the two counts. A configuration updates jobs that are scheduled already. Records of earlier versions whose queue is unknown cannot exhaust their attempts. This works because no entry accepts a job without a queue, so that the record always has settings to go by, whatever the leader knows or is elected with.

The log line of a job that is taken cuts the queue's name at 200 characters; with the new fields an odd name would have been too long. Odd settings in a record count as a fault of it (test_odd_records.py).

--- a/src/fighead/commands/job.py
+++ b/src/fighead/commands/job.py
@@ -122,7 +122,10 @@
     deadline: dt.datetime,
 ) -> Accepted | NotAccepted | Uncertain:
     accepted_ms = int(context.clock.wall_now().timestamp() * 1000)
-    record = JobRecord(job_id, queue.name, queue.upstream, spec, accepted_ms)
+    version = context.config.version if context.config is not None else 0
+    record = JobRecord(
+        job_id, queue.name, queue.upstream, spec, accepted_ms, queue, version
+    )
     txn = Txn(
         (Compare(JOBS_PREFIX + job_id, 0), Compare(JOB_ENDINGS_PREFIX + job_id, 0)),
         (Put(JOBS_PREFIX + job_id, to_json(record)),),
--- a/src/fighead/decisions/job_lifecycle.py
+++ b/src/fighead/decisions/job_lifecycle.py
@@ -1,8 +1,18 @@
 """Adds, restores, cancels, ends and removes jobs of the schedule."""
 
 import datetime as dt
-
-from ..job import JobPhase, JobProgress, JobRecord, Queue, StageProgress, TaskKey
+import sys
+import typing as t
+
+from ..job import (
+    JobConfig,
+    JobPhase,
+    JobProgress,
+    JobRecord,
+    Queue,
+    StageProgress,
+    TaskKey,
+)
 from ..log import Event
 from . import interference
 from .schedule_state import Effect, JobState, LogNote, Schedule, StageState, TaskState
@@ -10,6 +20,11 @@
 
 #: Maximum number of ended jobs kept in memory; older ones are read from the store.
 MAX_ENDED_JOBS = 20_000
+#: Maximum number of characters of a queue's name in a log line.
+MAX_LOGGED_QUEUE_CHARS = 200
+#: Attempts of a task while those of its queue are not known. A job can't be revived
+#: once it is shown as failed.
+UNKNOWN_MAX_ATTEMPTS = sys.maxsize
 
 
 def add_job(
@@ -31,9 +46,7 @@
         return []
     if record.job_id in schedule.ended_phases:
         return []
-    queue = schedule.config.find_queue(record.queue) or Queue(
-        record.queue, "", "", record.upstream
-    )
+    queue = _find_queue(schedule.config, record)
     job = JobState(record, queue, revision, _make_stages(record))
     job.progress_revision = progress_revision
     wall_ms = schedule.wall_time(now).timestamp() * 1000
@@ -45,10 +58,39 @@
     if progress is not None:
         _restore_progress(job, progress)
     open_stages(job)
-    fields = {"job": record.job_id, "queue": record.queue, "revision": revision}
+    fields: dict[str, t.Any] = {"job": record.job_id, "revision": revision}
+    fields["queue"] = record.queue[:MAX_LOGGED_QUEUE_CHARS]
+    fields |= {
+        "config_version": schedule.config.version,
+        "accepted_version": record.config_version,
+        "max_attempts": queue.max_attempts,
+    }
     return [LogNote(Event.JOB_TAKEN, fields)]
 
 
+def _find_queue(config: JobConfig, record: JobRecord) -> Queue:
+    """Return the queue of a job by the later one of two configurations.
+
+    An entry may have accepted the job under a configuration that the scheduler has yet
+    to receive, or a later one may have removed the queue.
+    """
+    configured, accepted = config.find_queue(record.queue), record.queue_settings
+    if configured is None or (accepted and record.config_version > config.version):
+        unknown = Queue(
+            record.queue, "", "", record.upstream, max_attempts=UNKNOWN_MAX_ATTEMPTS
+        )
+        return accepted or unknown
+    return configured
+
+
+def apply_config(schedule: Schedule, config: JobConfig) -> None:
+    """Replace the configuration; jobs whose queue it lacks keep what they had."""
+    schedule.config = config
+    for job in schedule.jobs.values():
+        if config.find_queue(job.record.queue) is not None:
+            job.queue = _find_queue(config, job.record)
+
+
 def _make_stages(record: JobRecord) -> dict[tuple[int, int], StageState]:
     return {
         (occurrence, number): StageState(
--- a/src/fighead/job.py
+++ b/src/fighead/job.py
@@ -176,11 +176,42 @@
     return ""
 
 
+@frozen
+class Queue:
+    """The operator's configuration of one queue.
+
+    :param host: Host name of the requests that the queue accepts.
+    :param prefix: Prefix of the paths that the queue accepts.
+    :param priority: 0 is the highest and may preempt the others.
+    :param max_attempts: Number of failed runs of a task at which its job fails.
+    :param slack_factor: Multiple of the critical path in the objective.
+    :param target_ms: Constant part of the objective.
+    :param advice_ms: How long advice remains valid; 0 if none is needed.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    upstream: str
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1.0
+    target_ms: int = 0
+    advice_ms: int = 0
+
+    def objective_ms(self, spec: JobSpec) -> int:
+        """Return the duration after which a job counts as late."""
+        return math.ceil(self.slack_factor * spec.critical_path_ms()) + self.target_ms
+
+
 @frozen
 class JobRecord:
     """A job as it is stored on acceptance.
 
     :param accepted_ms: Unix time of the acceptance by the accepting entry's clock.
+    :param queue_settings: The queue as it was configured then; ``None`` in records of
+        earlier versions.
+    :param config_version: Version of the configuration that had this queue.
     """
 
     job_id: str
@@ -188,6 +219,8 @@
     upstream: str
     spec: JobSpec
     accepted_ms: int = 0
+    queue_settings: Queue | None = None
+    config_version: int = 0
 
 
 def find_fault(record: JobRecord, job_id: str) -> str:
@@ -199,6 +232,13 @@
         return "its ID isn't that of its key"
     if not 0 <= record.accepted_ms <= MAX_QUANTITY:
         return f"its acceptance is outside of 0 to {MAX_QUANTITY}"
+    queue = record.queue_settings
+    numbers = [record.config_version]
+    if queue is not None:
+        numbers += [queue.priority, queue.max_attempts, queue.slack_factor]
+        numbers += [queue.target_ms, queue.advice_ms]
+    if not all(0 <= number <= MAX_QUANTITY for number in numbers):
+        return f"a number of its queue is outside of 0 to {MAX_QUANTITY}"
     return find_excess(record.spec)
 
 
@@ -257,34 +297,6 @@
     reason: str = ""
 
 
-@frozen
-class Queue:
-    """The operator's configuration of one queue.
-
-    :param host: Host name of the requests that the queue accepts.
-    :param prefix: Prefix of the paths that the queue accepts.
-    :param priority: 0 is the highest and may preempt the others.
-    :param max_attempts: Number of failed runs of a task at which its job fails.
-    :param slack_factor: Multiple of the critical path in the objective.
-    :param target_ms: Constant part of the objective.
-    :param advice_ms: How long advice remains valid; 0 if none is needed.
-    """
-
-    name: str
-    host: str
-    prefix: str
-    upstream: str
-    priority: int = 0
-    max_attempts: int = 1
-    slack_factor: float = 1.0
-    target_ms: int = 0
-    advice_ms: int = 0
-
-    def objective_ms(self, spec: JobSpec) -> int:
-        """Return the duration after which a job counts as late."""
-        return math.ceil(self.slack_factor * spec.critical_path_ms()) + self.target_ms
-
-
 @frozen
 class JobConfig:
     """The operator's configuration of queues, with its version.
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -428,7 +428,7 @@
             case Tick():
                 timed(self.steady_s, self._counters.ticks.add, self._handle_tick, now)
             case JobConfig():
-                self.schedule.config = msg
+                job_lifecycle.apply_config(self.schedule, msg)
                 self._reconsider_ignored_registrations()
             case StoreContact():
                 return
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -554,15 +554,15 @@
 
     # Requests of clients.
 
-    def submit(self, job_id, spec, queue_name="plans", entry=None):
+    def submit(self, job_id, spec, queue_name="plans", entry=None, queue=None):
         """Send a job to ``entry``, by default a random live one.
 
         Returns at once a list that receives the outcome; an accepting answer is
-        recorded in ``accepted_at``.
+        recorded in ``accepted_at``. ``queue`` replaces the one of that name.
         """
         outcomes = []
         self.specs[job_id] = spec
-        queue = next(q for q in QUEUES if q.name == queue_name)
+        queue = queue or next(q for q in QUEUES if q.name == queue_name)
         name = entry or self.rng.choice(self.live_entries())
         process = self.entries[name]
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -8,7 +8,7 @@
 
 from fighead.codec import from_json, to_json
 from fighead.decisions import interference
-from fighead.job import JobPhase, JobRecord, JobSpec, Stage
+from fighead.job import JobPhase, JobRecord, JobSpec, Queue, Stage
 from fighead.store import (
     FLEET_KEY,
     JOB_ENDINGS_PREFIX,
@@ -47,7 +47,9 @@
     "upstream": "mill",
     "spec": SPEC,
     "accepted_ms": 5,
+    "config_version": 1,
 }
+QUEUE = json.loads(to_json(Queue("plans", "h", "/p/", "mill", 1, 2, 2.0, 5, 5)))
 ROW = {
     "stage": 0,
     "occurrence": 0,
@@ -63,6 +65,10 @@
         json.dumps(RECORD | {"spec": "S"}).replace('"S"', s)
         for s in replace_fields(SPEC)
     ),
+    *(
+        json.dumps(RECORD | {"queue_settings": "Q"}).replace('"Q"', queue)
+        for queue in replace_fields(QUEUE)
+    ),
     *(
         json.dumps(RECORD | {"spec": SPEC | {"stages": ["S"]}}).replace('"S"', stage)
         for stage in replace_fields({**STAGE, "after": [0], "is_gang": True})
