Drop answers that are meant for an earlier process of the entry

Cause: calls to peers were named by the entry and a number from 1 in each process, and an answer was matched by that name alone. The connection of the leader to the entry outlives the entry's process, so that the answers to the earlier process reach the next one, under the names of its calls.

The tests test_an_answer_to_an_earlier_process_of_the_entry_is_dropped and test_only_the_peer_that_was_asked_answers_a_call failed before.

Fix: the name of a call begins with an identity of the process, and the answer must come from the peer that was asked. No two processes share a name then, so that an answer belongs to the call or is dropped.

--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -142,6 +142,11 @@
     SETTINGS_REFUSED = (5406, "error", "New settings have faults and are ignored.")
     PEER_MESSAGE_REFUSED = (4001, "warning", "A peer's message can't be read.")
     REQUEST_FAILED = (4002, "error", "A request met an unexpected error.")
+    PEER_ANSWER_DROPPED = (
+        4003,
+        "info",
+        "A peer's answer came too late, or was meant for an earlier process.",
+    )
 
     @property
     def number(self) -> int:
--- a/src/fighead/tasks/peer.py
+++ b/src/fighead/tasks/peer.py
@@ -2,9 +2,10 @@
 
 import datetime as dt
 import typing as t
+import uuid
 
 import zmq
-from attrs import define, field
+from attrs import define, field, frozen
 from twisted.internet.defer import Deferred
 from txzmq import ZmqConnection, ZmqEndpoint, ZmqEndpointType, ZmqFactory
 from zmq.utils import z85
@@ -103,10 +104,20 @@
         self.send([version, request_id, *status, b"", b""])
 
 
+@frozen
+class _PendingCall:
+    """A request that has been sent to ``peer``, and its answer."""
+
+    peer: str
+    answer: Deferred[t.Any]
+
+
 @define(eq=False)
 class PeerTask:
     """Exchanges messages with peers and matches answers with requests.
 
+    A connection may deliver what was meant for an earlier process of the same entry.
+
     :param address: ``tcp://`` address to listen on.
     :param handle: Called with the sender and the message. Returns the answer, a
         deferred that fires with it, or ``None`` for no answer.
@@ -126,9 +137,10 @@
     _connected_addresses: dict[str, str] = field(factory=dict)
     #: Addresses of members to which no connection can be made, by member.
     _unusable_addresses: dict[str, str] = field(factory=dict)
-    _pending_calls: dict[str, Deferred[t.Any]] = field(factory=dict)
+    _pending_calls: dict[str, _PendingCall] = field(factory=dict)
     _inbound: _InboundConnection | None = None
     _authenticator: _Authenticator | None = None
+    _process_id: str = field(factory=lambda: uuid.uuid4().hex)
     _last_call_number: int = 0
 
     async def run(self) -> None:
@@ -189,9 +201,9 @@
             peer may still have received the message.
         """
         self._last_call_number += 1
-        call_id = f"{self.me}-{self._last_call_number}"
+        call_id = f"{self._process_id}-{self._last_call_number}"
         deferred: Deferred[t.Any] = Deferred()
-        self._pending_calls[call_id] = deferred
+        self._pending_calls[call_id] = _PendingCall(peer, deferred)
         self._send_envelope(peer, m.Envelope(self.me, call_id, False, to_wire(message)))
         limited = with_timeout(self.clock, deferred, timeout)
         return limited.addBoth(lambda result: self._finish_call(peer, call_id, result))
@@ -223,12 +235,23 @@
             log_event(Event.PEER_MESSAGE_REFUSED, reason=exc.message)
             return
         if envelope.is_answer:
-            deferred = self._pending_calls.pop(envelope.call_id, None)
-            if deferred is not None and not deferred.called:
-                deferred.callback(message)
+            self._handle_answer(envelope, message)
             return
         spawn(self._handle_message(envelope, message))
 
+    def _handle_answer(self, envelope: m.Envelope, message: t.Any) -> None:
+        call = self._pending_calls.get(envelope.call_id)
+        if call is None or call.peer != envelope.sender:
+            # The call has timed out, or an earlier process of this entry has made it.
+            is_own = envelope.call_id.startswith(self._process_id)
+            log_event(
+                Event.PEER_ANSWER_DROPPED, peer=envelope.sender, is_own_call=is_own
+            )
+            return
+        del self._pending_calls[envelope.call_id]
+        if not call.answer.called:
+            call.answer.callback(message)
+
     async def _handle_message(self, envelope: m.Envelope, message: t.Any) -> None:
         answer = self.handle(envelope.sender, message)
         if isinstance(answer, Deferred):
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -8,8 +8,11 @@
 from twisted.internet.task import Clock
 
 from fighead.clock import ReactorClock
+from fighead.codec import from_wire, to_wire
+from fighead.job import JobPhase
+from fighead.job_message import JOB_MESSAGES, FindPhase, PhaseIs
 from fighead.mailbox import spawn
-from fighead.message import View
+from fighead.message import WIRE_MESSAGES, Envelope, View
 from fighead.model import JobMember
 from fighead.tasks.peer import CurveKeys, PeerTask
 from odd_answers import ADDRESSES, NESTED
@@ -72,3 +75,76 @@
     assert set(task.peers()) == {"a", "b"} and not failures
     task.mailbox.offer(View("e1", members={}))
     assert not task.peers() and len(task.reactor.readers) == 1
+
+
+class SentFrames(list):
+    """A connection that records what is sent on it."""
+
+    send = list.append
+
+    def shutdown(self):
+        pass
+
+
+def make_task(reactor):
+    """Return a process of the entry ``e1`` that has connections to ``b`` and ``c``."""
+    clock = ReactorClock(reactor, START)
+    task = PeerTask(
+        "e1",
+        "tcp://127.0.0.1:*",
+        CurveKeys(),
+        clock,
+        reactor,
+        lambda *_: None,
+        JOB_MESSAGES,
+    )
+    task._connections |= {"b": SentFrames(), "c": SentFrames()}
+    return task
+
+
+def ask(task, peer):
+    """Ask a peer for a phase; return the call's ID and the list of its answers."""
+    answers = []
+    fut = task.ask(peer, FindPhase("f2"))
+    fut.addCallbacks(answers.append, lambda _: None)
+    request = from_wire(task._connections[peer][-1], WIRE_MESSAGES)
+    return request.call_id, answers
+
+
+def answer(task, sender, call_id, phase):
+    payload = to_wire(PhaseIs(phase))
+    task._handle_frame(to_wire(Envelope(sender, call_id, True, payload)))
+
+
+# Failure: an entry that restarts takes the leader's answers to its earlier process, and
+# shows a job in the phase of another.
+def test_an_answer_to_an_earlier_process_of_the_entry_is_dropped():
+    reactor = Reactor()
+    earlier_id, _ = ask(make_task(reactor), "b")
+    task = make_task(reactor)
+    call_id, answers = ask(task, "b")
+    answer(task, "b", earlier_id, JobPhase.COMPLETED)
+    assert not answers
+    answer(task, "b", call_id, JobPhase.RUNNING)
+    assert answers == [PhaseIs(JobPhase.RUNNING)]
+
+
+def test_only_the_peer_that_was_asked_answers_a_call():
+    task = make_task(Reactor())
+    call_id, answers = ask(task, "b")
+    answer(task, "c", call_id, JobPhase.COMPLETED)
+    assert not answers
+    answer(task, "b", call_id, JobPhase.RUNNING)
+    answer(task, "b", call_id, JobPhase.COMPLETED)
+    assert answers == [PhaseIs(JobPhase.RUNNING)]
+
+
+def test_an_answer_after_the_timeout_is_dropped():
+    reactor = Reactor()
+    task = make_task(reactor)
+    call_id, answers = ask(task, "b")
+    reactor.advance(3)
+    with capture_logs() as lines:
+        answer(task, "b", call_id, JobPhase.RUNNING)
+    assert not answers
+    assert [line["event_name"] for line in lines] == ["peer_answer_dropped"]
