Take an instance for listed once it has listed all its ends

Cause: an instance lists 500 ends at a time. The new leader took the first listing for the whole, settled its schedule, and placed the tasks that were neither running nor among these ends.

Fix: an instance counts as listed after a listing with fewer ends than the limit. Each page is acknowledged when its effects are stored, so the others follow by themselves, and until then nothing is placed. That is sufficient, since the ends come in order and running tasks are all listed.

--- a/src/fighead/decisions/run_updates.py
+++ b/src/fighead/decisions/run_updates.py
@@ -64,8 +64,10 @@
         and is not listed has ended.
     """
     effects: list[Effect] = []
+    # Otherwise there may be further ends, of runs that seem never to have started.
+    has_all_ends = len(listing.ended) < MAX_ENDS_LISTED
     if not state.is_listed:
-        effects.append(_note_first_listing(state, listing))
+        effects.append(_note_first_listing(state, listing, has_all_ends))
     earlier_unwanted, state.unwanted = state.unwanted, {}
     for listed_run in listing.running:
         effects += _apply_listed_run(schedule, state, listed_run, earlier_unwanted, now)
@@ -76,19 +78,23 @@
         state.last_end_sequence = max(
             state.last_end_sequence, listing.ended[-1].sequence
         )
-    if len(listing.ended) < MAX_ENDS_LISTED:
+    if has_all_ends:
         effects += _requeue_missing_runs(schedule, state, listing, sent_at, now)
-    state.is_listed = True
+        state.is_listed = True
     filler_control.learn_from_listing(schedule, state, now)
     effects += instance_health.update_suspicion(schedule, state, now)
     return effects + filler_control.pace_fillers(schedule, state, now)
 
 
-def _note_first_listing(state: InstanceState, listing: Listing) -> LogNote:
+def _note_first_listing(
+    state: InstanceState, listing: Listing, has_all_ends: bool
+) -> LogNote:
     fields: dict[str, t.Any] = {"instance": state.instance.instance_id}
     fields |= {"incarnation": state.instance.incarnation}
     fields |= {"restarts": state.restart_count, "runs": len(listing.running)}
-    return LogNote(Event.INSTANCE_LISTED, fields)
+    fields["ends"] = len(listing.ended)
+    event = Event.INSTANCE_LISTED if has_all_ends else Event.INSTANCE_LISTED_IN_PART
+    return LogNote(event, fields)
 
 
 def _apply_listed_run(
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -201,7 +201,8 @@
     :param restart_count: Number of restarts of the instance in this term. One that was
         removed and registers again may have restarted, so it counts as restarted.
     :param replaced_incarnations: Its earlier incarnations, as far as they are known.
-    :param is_listed: Whether the current incarnation has sent a listing in this term.
+    :param is_listed: Whether the current incarnation has listed all its runs and ends
+        in this term.
     :param is_reachable: Whether the last call to the instance was answered.
     :param is_registered: Whether the store holds the registration of its current
         incarnation.
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -128,6 +128,11 @@
         "info",
         "An incarnation of an instance is listed for the first time in this term.",
     )
+    INSTANCE_LISTED_IN_PART = (
+        5311,
+        "info",
+        "An instance has more ends to list; nothing is placed on it until then.",
+    )
     REGISTRATION_UNREADABLE = (5307, "warning", "A registration is unusable.")
     FLEET_INCOMPLETE = (
         5320,
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -662,6 +662,22 @@
     assert len(starts) == 4 and not cluster.find_breaches()
 
 
+WIDE_JOB = JobSpec("x", (Stage(count=1200, cpu=1, memory_mb=1, estimate_ms=9000),))
+
+
+# Failure: a new leader starts tasks again whose ends didn't fit into the first listing.
+def test_ends_beyond_the_first_listing_are_not_run_again_after_an_election():
+    cluster = JobCluster(instance_count=1)
+    cluster.submit(job_id(1), WIDE_JOB)
+    cluster.advance(8)
+    assert sum(event.event == "started" for event in cluster.history) == 1200
+    cluster.kill_entries(cluster.leader())
+    cluster.advance(15)
+    assert sum(event.event == "started" for event in cluster.history) == 1200
+    assert cluster.find_phase(job_id(1)) is JobPhase.COMPLETED
+    assert not cluster.find_breaches()
+
+
 def find_member_keys(cluster):
     return {
         key.removeprefix(JOB_MEMBERS_PREFIX)
--- a/tests/test_run_updates.py
+++ b/tests/test_run_updates.py
@@ -123,3 +123,20 @@
     schedule.sole_at = at_seconds(expected_s)
     instance_tracking.update_instances(schedule, LEASE, at_seconds(expected_s))
     assert not state.runs
+
+
+# Failure: an instance counts as listed although it has more ends than a listing holds,
+# and the tasks of the other ends are started again.
+def test_an_instance_is_listed_only_once_it_has_listed_all_its_ends():
+    schedule = make_schedule()
+    state = schedule.instances["i1"]
+    state.is_listed = schedule.is_settled = False
+    instance_tracking.set_inherited_fleet(schedule, ("i1",))
+    job = add_job(schedule, Stage(count=600, cpu=1, memory_mb=1, estimate_ms=100))
+    ends = [ended_run(n + 1, task_key(n), 1) for n in range(600)]
+    for page, is_listed in ((ends[:500], False), (ends[500:], True)):
+        receive_listing(schedule, "i1", ended=page)
+        instance_tracking.update_instances(schedule, LEASE, at_seconds(1))
+        assert state.is_listed is schedule.is_settled is is_listed
+        assert not orders_in(placement.place_waiting_tasks(schedule, at_seconds(1)))
+    assert job.phase is JobPhase.COMPLETED
