Log no error when a recorder is cancelled while it writes

Cause: gatherResults wraps the cancellation of the recorder's task into a FirstError, which spawn() takes for an unexpected error.

Fix: the recorder raises what the FirstError holds, so that a cancellation stays one.

--- a/src/fighead/tasks/recorder.py
+++ b/src/fighead/tasks/recorder.py
@@ -5,7 +5,7 @@
 import typing as t
 
 from attrs import define, evolve, field, frozen
-from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.defer import Deferred, FirstError, gatherResults
 
 from ..clock import Clock, sleep
 from ..codec import to_json
@@ -147,13 +147,17 @@
             batches = _split_into_batches(msg.writes)
             request = _Request(msg, collections.deque(batches), len(batches))
             count = min(MAX_CONCURRENT_TXNS, len(batches))
-            await gatherResults(
-                [
-                    Deferred.fromCoroutine(self._write_batches(request))
-                    for _ in range(count)
-                ],
-                consumeErrors=True,
-            )
+            try:
+                await gatherResults(
+                    [
+                        Deferred.fromCoroutine(self._write_batches(request))
+                        for _ in range(count)
+                    ],
+                    consumeErrors=True,
+                )
+            except FirstError as exc:
+                # A cancellation of this task is none of its errors.
+                raise exc.subFailure.value from None
             if request.is_lost:
                 self.report(LeadershipLost(msg.fence))
 
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -1,6 +1,7 @@
 """Tests of the task that stores the progress and the endings of jobs."""
 
 import datetime as dt
+import gc
 
 from twisted.internet.task import Clock
 
@@ -40,3 +41,20 @@
             assert JOB_PROGRESS_PREFIX + f"job-{sequence}" in store.items
             seen.append(sequence)
     assert seen == [1, 2]
+
+
+# Failure: a leader that steps down while it writes logs its own cancellation as an
+# unexpected error.
+def test_a_recorder_that_is_cancelled_while_it_writes_logs_no_error(failures):
+    reactor = Clock()
+    clock = ReactorClock(reactor, START)
+    store = MemoryStore(clock)
+    store.is_unavailable = True
+    recorder = RecorderTask(store, clock, lambda report: None)
+    deferred = spawn(recorder.run())
+    write = JobWrite("job", 1, 0, JobProgress())
+    recorder.mailbox.offer(RecordJobs(1, (write,), {}))
+    reactor.advance(0.1)
+    deferred.cancel()
+    gc.collect()
+    assert not failures
