Count a job as pending until a run of it has started

Cause: a job counted as begun from its first order on, whether or not the instance took it, and after an election if it had a progress record. A leader that was elected again stored progress for all its jobs, also for those that had not begun.

Fix: an answered start, a listed run or an end shows that a job has begun, and the progress record says so to a new leader and to the queries. No job without a start can be left out then; one that has begun may count until its instance is heard, which is on the safe side.

--- a/src/fighead/decisions/job_lifecycle.py
+++ b/src/fighead/decisions/job_lifecycle.py
@@ -107,7 +107,8 @@
 
 
 def _restore_progress(job: JobState, progress: JobProgress) -> None:
-    job.phase = JobPhase.RUNNING
+    if progress.has_started:
+        job.phase = JobPhase.RUNNING
     for row in progress.stages:
         stage = job.stages.get((row.occurrence, row.stage))
         if stage is None:
@@ -134,11 +135,12 @@
 def build_progress(job: JobState) -> JobProgress:
     """Return the progress of an unfinished job that must survive a new election."""
     return JobProgress(
-        tuple(
+        stages=tuple(
             _build_stage_progress(occurrence, number, stage)
             for (occurrence, number), stage in job.stages.items()
             if stage.done_count or any(t.failures or t.checkpoint for t in stage.tasks)
-        )
+        ),
+        is_started=job.phase is not JobPhase.QUEUED,
     )
 
 
--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -11,7 +11,7 @@
 
 from attrs import define, field
 
-from ..job import JobPhase, Stage, TaskKey
+from ..job import Stage, TaskKey
 from ..log import Event
 from ..run import StartRun
 from . import filler_control, instance_health, interference, job_value, start_window
@@ -340,8 +340,6 @@
     instance_id = state.instance.instance_id
     run = RunState(task.key, number, instance_id, RunPhase.ORDERED, now, stage.spec)
     add_run(state, stage, task, run)
-    if job.phase is JobPhase.QUEUED:
-        job.phase = JobPhase.RUNNING
     checkpoint = task.checkpoint if stage.spec.is_checkpointed else ""
     order = StartRun(task.key, number, job.record.spec.payload, checkpoint)
     fields = {"task": str(task.key), "run": number, "instance": instance_id}
--- a/src/fighead/decisions/run_updates.py
+++ b/src/fighead/decisions/run_updates.py
@@ -183,8 +183,6 @@
     )
     add_run(state, stage, task, run)
     _update_progress(schedule, run, listed_run, now)
-    if job.phase is JobPhase.QUEUED:
-        job.phase = JobPhase.RUNNING
     fields = {
         "task": str(task.key),
         "run": listed_run.number,
@@ -207,6 +205,15 @@
     state.add(run)
 
 
+def _note_started(job: JobState) -> None:
+    """Record that a run of a job has started.
+
+    An order alone doesn't show it: the instance may refuse it or never receive it.
+    """
+    if job.phase is JobPhase.QUEUED:
+        job.phase = JobPhase.RUNNING
+
+
 def _update_progress(
     schedule: Schedule, run: RunState, listed_run: ListedRun, now: dt.datetime
 ) -> None:
@@ -218,8 +225,10 @@
     if listed_run.percent > run.percent or run.progressed_at is None:
         run.progressed_at = now
     run.percent, run.usage = listed_run.percent, listed_run.usage
+    job = schedule.jobs[run.key.job_id]
+    _note_started(job)
     if listed_run.checkpoint:
-        task = schedule.jobs[run.key.job_id].task(run.key)
+        task = job.task(run.key)
         if task is not None:
             task.checkpoint = listed_run.checkpoint
 
@@ -231,6 +240,7 @@
     task = job.task(end.task) if job else None
     if job is None or task is None:
         return []
+    _note_started(job)
     run = find_run(schedule, end.task, end.number)
     if run is not None:
         instance_health.record_end(schedule, state, job, run, end.kind, now)
@@ -368,6 +378,8 @@
     run = find_run(schedule, key, number)
     if run is None:
         return []
+    if refusal in (None, RefusalReason.STALE):
+        _note_started(schedule.jobs[key.job_id])
     if refusal is None:
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.RUNNING
--- a/src/fighead/job.py
+++ b/src/fighead/job.py
@@ -279,9 +279,19 @@
 
 @frozen
 class JobProgress:
-    """Stored progress of a job that has not ended."""
+    """Stored progress of a job that has not ended.
+
+    :param is_started: Whether a run of the job had started when it was stored; earlier
+        versions don't tell.
+    """
 
     stages: tuple[StageProgress, ...] = ()
+    is_started: bool = False
+
+    @property
+    def has_started(self) -> bool:
+        """Whether a run of the job is known to have started."""
+        return self.is_started or bool(self.stages)
 
 
 @frozen
--- a/src/fighead/queries/job.py
+++ b/src/fighead/queries/job.py
@@ -1,11 +1,18 @@
 """Queries of clients about jobs."""
 
 from ..codec import from_json
-from ..exceptions import PeerUnreachableError
-from ..job import JobEnding, JobPhase
+from ..exceptions import PeerUnreachableError, RequestError
+from ..job import JobEnding, JobPhase, JobProgress
 from ..job_front_context import JobFrontContext
 from ..job_message import CountPending, FindPhase, PendingIs, PhaseIs
-from ..store import JOB_ENDINGS_PREFIX, JOB_PROGRESS_PREFIX, JOBS_PREFIX, Range
+from ..log import Event, log_event
+from ..store import (
+    JOB_ENDINGS_PREFIX,
+    JOB_PROGRESS_PREFIX,
+    JOBS_PREFIX,
+    KeyValue,
+    Range,
+)
 from ..tasks.watch import STORE_TIMEOUT
 
 
@@ -34,13 +41,22 @@
         progress = await context.store.call(
             Range(JOB_PROGRESS_PREFIX + job_id), STORE_TIMEOUT
         )
-        return JobPhase.RUNNING if progress.kvs else JobPhase.QUEUED
+        has_started = any(_has_started(kv) for kv in progress.kvs)
+        return JobPhase.RUNNING if has_started else JobPhase.QUEUED
     ending = await context.store.call(Range(JOB_ENDINGS_PREFIX + job_id), STORE_TIMEOUT)
     if not ending.kvs:
         return None
     return from_json(ending.kvs[0].value, JobEnding).phase
 
 
+def _has_started(progress: KeyValue) -> bool:
+    try:
+        return from_json(progress.value, JobProgress).has_started
+    except RequestError as exc:
+        log_event(Event.RECORD_UNREADABLE, key=progress.key, reason=exc.message)
+        return True
+
+
 async def count_pending(context: JobFrontContext, queue: str) -> int | None:
     """Return the number of jobs of a queue that have not started.
 
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -615,6 +615,22 @@
         self.advance(1.5)
         return found[0] if found else None
 
+    def count_pending(self, queue_name, entry=None):
+        """Ask an entry for the number of pending jobs; takes 1.5 s of simulated time.
+
+        Returns ``None`` if no answer came in that time.
+        """
+        process = self.entries[entry or self.live_entries()[0]]
+        found = []
+
+        async def ask():
+            context = process.entry.front_context
+            found.append(await queries.count_pending(context, queue_name))
+
+        spawn(ask())
+        self.advance(1.5)
+        return found[0] if found else None
+
     # Checks.
 
     def find_overdue_leaders(self):
