Let a leader that hears nothing lose its key

What callers would see: nothing is scheduled for as long as a leader reaches the store and peers but gets no answers; leases run out, and tasks that last run nowhere (LOST). That this was its cause is suspected, not proved.

Cause: the leader renewed its lease whatever it heard. A renewal takes effect without its answer, so the key lived on while the leader had no authority, and nobody could be elected.

Evidence: test_a_leader_that_hears_nothing_is_replaced failed before: 14 s after the last answer the deaf entry still led, without authority.

Fix: the lease is renewed within 1.5 s after an answered read of the key, and at once when a read is answered again. A deaf leader is replaced after 3.5 s then. An outage for all changes nothing: no renewal takes effect in it.

--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -583,7 +583,9 @@
             await sleep(self.clock, election.RENEWAL_INTERVAL)
             self._log_authority()
             if self._is_leading and self._own_leader is not None:
-                spawn(self._renew(self._lease))
+                # A leader that reaches the store and hears nothing must be replaced.
+                if self._is_within(AUTHORITY_TIMEOUT, self._sole_at):
+                    spawn(self._renew(self._lease))
                 spawn(self._read_leader_key(self._own_leader.fence))
                 self._update_electorate(self._own_leader.fence)
 
@@ -628,6 +630,8 @@
         if read.kv.mod_revision == own.fence:
             self._sole_at = max(self._sole_at or read.sent_at, read.sent_at)
             self._confirm(read.sent_at, ConfirmationSource.STORE)
+            if not self._is_within(AUTHORITY_TIMEOUT, self._renewed_at):
+                spawn(self._renew(self._lease))
         elif not self._is_candidate:
             spawn(self._refresh_election_keys())
 
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -8,6 +8,7 @@
 import contextlib
 import datetime as dt
 import random
+import typing as t
 
 from attrs import define, evolve, field
 from twisted.internet.defer import Deferred
@@ -136,6 +137,7 @@
 class GatedStore:
     """The store connection of one entry.
 
+    :param is_deaf: Whether calls are executed and get no answer.
     :param is_cut: Whether the store is unreachable; watches fail too.
     :param is_watch_silent: Whether nothing arrives on watches, until they time out.
     :param is_reset: Whether each call fails without being sent, as if the connection
@@ -145,6 +147,7 @@
 
     store: MemoryStore
     gate: Gate
+    is_deaf: t.Callable[[], bool] = lambda: False
     is_cut: bool = False
     is_watch_silent: bool = False
     is_reset: bool = False
@@ -179,6 +182,10 @@
         except Exception:
             await self.gate.pass_through(None)
             raise
+        if self.is_deaf():
+            await sleep(self.store.clock, dt.timedelta(milliseconds=700))
+            await self.gate.pass_through(None)
+            raise StoreOutcomeUnknownError("no answer", "again")
         return await self.gate.pass_through(result)
 
 
@@ -230,6 +237,8 @@
         if outcome == "late":
             wait = dt.timedelta(seconds=cluster.rng.uniform(2, MAX_CALL_DELAY_S))
             cluster.clock.call_later(wait, lambda: self._execute_late(operation))
+        if outcome == "unheard":
+            self._execute_late(operation)
         if outcome != "served":
             await sleep(cluster.clock, timeout)
             await self.gate.pass_through(None)
@@ -304,6 +313,8 @@
                 return
             if self.cluster.are_parted(self.me, peer):
                 return
+            if peer in self.cluster.deaf_entries:
+                return
             other.gate.run(lambda: spawn(self._serve(other, msg, reply)))
 
         self.cluster.clock.call_later(dt.timedelta(milliseconds=1), arrive)
@@ -312,7 +323,8 @@
         answer = other.entry.peer.handle(self.me, msg)
         if isinstance(answer, Deferred):
             answer = await answer
-        self.gate.run(lambda: reply(answer))
+        if self.me not in self.cluster.deaf_entries:
+            self.gate.run(lambda: reply(answer))
 
     def stop(self):
         pass
@@ -365,6 +377,7 @@
     :param silent_instances: Instances that receive no calls.
     :param parted_entries: Pairs of entries between which messages are lost.
     :param lost_paths: Pairs of an entry and an instance that it does not reach.
+    :param deaf_entries: Entries that reach all others and get nothing from them.
     :param late_share: Share of calls to instances that get no answer and are
         executed 2 to :data:`MAX_CALL_DELAY_S` seconds later.
     :param on_end: Called with the name of an entry whose planned stop is complete.
@@ -392,6 +405,7 @@
     silent_instances: set = field(factory=set)
     parted_entries: set = field(factory=set)
     lost_paths: set = field(factory=set)
+    deaf_entries: set = field(factory=set)
     late_share: float = 0.0
     on_end: object = field(default=lambda _: None)
     failing_tasks: set = field(factory=set)
@@ -436,7 +450,7 @@
     def start_entry(self, name, clock_error=NO_ERROR):
         """Start an entry on a machine whose time of day is wrong by ``clock_error``."""
         gate = Gate()
-        store = GatedStore(self.store, gate)
+        store = GatedStore(self.store, gate, lambda: name in self.deaf_entries)
         clock = GatedClock(self.clock, gate, clock_error, clock_error)
         address = ListenAddress("127.0.0.1", 1)
         cfg = JobSettings(
@@ -508,6 +522,8 @@
         """Return whether the next call to an instance is served, late or lost."""
         if name in self.silent_instances or (entry, name) in self.lost_paths:
             return "lost"
+        if entry in self.deaf_entries:
+            return "unheard"
         return "late" if self.rng.random() < self.late_share else "served"
 
     def kill_entries(self, *entry_names):
--- a/tests/test_missing_evidence.py
+++ b/tests/test_missing_evidence.py
@@ -166,3 +166,23 @@
     cluster.advance(10)
     assert "i0" in used_instances(cluster)
     assert not cluster.find_breaches()
+
+
+# Failure: a leader that reaches the store and hears nothing renews its key for ever. It
+# has no authority to act, and nobody else is elected.
+def test_a_leader_that_hears_nothing_is_replaced(cluster):
+    cluster.submit(job_id(1), LASTING_JOB, "watches")
+    cluster.advance(2)
+    leader = cluster.leader()
+    cluster.deaf_entries.add(leader)
+    cluster.advance(14)
+    leading = {
+        name: entry.entry.leadership.may_act()
+        for name, entry in cluster.entries.items()
+        if entry.entry.leadership.is_leading
+    }
+    assert leading.keys() - {leader} and not leading.get(leader)
+    assert count_running(cluster, "i0", "i1", "i2", "i3") == 4
+    cluster.deaf_entries.clear()
+    cluster.advance(10)
+    assert not cluster.find_breaches()
