--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -214,7 +214,7 @@
     advance(reactor, 3)
     store.fails_key_reads = True
     # Longer than its authority, and less than until its key expires.
-    advance(reactor, 2.3)
+    advance(reactor, AUTHORITY_S + 0.2)
     assert entry.task.is_leading and not entry.task.may_act()
     store.fails_key_reads = False
     advance(reactor, 1)
