Choose the queues of all jobs in one pass, and pace extra key reads

Read-through of the changes: a new configuration looked each job's queue up twice in the list of queues, on the leader; it uses a table now. No rule changes.

--- a/src/fighead/decisions/election.py
+++ b/src/fighead/decisions/election.py
@@ -91,8 +91,8 @@
 class Confirmation:
     """Evidence that this entry may act as the leader, as of the time ``at``.
 
-    The store proves that no other entry had been elected. Peers only prove that no
-    other one infers from silence: it can't yet know that this one acts no more.
+    The store proves that no other entry had been elected. Peers don't, but another one
+    that they don't follow does not take this entry's runs for ended.
     """
 
     at: dt.datetime
--- a/src/fighead/decisions/job_lifecycle.py
+++ b/src/fighead/decisions/job_lifecycle.py
@@ -46,7 +46,8 @@
         return []
     if record.job_id in schedule.ended_phases:
         return []
-    queue = _find_queue(schedule.config, record)
+    configured = schedule.config.find_queue(record.queue)
+    queue = _choose_queue(configured, schedule.config.version, record)
     job = JobState(record, queue, revision, _make_stages(record))
     job.progress_revision = progress_revision
     wall_ms = schedule.wall_time(now).timestamp() * 1000
@@ -68,27 +69,34 @@
     return [LogNote(Event.JOB_TAKEN, fields)]
 
 
-def _find_queue(config: JobConfig, record: JobRecord) -> Queue:
+def _choose_queue(
+    configured: Queue | None, config_version: int, record: JobRecord
+) -> Queue:
     """Return the queue of a job by the later one of two configurations.
 
     An entry may have accepted the job under a configuration that the scheduler has yet
     to receive, or a later one may have removed the queue.
+
+    :param configured: The queue in the scheduler's configuration, if it has one.
     """
-    configured, accepted = config.find_queue(record.queue), record.queue_settings
-    if configured is None or (accepted and record.config_version > config.version):
-        unknown = Queue(
-            record.queue, "", "", record.upstream, max_attempts=UNKNOWN_MAX_ATTEMPTS
-        )
-        return accepted or unknown
-    return configured
+    accepted = record.queue_settings
+    if accepted is not None and (
+        configured is None or record.config_version > config_version
+    ):
+        return accepted
+    return configured or Queue(
+        record.queue, "", "", record.upstream, max_attempts=UNKNOWN_MAX_ATTEMPTS
+    )
 
 
 def apply_config(schedule: Schedule, config: JobConfig) -> None:
     """Replace the configuration; jobs whose queue it lacks keep what they had."""
     schedule.config = config
+    queues = {queue.name: queue for queue in config.queues}
     for job in schedule.jobs.values():
-        if config.find_queue(job.record.queue) is not None:
-            job.queue = _find_queue(config, job.record)
+        configured = queues.get(job.record.queue)
+        if configured is not None:
+            job.queue = _choose_queue(configured, config.version, job.record)
 
 
 def _make_stages(record: JobRecord) -> dict[tuple[int, int], StageState]:
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -145,7 +145,7 @@
 
 @frozen
 class ConfirmationWanted:
-    """Requests a read of the leader key, unless one is under way."""
+    """Requests a confirmation by the store without the wait for the next renewal."""
 
 
 @frozen
@@ -216,8 +216,9 @@
     # Revision of that electorate; an older one that arrives late is ignored.
     _electorate_revision: int = 0
     _is_writing_electorate: bool = False
-    #: Number of reads of the leader key under way.
+    # Number of reads of the leader key under way, and when the last one failed.
     _key_reads: int = 0
+    _key_read_failed_at: dt.datetime | None = None
     # Result of this entry's latest election, kept after it steps down.
     _own_leader: Leader | None = None
     _is_leading: bool = False
@@ -338,8 +339,7 @@
             case LeaderKeyRead():
                 self._handle_read_key(msg)
             case ConfirmationWanted():
-                if self._is_leading and self._own_leader and not self._key_reads:
-                    spawn(self._read_leader_key(self._own_leader.fence))
+                self._request_confirmation()
             case ElectorateWritten(kv):
                 self._apply_electorate(kv)
             case Resign():
@@ -609,6 +609,14 @@
             # The lease has expired; another entry may already hold the leader key.
             spawn(self._refresh_election_keys())
 
+    def _request_confirmation(self) -> None:
+        """Read the leader key, unless a read is under way or has just failed."""
+        has_failed = self._is_within(RETRY_PAUSE, self._key_read_failed_at)
+        if self._own_leader is None or not self._is_leading:
+            return
+        if not (self._key_reads or has_failed):
+            spawn(self._read_leader_key(self._own_leader.fence))
+
     async def _read_leader_key(self, fence: int) -> None:
         """Read the leader key, which may be gone although its lease lives."""
         sent_at = self.clock.now()
@@ -616,6 +624,7 @@
         try:
             result = await self.store.call(Range(JOB_LEADER_KEY), RENEWAL_TIMEOUT)
         except StoreError as exc:
+            self._key_read_failed_at = self.clock.now()
             log_event(Event.STORE_CALL_FAILED, what="confirm", reason=exc.message)
             return
         finally:
