--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -383,10 +383,10 @@
     usable. A task that has failed prefers instances whose last run succeeded.
     """
     candidates = _find_candidates(round_, job, stage)
-    is_held_back = _is_held_back(round_, stage, task)
-    if not (is_held_back or task.avoided_instances or task.failures):
+    must_keep_off = is_held_back(round_, stage, task)
+    if not (must_keep_off or task.avoided_instances or task.failures):
         return next(iter(candidates), None)
-    usable = [s for s in candidates if s.serving or not is_held_back]
+    usable = [s for s in candidates if s.serving or not must_keep_off]
     not_avoided = [
         s for s in usable if s.instance.instance_id not in task.avoided_instances
     ]
@@ -398,7 +398,7 @@
     return next(iter(proven or not_avoided or usable), None)
 
 
-def _is_held_back(round_: PlacementRound, stage: StageState, task: TaskState) -> bool:
+def is_held_back(round_: PlacementRound, stage: StageState, task: TaskState) -> bool:
     """Whether a serving task must keep off instances without serving tasks.
 
     The last such instances are reserved for quick tasks and for fillers that no
--- a/src/fighead/decisions/waiting.py
+++ b/src/fighead/decisions/waiting.py
@@ -68,6 +68,8 @@
     START_WINDOW = "start_window"
     #: A filler would slow down the serving tasks wherever there is room.
     INTERFERENCE = "interference"
+    #: A serving task keeps off the last instances without serving tasks for a while.
+    HELD_BACK = "held_back"
     #: An instance can take it.
     PLACEABLE = "placeable"
     #: The reason was not looked for.
@@ -191,10 +193,25 @@
         "awaited": missing[: instance_tracking.MAX_LOGGED_INSTANCES],
         "waiting_jobs": len({job.job_id for job, _ in stages}),
         "waiting_tasks": sum(len(stage.waiting_indexes) for _, stage in stages),
+        "lasting": sum(
+            len(stage.waiting_indexes) for _, stage in stages if stage.spec.is_lasting
+        ),
+        "tasks": _name_tasks(stage for _, stage in stages),
     }
     return LogNote(Event.SCHEDULE_UNSETTLED, fields)
 
 
+def _name_tasks(stages: t.Iterable[StageState]) -> list[str]:
+    """Return the names of the first waiting tasks, those that are to last first."""
+    ordered = sorted(stages, key=lambda stage: not stage.spec.is_lasting)
+    keys = (
+        stage.tasks[index].key
+        for stage in ordered
+        for index in sorted(stage.waiting_indexes)
+    )
+    return [str(key) for key in itertools.islice(keys, MAX_LOGGED_TASKS)]
+
+
 def _find_needs_of_leases(
     schedule: Schedule, bounds: t.Collection[dt.datetime], now: dt.datetime
 ) -> list[Need]:
@@ -417,4 +434,21 @@
             return WaitReason.OBSTACLES if fits else WaitReason.NO_ROOM
     if schedule.start_window.is_full:
         return WaitReason.START_WINDOW
+    if _is_held_back(schedule, wait, usable, now):
+        return WaitReason.HELD_BACK
     return WaitReason.INTERFERENCE if stage.spec.is_filler else WaitReason.PLACEABLE
+
+
+def _is_held_back(
+    schedule: Schedule,
+    wait: _StageWait,
+    usable: t.Iterable[InstanceState],
+    now: dt.datetime,
+) -> bool:
+    """Whether the next task of a stage must still keep off all usable instances."""
+    stage = wait.stage
+    if any(state.serving for state in usable):
+        return False
+    round_ = placement.PlacementRound(schedule, now, 0)
+    task = stage.tasks[min(stage.waiting_indexes)]
+    return placement.is_held_back(round_, stage, task)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -281,6 +281,20 @@
     assert (line["count"], line["jobs"], line["longest_ms"]) == (3, 1, 3000)
 
 
+def test_a_serving_task_that_keeps_off_the_last_free_instance_is_told():
+    names = [f"i{number}" for number in range(10)]
+    schedule = make_schedule(names)
+    for name in names[1:]:
+        drain(schedule.instances[name])
+    add_job(schedule, Stage(1, 1000, 100, is_lasting=True, image="s", target_ms=50))
+    for second in (0, 2.9):
+        assert not placement.place_waiting_tasks(schedule, at_seconds(second))
+    watch = WaitWatch()
+    for second in (-1, 2):
+        (*notes,) = describe_waits(watch, schedule, STATUS, at_seconds(second))
+    assert [note.fields["by_reason"] for note in notes] == [{"held_back": 1}]
+
+
 def test_a_gang_waits_for_members_that_have_runs():
     schedule = make_schedule(("i1", "i2"))
     job = add_job(schedule, Stage(3, 1000, 100, is_gang=True))
