--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -385,3 +385,33 @@
         < filler_control.PAUSE_HARMFUL_AFTER
         < filler_control.PAUSE_ALL_AFTER
     )
+
+
+def make_schedule_of_reserved_instances():
+    """Return a schedule whose only usable instance is reserved, for a while."""
+    names = [f"i{number}" for number in range(10)]
+    schedule = make_schedule(names)
+    for name in names[1:]:
+        state = schedule.instances[name]
+        state.instance = evolve(state.instance, is_draining=True)
+    return schedule
+
+
+SENSITIVE = Stage(1, 1000, 100, is_lasting=True, image="s", target_ms=50)
+
+
+# Failure: each leader holds a serving task back for as long as the one before.
+def test_a_serving_task_of_an_earlier_leader_is_not_held_back_again():
+    schedule = make_schedule_of_reserved_instances()
+    schedule.fence = 7
+    job = add_job(schedule, SENSITIVE)
+    assert job.revision <= schedule.fence
+    assert orders_in(placement.place_waiting_tasks(schedule, at_seconds(0)))
+
+
+def test_a_serving_task_of_a_new_job_is_held_back_once():
+    schedule = make_schedule_of_reserved_instances()
+    add_job(schedule, SENSITIVE)
+    assert not placement.place_waiting_tasks(schedule, at_seconds(0))
+    assert not placement.place_waiting_tasks(schedule, at_seconds(2.9))
+    assert orders_in(placement.place_waiting_tasks(schedule, at_seconds(3)))
