Stop the lasting runs on an instance that drains already when it is first listed

Callers saw lasting tasks end with their instance and start again only once its leases had ended, 6 s later: a leader stops them when it sees the notice to leave, and its successor, which finds the instance draining, saw no such notice.

A lasting run that is adopted on a draining instance is now stopped, and the deadline of the drain is known from the first registration.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -49,38 +49,51 @@
     """
     state = schedule.instances.get(instance.instance_id)
     if state is None:
-        _add_new_instance(schedule, instance, lease)
+        _add_new_instance(schedule, instance, lease, now)
         fields = {"instance": instance.instance_id, "address": instance.address}
         return [LogNote(Event.INSTANCE_FOUND, fields)]
     was_draining = state.instance.is_draining
     state.is_registered = True
     state.instance = instance
     if instance.is_draining and not was_draining:
-        state.drain_deadline = now + dt.timedelta(milliseconds=instance.remaining_ms)
+        state.drain_deadline = _find_drain_deadline(instance, now)
         fields = {"instance": instance.instance_id, "left_ms": instance.remaining_ms}
         return [LogNote(Event.INSTANCE_DRAINING, fields), *stop_lasting_runs(state)]
     return []
 
 
 def add_unregistered(
-    schedule: Schedule, instance: RegisteredInstance, lease: dt.timedelta
+    schedule: Schedule,
+    instance: RegisteredInstance,
+    lease: dt.timedelta,
+    now: dt.datetime,
 ) -> None:
     """Add an instance, unless it is known, whose runs go on but that gets no others."""
     if instance.instance_id not in schedule.instances:
-        _add_new_instance(schedule, instance, lease).is_registered = False
+        state = _add_new_instance(schedule, instance, lease, now)
+        state.is_registered = False
 
 
 def _add_new_instance(
-    schedule: Schedule, instance: RegisteredInstance, lease: dt.timedelta
+    schedule: Schedule,
+    instance: RegisteredInstance,
+    lease: dt.timedelta,
+    now: dt.datetime,
 ) -> InstanceState:
     leases_end_at = latest_lease_expiry(schedule.elected_at + AUTHORITY_TIMEOUT, lease)
     state = InstanceState(instance, leases_end_at)
     state.is_in_stored_fleet = instance.instance_id in schedule.stored_fleet
     state.restart_count = schedule.restart_counts.get(instance.instance_id, 0)
+    if instance.is_draining:
+        state.drain_deadline = _find_drain_deadline(instance, now)
     schedule.instances[instance.instance_id] = state
     return state
 
 
+def _find_drain_deadline(instance: RegisteredInstance, now: dt.datetime) -> dt.datetime:
+    return now + dt.timedelta(milliseconds=instance.remaining_ms)
+
+
 def update_authority(schedule: Schedule, authority: Authority) -> list[Effect]:
     """Record what the scheduler may infer from silence at present."""
     schedule.sole_at = authority.sole_at
--- a/src/fighead/decisions/run_updates.py
+++ b/src/fighead/decisions/run_updates.py
@@ -192,7 +192,10 @@
         "percent": listed_run.percent,
     }
     fields["instance"] = state.instance.instance_id
-    return [LogNote(Event.RUN_ADOPTED, fields)]
+    effects: list[Effect] = [LogNote(Event.RUN_ADOPTED, fields)]
+    if state.instance.is_draining and stage.spec.is_lasting:
+        effects += stop_runs([run])
+    return effects
 
 
 def add_run(
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -578,7 +578,8 @@
 
     def _list_unregistered(self, instance: RegisteredInstance) -> None:
         """List an instance that is not used, and renew the leases of its runs."""
-        instance_tracking.add_unregistered(self.schedule, instance, self.lease)
+        now = self.clock.now()
+        instance_tracking.add_unregistered(self.schedule, instance, self.lease, now)
         if instance.instance_id not in self.agents:
             self._start_agent(instance)
 
