Count the wait of a task of an earlier leader as over for hold-back and starvation

Callers saw tasks that are to last without a run although there was room (LOST).

The cause: a serving task keeps off the last free instances for 3 s from when a leader first could place it. Each leader counts these 3 s anew, after its own 7.9 s until it settles; in a row of hand-overs they never end. A filler's 2 s until it starts where it does harm were counted the same way.

How long a task of an earlier leader has waited isn't known, so it is taken for longer than either.

--- a/src/fighead/decisions/job_lifecycle.py
+++ b/src/fighead/decisions/job_lifecycle.py
@@ -22,6 +22,9 @@
 MAX_ENDED_JOBS = 20_000
 #: Maximum number of characters of a queue's name in a log line.
 MAX_LOGGED_QUEUE_CHARS = 200
+#: How long a task of an earlier scheduler is taken to have waited. The true time is not
+#: known, and a series of schedulers must not defer a task again and again.
+INHERITED_WAIT = dt.timedelta(seconds=6)
 #: Attempts of a task while those of its queue are not known. A job can't be revived
 #: once it is shown as failed.
 UNKNOWN_MAX_ATTEMPTS = sys.maxsize
@@ -59,6 +62,8 @@
     if progress is not None:
         _restore_progress(job, progress)
     open_stages(job)
+    if revision <= schedule.fence:
+        _assume_waiting(job, now - INHERITED_WAIT)
     fields: dict[str, t.Any] = {"job": record.job_id, "revision": revision}
     fields["queue"] = record.queue[:MAX_LOGGED_QUEUE_CHARS]
     fields |= {
@@ -69,6 +74,16 @@
     return [LogNote(Event.JOB_TAKEN, fields)]
 
 
+def _assume_waiting(job: JobState, since: dt.datetime) -> None:
+    """Take the tasks of a job that an earlier scheduler knew for waiting.
+
+    Those that are found running wait anew once their runs have ended.
+    """
+    for stage in job.stages.values():
+        for index in stage.waiting_indexes if stage.is_open else ():
+            stage.tasks[index].waiting_since = since
+
+
 def _choose_queue(
     configured: Queue | None, config_version: int, record: JobRecord
 ) -> Queue:
