Leave the possible runs of each instance to the next leader, and settle by task

Callers saw tasks without a run for 8 s after each planned hand-over beside a release, though there was room, and lost lasting tasks (LOST) where a second wait followed.

Cause: a new leader starts no task of an earlier job before each instance of the fleet record is listed or its leases have ended. Instances that left as planned stay in the record, and nothing tells what ran there. One that left near the hand-over held all tasks of all jobs for 7.9 s; each hand-over began that wait anew.

What changed:

- A leader that steps down as planned stores, together with the end of its leadership, which runs each instance may have, of which jobs progress is not stored, and when the leases of silent instances end.
It has stopped acting, so the next one relies on it, and on it alone: a record of an earlier term counts for nothing.
- Only a task that may run on an instance out of reach waits for its leases.
So does one of a job whose ends may not be stored, while an instance may yet list them.
- A task that the new leader has listed as running, or of a stage that opened since, can have no unknown run: at most one run of a task exists, and the instance refuses earlier leaders.
It starts at once, unless an unknown failure may count as its last attempt.
- An instance that left without runs leaves the fleet record once its ends are stored.
- A leader need not wait until all instances obey it if the one before has stopped.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -5,11 +5,19 @@
 
 from attrs import asdict, evolve
 
+from ..job import TaskKey
 from ..log import Event
 from ..run import RegisteredInstance
 from .authority import MAX_TIME_WITH_NEARLY_ALL, Authority
 from .run_updates import MAX_ORDER_DELAY, requeue_lost_run
-from .schedule_state import Effect, InstanceState, LogNote, RunState, Schedule
+from .schedule_state import (
+    Effect,
+    InheritedRuns,
+    InstanceState,
+    LogNote,
+    RunState,
+    Schedule,
+)
 from .stopping import stop_runs
 
 #: Maximum share by which an instance's steady clock may run slow, as specified by
@@ -23,6 +31,8 @@
 #: Time before the drain deadline at which checkpointed runs are stopped, so that
 #: their checkpoints are saved.
 CHECKPOINT_NOTICE = dt.timedelta(milliseconds=1000)
+#: Silence of an instance after which no call that extends its leases is under way.
+MIN_SILENCE = dt.timedelta(seconds=2)
 #: Maximum number of IDs of instances in one log line.
 MAX_LOGGED_INSTANCES = 20
 
@@ -38,10 +48,7 @@
 
 
 def add_instance(
-    schedule: Schedule,
-    instance: RegisteredInstance,
-    lease: dt.timedelta,
-    now: dt.datetime,
+    schedule: Schedule, instance: RegisteredInstance, now: dt.datetime
 ) -> list[Effect]:
     """Add an instance, or update it from a new registration.
 
@@ -49,7 +56,7 @@
     """
     state = schedule.instances.get(instance.instance_id)
     if state is None:
-        _add_new_instance(schedule, instance, lease, now)
+        _add_new_instance(schedule, instance, now)
         fields = {"instance": instance.instance_id, "address": instance.address}
         return [LogNote(Event.INSTANCE_FOUND, fields)]
     was_draining = state.instance.is_draining
@@ -63,25 +70,18 @@
 
 
 def add_unregistered(
-    schedule: Schedule,
-    instance: RegisteredInstance,
-    lease: dt.timedelta,
-    now: dt.datetime,
+    schedule: Schedule, instance: RegisteredInstance, now: dt.datetime
 ) -> None:
     """Add an instance, unless it is known, whose runs go on but that gets no others."""
     if instance.instance_id not in schedule.instances:
-        state = _add_new_instance(schedule, instance, lease, now)
-        state.is_registered = False
+        _add_new_instance(schedule, instance, now).is_registered = False
 
 
 def _add_new_instance(
-    schedule: Schedule,
-    instance: RegisteredInstance,
-    lease: dt.timedelta,
-    now: dt.datetime,
+    schedule: Schedule, instance: RegisteredInstance, now: dt.datetime
 ) -> InstanceState:
-    leases_end_at = latest_lease_expiry(schedule.elected_at + AUTHORITY_TIMEOUT, lease)
-    state = InstanceState(instance, leases_end_at)
+    # Leases of earlier schedulers count as long as it has not been listed.
+    state = InstanceState(instance, schedule.elected_at, silent_since=now)
     state.is_in_stored_fleet = instance.instance_id in schedule.stored_fleet
     state.restart_count = schedule.restart_counts.get(instance.instance_id, 0)
     if instance.is_draining:
@@ -118,6 +118,8 @@
 
 def predecessors_end(schedule: Schedule) -> dt.datetime:
     """Return when no earlier scheduler acts any more, at the latest."""
+    if schedule.is_handed_over:
+        return schedule.elected_at
     latest_end = schedule.elected_at + MAX_TIME_WITH_NEARLY_ALL + AUTHORITY_TIMEOUT
     return min(schedule.predecessors_end or latest_end, latest_end)
 
@@ -137,7 +139,19 @@
     """
     if state.is_listed:
         return state.leases_end_at
-    return max(state.leases_end_at, inherited_lease_bound(schedule, lease))
+    inherited = unlisted_lease_bound(schedule, state.instance.instance_id, lease)
+    return max(state.leases_end_at, inherited)
+
+
+def unlisted_lease_bound(
+    schedule: Schedule, instance_id: str, lease: dt.timedelta
+) -> dt.datetime:
+    """Return when all leases of earlier schedulers on an instance have expired.
+
+    The one before may have left that for an instance that it didn't reach.
+    """
+    bound = inherited_lease_bound(schedule, lease)
+    return min(bound, schedule.inherited_bounds.get(instance_id, bound))
 
 
 def _has_lapsed(schedule: Schedule, state: InstanceState, lease: dt.timedelta) -> bool:
@@ -147,11 +161,11 @@
     that there is none.
     """
     bound = lease_bound(schedule, state, lease)
-    return (
-        not state.is_reachable
-        and schedule.sole_at is not None
-        and schedule.sole_at >= bound
-    )
+    return not state.is_reachable and _is_sole_since(schedule, bound)
+
+
+def _is_sole_since(schedule: Schedule, bound: dt.datetime) -> bool:
+    return schedule.sole_at is not None and schedule.sole_at >= bound
 
 
 def has_restarted(state: InstanceState, instance: RegisteredInstance) -> bool:
@@ -196,7 +210,8 @@
         state.replaced_incarnations.add(state.instance.incarnation)
     state.instance = evolve(state.instance, is_draining=False)
     state.is_reachable = state.is_listed = False
-    state.last_end_sequence = 0
+    state.silent_since = state.silent_since or now
+    state.last_end_sequence = state.stored_end_sequence = 0
     state.drain_deadline = state.start_backoff_until = state.suspect_until = None
     state.suspect_reason = ""
     state.recent_ends.clear()
@@ -250,12 +265,19 @@
     :param lease: Lease that an earlier scheduler may have granted until ``now``, if
         this is the first listing of the instance.
     """
-    state.is_reachable = True
+    state.is_reachable = state.was_reached = True
+    state.silent_since = None
     extend_lease_bound(state, leases_end_at)
     if not state.is_listed:
         extend_lease_bound(state, latest_lease_expiry(now, lease))
 
 
+def record_silence(state: InstanceState, now: dt.datetime) -> None:
+    """Mark an instance as unreachable."""
+    state.is_reachable = False
+    state.silent_since = now
+
+
 def extend_lease_bound(state: InstanceState, leases_end_at: dt.datetime | None) -> None:
     """Extend the bound of an instance's leases, including unconfirmed ones.
 
@@ -281,9 +303,12 @@
         effects += _stop_checkpointed_runs(state, now)
         if _has_lapsed(schedule, state, lease):
             effects += _expire_instance(schedule, state, now)
-    if not schedule.is_settled and _can_settle(schedule, lease):
-        schedule.is_settled = True
-        effects.append(_describe_settling(schedule, now))
+    if not schedule.is_settled:
+        awaited = find_awaited(schedule, lease)
+        schedule.unknown_runs = _find_unknown_runs(schedule, awaited)
+        if awaited is not None and not awaited:
+            schedule.is_settled = True
+            effects.append(_describe_settling(schedule, now))
     return effects
 
 
@@ -298,22 +323,53 @@
     ]
     if not schedule.is_settled:
         bounds.append(inherited_lease_bound(schedule, lease))
+        bounds += schedule.inherited_bounds.values()
     sole_at = schedule.sole_at
     return any(bound <= now and (not sole_at or sole_at < bound) for bound in bounds)
 
 
-def _can_settle(schedule: Schedule, lease: dt.timedelta) -> bool:
-    """Whether every run of an earlier scheduler is known or has ended.
+def _find_unknown_runs(
+    schedule: Schedule, awaited: t.Collection[str] | None
+) -> InheritedRuns | None:
+    """Return the runs of earlier schedulers that may exist and are not known.
+
+    :param awaited: Instances that may have unknown runs; ``None`` if not yet known.
+    :return: ``None`` if any run may exist.
+    """
+    if awaited is None:
+        return None
+    found = [schedule.inherited_runs.get(instance_id) for instance_id in awaited]
+    possible = [runs for runs in found if runs is not None]
+    if len(possible) < len(found):
+        return None
+    return InheritedRuns(
+        frozenset[TaskKey]().union(*(runs.tasks for runs in possible)),
+        frozenset[str]().union(*(runs.jobs for runs in possible)),
+    )
+
+
+def find_awaited(schedule: Schedule, lease: dt.timedelta) -> list[str] | None:
+    """Return the instances that may have unknown runs; ``None`` if not yet known.
 
     An instance without a registration may still run tasks: it registers in the store,
     and gets its leases from the scheduler.
     """
     fleet = find_fleet_to_settle(schedule, lease)
-    return fleet is not None and all(
-        instance_id in schedule.instances
-        and has_no_unknown_run(schedule, schedule.instances[instance_id], lease)
-        for instance_id in fleet
-    )
+    if fleet is None:
+        return None
+    return [
+        name for name in sorted(fleet) if _may_have_unknown_run(schedule, name, lease)
+    ]
+
+
+def _may_have_unknown_run(
+    schedule: Schedule, instance_id: str, lease: dt.timedelta
+) -> bool:
+    state = schedule.instances.get(instance_id)
+    if state is not None:
+        return not has_no_unknown_run(schedule, state, lease)
+    bound = unlisted_lease_bound(schedule, instance_id, lease)
+    return not _is_sole_since(schedule, bound)
 
 
 def find_fleet_to_settle(
@@ -379,19 +435,37 @@
 def fleet_to_store(schedule: Schedule, lease: dt.timedelta) -> set[str]:
     """Return the IDs of the instances that have, or may be assigned, runs.
 
-    Until the schedule is settled, they include the fleet of the earlier scheduler. Then
-    those that never answered are left out, since the next one would wait for them.
+    Until the schedule is settled, they include the fleet of the earlier scheduler.
+    Those that have left, or never answered, are left out, since the next one would wait
+    for them.
     """
     known = schedule.instances
+    fleet = {
+        instance_id for instance_id, state in known.items() if not _has_left(state)
+    }
     if not schedule.is_settled:
-        return known.keys() | (schedule.inherited_fleet or ())
+        inherited = (schedule.inherited_fleet or frozenset()) - known.keys()
+        return fleet | {
+            name for name in inherited if _may_have_unknown_run(schedule, name, lease)
+        }
     return {
         instance_id
-        for instance_id, state in known.items()
-        if state.runs or not _never_answered(schedule, state, lease)
+        for instance_id in fleet
+        if known[instance_id].runs
+        or not _never_answered(schedule, known[instance_id], lease)
     }
 
 
+def _has_left(state: InstanceState) -> bool:
+    """Whether an instance has no run and gets none until it registers again."""
+    return (
+        state.is_listed
+        and not state.is_registered
+        and not (state.runs or state.unwanted)
+        and state.last_end_sequence <= state.stored_end_sequence
+    )
+
+
 def _never_answered(
     schedule: Schedule, state: InstanceState, lease: dt.timedelta
 ) -> bool:
@@ -414,6 +488,30 @@
         state.is_in_stored_fleet = instance_id in schedule.stored_fleet
 
 
+def find_bounds_to_leave(
+    schedule: Schedule, lease: dt.timedelta, now: dt.datetime
+) -> dict[str, dt.datetime]:
+    """Return when the leases on silent instances end, by instance ID.
+
+    Only those that the scheduler doesn't extend, also by calls under way.
+    """
+    known = {
+        name: lease_bound(schedule, state, lease)
+        for name, state in schedule.instances.items()
+        if not state.is_reachable
+        and (not state.was_reached or _is_silent_for_long(state, now))
+    }
+    unknown = fleet_to_store(schedule, lease) - schedule.instances.keys()
+    return known | {
+        name: unlisted_lease_bound(schedule, name, lease) for name in unknown
+    }
+
+
+def _is_silent_for_long(state: InstanceState, now: dt.datetime) -> bool:
+    since = state.silent_since
+    return since is not None and now - since >= MIN_SILENCE
+
+
 def _expire_instance(
     schedule: Schedule, state: InstanceState, now: dt.datetime
 ) -> list[Effect]:
@@ -432,6 +530,8 @@
         instance_id = state.instance.instance_id
         schedule.restart_counts[instance_id] = state.restart_count + 1
         del schedule.instances[instance_id]
+        if schedule.inherited_fleet is not None:
+            schedule.inherited_fleet -= {instance_id}
     return effects
 
 
--- a/src/fighead/decisions/job_lifecycle.py
+++ b/src/fighead/decisions/job_lifecycle.py
@@ -146,13 +146,20 @@
                 stage.waiting_indexes.discard(index)
 
 
-def open_stages(job: JobState) -> None:
-    """Open each stage whose dependencies are done, so that its tasks may start."""
+def open_stages(job: JobState, *, are_accounted: bool = False) -> None:
+    """Open each stage whose dependencies are done, so that its tasks may start.
+
+    :param are_accounted: Whether no earlier scheduler can have opened them.
+    """
     for (occurrence, _), stage in job.stages.items():
-        if not stage.is_open:
-            stage.is_open = all(
-                job.stages[occurrence, number].is_done for number in stage.spec.after
-            )
+        if stage.is_open:
+            continue
+        stage.is_open = all(
+            job.stages[occurrence, number].is_done for number in stage.spec.after
+        )
+        if stage.is_open and are_accounted:
+            for task in stage.tasks:
+                task.is_accounted = True
 
 
 def build_progress(job: JobState) -> JobProgress:
--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -304,7 +304,9 @@
     schedule: Schedule, now: dt.datetime
 ) -> list[tuple[JobState, StageState]]:
     found = [
-        pair for pair in find_due_stages(schedule, now) if schedule.may_start(pair[0])
+        pair
+        for pair in find_due_stages(schedule, now)
+        if schedule.find_startable(*pair)
     ]
     found.sort(key=lambda pair: _urgency(*pair, now))
     return found
@@ -333,7 +335,7 @@
         if not _is_starved(round_, job, stage):
             return []
     effects: list[Effect] = []
-    for index in sorted(stage.waiting_indexes):
+    for index in sorted(round_.schedule.find_startable(job, stage)):
         task = stage.tasks[index]
         task.waiting_since = task.waiting_since or round_.now
         state = _choose_instance(round_, job, stage, task)
@@ -622,7 +624,7 @@
     round_: PlacementRound, job: JobState, stage: StageState
 ) -> list[Effect]:
     """Start all tasks of a gang with the same run number, or none of them."""
-    if len(stage.waiting_indexes) < len(stage.tasks):
+    if len(round_.schedule.find_startable(job, stage)) < len(stage.tasks):
         return []
     usable = list(_find_candidates(round_, job, stage))
     chosen = _choose_gang_instances(usable, stage)
--- a/src/fighead/decisions/run_updates.py
+++ b/src/fighead/decisions/run_updates.py
@@ -204,6 +204,7 @@
     """Add a run to its instance, its stage and its task."""
     task.runs.append(run)
     task.waiting_since = None
+    task.is_accounted = True
     task.highest_run_number = max(task.highest_run_number, run.number)
     stage.waiting_indexes.discard(task.key.index)
     instance_id = state.instance.instance_id
@@ -315,7 +316,8 @@
         effects += stop_runs(member.runs)
     schedule.unsaved_jobs.add(job.job_id)
     if stage.is_done:
-        open_stages(job)
+        # No earlier scheduler has seen the task done, so none has opened them.
+        open_stages(job, are_accounted=task.is_accounted)
     if all(each.is_done for each in job.stages.values()):
         effects += end_job(schedule, job, JobPhase.COMPLETED, "all tasks are done")
     return effects
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -6,7 +6,7 @@
 import functools
 import typing as t
 
-from attrs import Factory, define, field
+from attrs import Factory, define, field, frozen
 
 from ..job import Demand, JobConfig, JobPhase, JobRecord, Queue, Stage, TaskKey
 from ..log import Event
@@ -89,6 +89,8 @@
     :param highest_run_number: Highest known run number of the task.
     :param avoided_instances: Instances on which a run of the task has failed.
     :param waiting_since: Since when the task has been ready to start but not placed.
+    :param is_accounted: Whether the scheduler has seen a run of it or started one, so
+        that no earlier scheduler can have started another.
     """
 
     key: TaskKey
@@ -99,6 +101,7 @@
     runs: list[RunState] = field(factory=list)
     avoided_instances: set[str] = field(factory=set)
     waiting_since: dt.datetime | None = None
+    is_accounted: bool = False
 
 
 @define(eq=False)
@@ -208,6 +211,8 @@
     :param is_listed: Whether the current incarnation has listed all its runs and ends
         in this term.
     :param is_reachable: Whether the last call to the instance was answered.
+    :param was_reached: Whether a call has been answered in this term.
+    :param silent_since: Since when no call has been answered; ``None`` if the last was.
     :param is_registered: Whether the store holds the registration of its current
         incarnation.
     :param is_in_stored_fleet: Whether the stored fleet includes the instance.
@@ -215,6 +220,7 @@
         refused a start.
     :param drain_deadline: When a draining instance may shut down.
     :param last_end_sequence: Highest sequence number of the run ends processed so far.
+    :param stored_end_sequence: The same for ends whose effects are stored.
     :param recent_ends: The most recent run ends, to judge the health of the instance.
     :param suspect_until: Until when no run is placed on the instance because it
         looks unhealthy.
@@ -233,11 +239,14 @@
     replaced_incarnations: set[str] = field(factory=set)
     is_listed: bool = False
     is_reachable: bool = False
+    was_reached: bool = False
+    silent_since: dt.datetime | None = None
     is_registered: bool = True
     is_in_stored_fleet: bool = False
     start_backoff_until: dt.datetime | None = None
     drain_deadline: dt.datetime | None = None
     last_end_sequence: int = 0
+    stored_end_sequence: int = 0
     recent_ends: collections.deque[RecentEnd] = field(
         factory=lambda: collections.deque(maxlen=MAX_RECENT_ENDS)
     )
@@ -286,6 +295,22 @@
             self.serving_cpu_millicores += sign * stage.cpu
 
 
+@frozen
+class InheritedRuns:
+    """The runs that the scheduler before may have left on an instance.
+
+    :param tasks: The tasks of which it may have left one.
+    :param jobs: IDs of the jobs of which it may list ends that are not stored.
+    """
+
+    tasks: frozenset[TaskKey] = frozenset()
+    jobs: frozenset[str] = frozenset()
+
+    def may_include(self, key: TaskKey) -> bool:
+        """Whether a run of a task, or a missing end of one, may be among them."""
+        return key in self.tasks or key.job_id in self.jobs
+
+
 @define(eq=False)
 class Schedule:
     """The state of the scheduler in one term.
@@ -300,6 +325,13 @@
         is not yet known.
     :param inherited_fleet: Instances to which an earlier scheduler may have assigned
         runs; ``None`` if unknown.
+    :param inherited_runs: Runs that the scheduler before may have left, by instance ID.
+        An instance that is left out may have any.
+    :param inherited_bounds: When all leases of earlier schedulers on an instance have
+        ended, by its ID, if the one before has left that.
+    :param is_handed_over: Whether the scheduler before has stopped, and all before it.
+    :param unknown_runs: All runs of earlier schedulers that are not known and may
+        exist; ``None`` if any may.
     :param stored_fleet: Instances that the stored fleet record certainly includes.
     :param no_inherited_runs_after: A job with a higher store revision cannot have
         runs from an earlier scheduler; ``None`` if that revision is not yet known.
@@ -325,6 +357,10 @@
     sole_at: dt.datetime | None = None
     predecessors_end: dt.datetime | None = None
     inherited_fleet: frozenset[str] | None = None
+    inherited_runs: dict[str, InheritedRuns] = field(factory=dict)
+    inherited_bounds: dict[str, dt.datetime] = field(factory=dict)
+    is_handed_over: bool = False
+    unknown_runs: InheritedRuns | None = None
     stored_fleet: frozenset[str] = frozenset()
     no_inherited_runs_after: int | None = None
     config: JobConfig = JobConfig()
@@ -360,18 +396,40 @@
         return int((now - self.elected_at).total_seconds() * 1000)
 
     def may_start(self, job: JobState) -> bool:
-        """Whether runs may start because the job can have no unknown runs.
-
-        The scheduler leaves a job to the later one under which it was accepted.
-        """
-        accepted_under = job.record.leader_term
-        if accepted_under > self.latest_term and not self._was_sole_after(job.taken_at):
+        """Whether runs may start because the job can have no unknown runs."""
+        if self.leaves_to_later(job):
             return False
         is_new = (
             self.no_inherited_runs_after is not None
             and job.revision > self.no_inherited_runs_after
         )
-        return self.is_settled or is_new or accepted_under >= self.term
+        return self.is_settled or is_new or job.record.leader_term >= self.term
+
+    def leaves_to_later(self, job: JobState) -> bool:
+        """Whether a job is left to the later scheduler under which it was accepted."""
+        return job.record.leader_term > self.latest_term and not self._was_sole_after(
+            job.taken_at
+        )
+
+    def find_startable(self, job: JobState, stage: StageState) -> t.Collection[int]:
+        """Return the indexes of the waiting tasks that can have no unknown run."""
+        if self.may_start(job):
+            return stage.waiting_indexes
+        if self.leaves_to_later(job):
+            return ()
+        return [
+            index
+            for index in stage.waiting_indexes
+            if self._has_no_unknown_run(stage, stage.tasks[index])
+        ]
+
+    def _has_no_unknown_run(self, stage: StageState, task: TaskState) -> bool:
+        if self.unknown_runs is not None and not self.unknown_runs.may_include(
+            task.key
+        ):
+            return True
+        # An unknown run may have failed, which counts as an attempt.
+        return task.is_accounted and (stage.spec.is_lasting or not task.failures)
 
     def _was_sole_after(self, at: dt.datetime | None) -> bool:
         return at is not None and self.sole_at is not None and self.sole_at > at
--- a/src/fighead/decisions/waiting.py
+++ b/src/fighead/decisions/waiting.py
@@ -143,21 +143,18 @@
     schedule: Schedule, status: LeaderStatus, now: dt.datetime
 ) -> LogNote:
     fleet = instance_tracking.find_fleet_to_settle(schedule, status.lease)
-    states = [(name, schedule.instances.get(name)) for name in sorted(fleet or ())]
-    unknown = [name for name, state in states if state is None]
-    awaited = [
-        (name, state)
-        for name, state in states
-        if state is not None
-        and not instance_tracking.has_no_unknown_run(schedule, state, status.lease)
-    ]
-    unlisted = [name for name, state in awaited if state.is_reachable]
-    silent = [state for _, state in awaited if not state.is_reachable]
+    names = instance_tracking.find_awaited(schedule, status.lease) or []
+    awaited = [schedule.instances[name] for name in names if name in schedule.instances]
+    unknown = [name for name in names if name not in schedule.instances]
+    unlisted = [state for state in awaited if state.is_reachable]
+    silent = [state for state in awaited if not state.is_reachable]
     bounds = [
         instance_tracking.lease_bound(schedule, state, status.lease) for state in silent
     ]
-    if unknown:
-        bounds.append(instance_tracking.inherited_lease_bound(schedule, status.lease))
+    bounds += [
+        instance_tracking.unlisted_lease_bound(schedule, name, status.lease)
+        for name in unknown
+    ]
     needs = []
     if fleet is None:
         needs.append(Need.FLEET)
@@ -167,13 +164,13 @@
         needs.append(Need.LISTINGS)
     if bounds or fleet is None:
         needs += _find_needs_of_leases(schedule, bounds, now)
-    stages = [
-        (job, stage)
+    waiting = [
+        (stage, stage.waiting_indexes - set(schedule.find_startable(job, stage)))
         for job, stage in placement.find_due_stages(schedule, now)
-        if not schedule.may_start(job)
     ]
+    waiting = [(stage, indexes) for stage, indexes in waiting if indexes]
+    runs = schedule.unknown_runs
     exclusion = status.authority.exclusion
-    missing = [*unknown, *(name for name, _ in awaited)]
     fields = {
         "term": schedule.term,
         "since_election_ms": schedule.ms_since_election(now),
@@ -184,30 +181,37 @@
         "predecessors_ms": _to_ms(instance_tracking.predecessors_end(schedule) - now),
         "sole_age_ms": _describe_age(schedule.sole_at, now),
         "fleet": len(fleet) if fleet is not None else None,
-        "listed": sum(state is not None and state.is_listed for _, state in states),
+        "listed": sum(
+            name in schedule.instances and schedule.instances[name].is_listed
+            for name in fleet or ()
+        ),
         "unknown": len(unknown),
         "unlisted": len(unlisted),
         "silent": len(silent),
         "leases_ms": _to_ms(max(bounds) - now) if bounds else None,
         "listings_in_lookup": status.listings_in_lookup,
-        "awaited": missing[: instance_tracking.MAX_LOGGED_INSTANCES],
-        "waiting_jobs": len({job.job_id for job, _ in stages}),
-        "waiting_tasks": sum(len(stage.waiting_indexes) for _, stage in stages),
+        "awaited": names[: instance_tracking.MAX_LOGGED_INSTANCES],
+        "possible_runs": len(runs.tasks) if runs is not None else None,
+        "waiting_jobs": len({stage.tasks[0].key.job_id for stage, _ in waiting}),
+        "waiting_tasks": sum(len(indexes) for _, indexes in waiting),
         "lasting": sum(
-            len(stage.waiting_indexes) for _, stage in stages if stage.spec.is_lasting
+            len(indexes) for stage, indexes in waiting if stage.spec.is_lasting
         ),
-        "tasks": _name_tasks(stage for _, stage in stages),
+        "tasks": _name_tasks(waiting),
     }
     return LogNote(Event.SCHEDULE_UNSETTLED, fields)
 
 
-def _name_tasks(stages: t.Iterable[StageState]) -> list[str]:
-    """Return the names of the first waiting tasks, those that are to last first."""
-    ordered = sorted(stages, key=lambda stage: not stage.spec.is_lasting)
+def _name_tasks(waiting: t.Iterable[tuple[StageState, set[int]]]) -> list[str]:
+    """Return the names of the first waiting tasks, those that are to last first.
+
+    :param waiting: Stages with the indexes of those of their tasks that wait.
+    """
+    ordered = sorted(waiting, key=lambda item: not item[0].spec.is_lasting)
     keys = (
         stage.tasks[index].key
-        for stage in ordered
-        for index in sorted(stage.waiting_indexes)
+        for stage, indexes in ordered
+        for index in sorted(indexes)
     )
     return [str(key) for key in itertools.islice(keys, MAX_LOGGED_TASKS)]
 
@@ -286,13 +290,16 @@
     found: list[tuple[JobState, StageState, dict[int, dt.datetime]]] = []
     tracked: dict[StageState, dict[int, dt.datetime]] = {}
     for job, stage in placement.find_due_stages(schedule, now):
-        if not (schedule.is_settled or schedule.may_start(job)):
+        indexes = stage.waiting_indexes
+        if not schedule.is_settled:
+            indexes = set(schedule.find_startable(job, stage))
+        if not indexes:
             continue
         since = tracked[stage] = watch.waiting_since.get(stage) or {}
-        if since.keys() != stage.waiting_indexes:
-            for index in since.keys() - stage.waiting_indexes:
+        if since.keys() != indexes:
+            for index in since.keys() - indexes:
                 del since[index]
-            for index in sorted(stage.waiting_indexes - since.keys()):
+            for index in sorted(indexes - since.keys()):
                 since[index] = now
         found.append((job, stage, since))
     watch.waiting_since = tracked
@@ -405,7 +412,7 @@
     :param obstacles: Receives those of instances with room, by instance ID.
     """
     job, stage = wait.job, wait.stage
-    if not schedule.may_start(job):
+    if schedule.leaves_to_later(job):
         return WaitReason.LATER_LEADER
     suitable = [
         state
--- a/src/fighead/job.py
+++ b/src/fighead/job.py
@@ -264,6 +264,19 @@
         return f"{self.job_id}.{self.occurrence}.{self.stage}.{self.index}"
 
 
+def parse_task_key(text: str) -> TaskKey:
+    """Return the key that ``str`` has turned into ``text``.
+
+    :raises ValueError: If it is no such text.
+
+    >>> parse_task_key("5c0e.0.1.17")
+    TaskKey(job_id='5c0e', occurrence=0, stage=1, index=17)
+    """
+    job_id, *numbers = text.split(".")
+    occurrence, stage, index = map(int, numbers)
+    return TaskKey(job_id, occurrence, stage, index)
+
+
 @frozen
 class StageProgress:
     """Stored progress of one stage of one occurrence.
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -129,6 +129,7 @@
             self._start_scheduling,
             self._stop_scheduling,
             cfg.capacity,
+            self._describe_handover,
         )
 
     def start(self) -> None:
@@ -291,6 +292,9 @@
             self.scheduler = None
             self.metrics.set_leading(False)
 
+    def _describe_handover(self) -> str | None:
+        return self.scheduler.describe_handover() if self.scheduler else None
+
     def _take_scheduler_load(self) -> SchedulerLoad | None:
         return self.scheduler.take_load() if self.scheduler is not None else None
 
--- a/src/fighead/store.py
+++ b/src/fighead/store.py
@@ -32,6 +32,8 @@
 #: Estimates of the interference between images.
 LEARNED_EFFECTS_KEY = "fighead/learned"
 FLEET_KEY = "fighead/fleet"
+#: What the latest leader that stepped down left to its successor.
+HANDOVER_KEY = "fighead/handover"
 
 
 @frozen
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -28,6 +28,7 @@
 from ..mailbox import Mailbox, process_messages, spawn
 from ..model import Capacity, JobMember, Member
 from ..store import (
+    HANDOVER_KEY,
     JOB_CONTROL_PREFIX,
     JOB_ELECTORATE_KEY,
     JOB_LEADER_KEY,
@@ -226,6 +227,8 @@
     :param on_elected: Called after this entry is elected, with the leader and
         whether this process already led and no other has led since.
     :param on_deposed: Called when this entry stops being the leader.
+    :param describe_handover: Called when this entry steps down as planned. It returns
+        the record for the next leader; ``None`` if there is none.
     :param capacity: What this entry's machine provides.
     :param confirmation: What last confirmed this entry as the leader.
     """
@@ -238,6 +241,7 @@
     on_elected: t.Callable[[Leader, bool], None]
     on_deposed: t.Callable[[], None]
     capacity: Capacity = Capacity()
+    describe_handover: t.Callable[[], str | None] = lambda: None
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("leadership"))
     view: ControlView = ControlView()
     confirmation: Confirmation | None = None
@@ -741,8 +745,9 @@
         self._is_resigned = True
         if self._is_leading:
             fence = self.view.leader.fence if self.view.leader else 0
+            left = self.describe_handover()
             self._step_down("the entry is stopping")
-            spawn(self._delete_leader_key(fence))
+            spawn(self._delete_leader_key(fence, left))
 
     # Confirmation by the store, or by peers and instances.
 
@@ -979,9 +984,9 @@
             peer_capacity=asdict(self._find_capacities()[peer]),
             capacity=asdict(self.capacity),
         )
-        fence = self._leader_kv.mod_revision
+        fence, left = self._leader_kv.mod_revision, self.describe_handover()
         self._step_down(f"entry {peer} can carry more")
-        spawn(self._delete_leader_key(fence))
+        spawn(self._delete_leader_key(fence, left))
 
     def _yield_leadership(self, fence: int) -> None:
         """Let any other entry lead, and stand for election after it."""
@@ -989,11 +994,14 @@
             return
         if self._is_leading:
             self._handed_over_at = self.clock.now()
+            left = self.describe_handover()
             self._fail("the jobs can't be read")
-            spawn(self._delete_leader_key(fence))
+            spawn(self._delete_leader_key(fence, left))
 
-    async def _delete_leader_key(self, fence: int) -> None:
-        txn = Txn((Compare(JOB_LEADER_KEY, fence),), (Delete(JOB_LEADER_KEY),))
+    async def _delete_leader_key(self, fence: int, left: str | None) -> None:
+        """Delete the leader key, and store what this leader leaves to the next one."""
+        puts = (Put(HANDOVER_KEY, left),) if left is not None else ()
+        txn = Txn((Compare(JOB_LEADER_KEY, fence),), (*puts, Delete(JOB_LEADER_KEY)))
         try:
             await self.store.call(txn, STORE_TIMEOUT)
         except StoreError as exc:
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -11,6 +11,7 @@
 from ..codec import from_json, to_json
 from ..decisions import (
     admission,
+    handover,
     instance_tracking,
     interference,
     job_lifecycle,
@@ -22,6 +23,7 @@
 )
 from ..decisions.admission import QueuedStarts
 from ..decisions.authority import Authority
+from ..decisions.handover import Handover
 from ..decisions.schedule_state import (
     INCARNATIONS_PER_TERM,
     InstanceState,
@@ -40,6 +42,7 @@
 from ..store import (
     CANCEL_MARK_SUFFIX,
     FLEET_KEY,
+    HANDOVER_KEY,
     JOB_CONTROL_PREFIX,
     JOB_LEADER_KEY,
     JOB_PROGRESS_PREFIX,
@@ -133,12 +136,16 @@
 
 @frozen
 class FleetLoaded:
-    """The fleet record has been read from the store.
+    """What earlier schedulers have left has been read from the store.
 
-    :param record: Record of an earlier scheduler; ``None`` if none is stored.
+    :param record: Their record of the fleet; ``None`` if none is stored.
+    :param handover: The same for the hand-over.
+    :param read_at: When they were read.
     """
 
     record: KeyValue | None
+    handover: KeyValue | None
+    read_at: dt.datetime
 
 
 @frozen
@@ -227,6 +234,8 @@
     _answered_ids: set[str] = field(factory=set)
     _new_answers: dict[str, tuple[str, dt.datetime]] = field(factory=dict)
     _is_writing: bool = False
+    # Jobs whose write has been requested and not yet been answered.
+    _job_ids_in_write: set[str] = field(factory=set)
     _flushed_at: dt.datetime | None = None
     _placement_call: t.Any = None
     _next_round_at: dt.datetime = field(init=False)
@@ -338,9 +347,12 @@
         neither before it has loaded. It would take as long on a slow link, though,
         and leave less of it to the renewals of the leader's lease.
         """
-        self.mailbox.offer(FleetLoaded(await self._read_key(FLEET_KEY, "load")))
+        records = [
+            await self._read_key(key, "load") for key in (FLEET_KEY, HANDOVER_KEY)
+        ]
+        self.mailbox.offer(FleetLoaded(*records, self.clock.now()))
         waited = dt.timedelta()
-        while not self._has_fenced_all_instances() and waited < MAX_FENCING_WAIT:
+        while not self._has_fenced_predecessors() and waited < MAX_FENCING_WAIT:
             await sleep(self.clock, PLACEMENT_DELAY * 2)
             waited += PLACEMENT_DELAY * 2
         store, started_at = self.adapter.store, self.clock.now()
@@ -406,11 +418,13 @@
         log_event(Event.STORE_CALL_FAILED, what=what, reason=exc.message)
         self.metrics.count_store_failure(what)
 
-    def _has_fenced_all_instances(self) -> bool:
-        """Whether every instance with an agent has answered under the fence.
+    def _has_fenced_predecessors(self) -> bool:
+        """Whether earlier schedulers have stopped, or no instance obeys them.
 
         Only meaningful until jobs are loaded: pending listings are removed later.
         """
+        if self.schedule.is_handed_over:
+            return True
         return bool(self.agents) and self._pending.by_instance.keys() >= (
             self.agents.keys()
         )
@@ -438,8 +452,8 @@
                     )
             case m.CancelTold(job_id):
                 self._apply_effects(job_lifecycle.cancel_job(self.schedule, job_id))
-            case FleetLoaded(record):
-                self._inherit_fleet(record)
+            case FleetLoaded():
+                self._inherit(msg)
             case StateLoaded():
                 self._handle_loaded_state(msg, now)
             case JobLookedUp():
@@ -579,7 +593,7 @@
     def _list_unregistered(self, instance: RegisteredInstance) -> None:
         """List an instance that is not used, and renew the leases of its runs."""
         now = self.clock.now()
-        instance_tracking.add_unregistered(self.schedule, instance, self.lease, now)
+        instance_tracking.add_unregistered(self.schedule, instance, now)
         if instance.instance_id not in self.agents:
             self._start_agent(instance)
 
@@ -604,7 +618,7 @@
         if known is not None and instance_tracking.has_restarted(known, instance):
             self._handle_restart(instance_id, instance.incarnation)
         effects = instance_tracking.add_instance(
-            self.schedule, instance, self.lease, self.clock.now()
+            self.schedule, instance, self.clock.now()
         )
         if instance_id not in self.agents:
             self._start_agent(instance)
@@ -627,6 +641,25 @@
         self.agents[instance.instance_id] = agent
         agent.start()
 
+    def _inherit(self, msg: FleetLoaded) -> None:
+        left = _decode_record(msg.handover, Handover) if msg.handover else None
+        if left is not None:
+            handover.inherit_handover(self.schedule, left, msg.read_at)
+        self._inherit_fleet(msg.record)
+
+    def describe_handover(self) -> str | None:
+        """Return the record for the successor; ``None`` if little is known.
+
+        The scheduler must not act any more.
+        """
+        if self.schedule.inherited_fleet is None:
+            return None
+        unsaved = self.schedule.unsaved_jobs | self._job_ids_in_write
+        left = handover.build_handover(
+            self.schedule, self.lease, unsaved, self._read_clock()
+        )
+        return to_json(left)
+
     def _inherit_fleet(self, record: KeyValue | None) -> None:
         self._fleet_read_revision = record.mod_revision if record else 0
         fleet = _decode_record(record, Fleet) if record else Fleet(())
@@ -702,7 +735,7 @@
             case agent_messages.CallFailed(_, reason, leases_end_at):
                 instance_tracking.extend_lease_bound(state, leases_end_at)
                 if state.is_reachable:
-                    state.is_reachable = False
+                    instance_tracking.record_silence(state, now)
                     log_event(
                         Event.INSTANCE_SILENT, instance=instance_id, reason=reason
                     )
@@ -888,9 +921,11 @@
         """
         if not self._is_loaded or self._is_fleet_write_pending:
             return
+        names = instance_tracking.fleet_to_store(self.schedule, self.lease)
+        unregistered = instance_tracking.find_unregistered(self.schedule)
         fleet = Fleet(
-            tuple(sorted(instance_tracking.fleet_to_store(self.schedule, self.lease))),
-            tuple(instance_tracking.find_unregistered(self.schedule)),
+            tuple(sorted(names)),
+            tuple(each for each in unregistered if each.instance_id in names),
         )
         if fleet == self._requested_fleet:
             return
@@ -962,6 +997,7 @@
         if is_progress_due:
             self._flushed_at = now
         self._is_writing = True
+        self._job_ids_in_write.update(write.job_id for write in writes)
         self._write_requested_s = self.steady_s()
         self._recorder.mailbox.offer(
             RecordJobs(self.schedule.fence, writes, end_sequences)
@@ -985,12 +1021,19 @@
             sequence = end_sequences.get(agent.identity)
             if sequence is not None:
                 self._acknowledged_sequences[agent.identity] = sequence
+                self._note_stored_ends(agent, sequence)
                 agent.mailbox.offer(agent_messages.Acknowledge(sequence))
 
+    def _note_stored_ends(self, agent: AgentTask, sequence: int) -> None:
+        state = self.schedule.instances.get(agent.client.instance.instance_id)
+        if state is not None and state.instance.identity == agent.identity:
+            state.stored_end_sequence = sequence
+
     def _handle_recorded(self, msg: JobsRecorded) -> None:
         if msg.is_last and msg.fence == self.schedule.fence:
             self._is_writing = False
         for write in msg.writes:
+            self._job_ids_in_write.discard(write.job_id)
             job = self.schedule.jobs.get(write.job_id)
             if job is None:
                 continue
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -34,7 +34,7 @@
     instance = RegisteredInstance(
         name, "1", "10.0.0.1:80", "mill", "z", capacity, ("a", rack), **fields
     )
-    instance_tracking.add_instance(schedule, instance, LEASE, START)
+    instance_tracking.add_instance(schedule, instance, START)
     state = schedule.instances[name]
     state.is_reachable = state.is_listed = state.is_in_stored_fleet = True
     return state
--- a/tests/test_missing_evidence.py
+++ b/tests/test_missing_evidence.py
@@ -116,7 +116,7 @@
 def test_no_scheduler_settles_while_a_listing_of_a_reached_instance_is_pending():
     schedule = Schedule(2, 10, START_TIME)
     instance = RegisteredInstance("i0", "1", "i0", "mill")
-    instance_tracking.add_instance(schedule, instance, LEASE, START_TIME)
+    instance_tracking.add_instance(schedule, instance, START_TIME)
     instance_tracking.set_inherited_fleet(schedule, ("i0",))
     bound = schedule.instances["i0"].leases_end_at
     # Its first listing waits for a job; the next call renews the leases meanwhile.
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -30,7 +30,7 @@
 from fighead.platform.submission import decode_submission
 from fighead.store import JOBS_PREFIX, KeyValue
 from fighead.tasks.watch import Snapshot, WatchTask
-from job_builders import LEASE, add_job, at_seconds, make_schedule, orders_in
+from job_builders import add_job, at_seconds, make_schedule, orders_in
 from job_cluster import JobCluster
 from memory_store import MemoryStore
 from odd_answers import JSON_VALUES
@@ -110,7 +110,7 @@
         if instance is None:
             continue
         now = at_seconds(0)
-        instance_tracking.add_instance(schedule, instance, LEASE, now)
+        instance_tracking.add_instance(schedule, instance, now)
         added = schedule.instances[instance.instance_id]
         added.is_reachable = added.is_listed = added.is_in_stored_fleet = True
     with contextlib.suppress(RequestError):
