Keep the ends of leases over a chain of leaders

Cause: each leader waits for the leases that its predecessor may have extended until its own election, also on instances that the predecessor didn't reach, and whose leases so ended earlier.

What changed: a leader stores, with the fleet, when the leases on silent instances end. It keeps to that: it extends none of them, and starts nothing there, before it has stored a record without the instance. Entries watch the record and count from when they first saw it, so no clock is shared.

An instance is left out until it has been silent for 2 s, longer than a call takes. The price: one that comes back after 2 s while the store is away keeps its leases only as long as they run.

--- a/src/fighead/decisions/handover.py
+++ b/src/fighead/decisions/handover.py
@@ -68,6 +68,18 @@
     leases_ms: dict[str, int] = field(factory=dict, validator=_is_leases_ms)
 
 
+@frozen
+class LeaseBounds:
+    """Ends of leases to which a leader keeps until it has stored others.
+
+    :param term: Its term.
+    :param leases_ms: As for :class:`Handover`.
+    """
+
+    term: int
+    leases_ms: dict[str, int] = field(factory=dict, validator=_is_leases_ms)
+
+
 def build_handover(
     schedule: Schedule,
     lease: dt.timedelta,
@@ -154,6 +166,19 @@
     return True
 
 
+def inherit_lease_bounds(
+    schedule: Schedule, bounds: LeaseBounds, written_at: dt.datetime
+) -> bool:
+    """Take over when leases end; return whether this schedule is the next.
+
+    :param written_at: Latest time at which the record was written.
+    """
+    if bounds.term != schedule.term - 1:
+        return False
+    _inherit_leases(schedule, bounds.leases_ms, written_at)
+    return True
+
+
 def _parse_keys(texts: t.Iterable[str]) -> frozenset[TaskKey]:
     return frozenset(parse_task_key(text) for text in texts)
 
--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -31,7 +31,8 @@
 #: Time before the drain deadline at which checkpointed runs are stopped, so that
 #: their checkpoints are saved.
 CHECKPOINT_NOTICE = dt.timedelta(milliseconds=1000)
-#: Silence of an instance after which no call that extends its leases is under way.
+#: Silence of an instance after which its leases are no longer extended without a write
+#: to the store. It exceeds the time that a call to an instance takes.
 MIN_SILENCE = dt.timedelta(seconds=2)
 #: Maximum number of IDs of instances in one log line.
 MAX_LOGGED_INSTANCES = 20
@@ -82,7 +83,7 @@
 ) -> InstanceState:
     # Leases of earlier schedulers count as long as it has not been listed.
     state = InstanceState(instance, schedule.elected_at, silent_since=now)
-    state.is_in_stored_fleet = instance.instance_id in schedule.stored_fleet
+    state.is_in_stored_fleet = _is_in_stored_fleet(schedule, instance.instance_id)
     state.restart_count = schedule.restart_counts.get(instance.instance_id, 0)
     if instance.is_draining:
         state.drain_deadline = _find_drain_deadline(instance, now)
@@ -481,11 +482,28 @@
     ]
 
 
-def set_stored_fleet(schedule: Schedule, instance_ids: t.Iterable[str]) -> None:
-    """Set the instances that the stored fleet record certainly includes."""
+def set_stored_records(
+    schedule: Schedule,
+    instance_ids: t.Iterable[str],
+    bounds: t.Mapping[str, dt.datetime],
+) -> None:
+    """Set what the store holds for the next scheduler.
+
+    :param instance_ids: The instances that the fleet record certainly includes.
+    :param bounds: The ends of leases that it may hold, by instance ID.
+    """
     schedule.stored_fleet = frozenset(instance_ids)
+    schedule.stored_bounds = dict(bounds)
     for instance_id, state in schedule.instances.items():
-        state.is_in_stored_fleet = instance_id in schedule.stored_fleet
+        state.is_in_stored_fleet = _is_in_stored_fleet(schedule, instance_id)
+
+
+def _is_in_stored_fleet(schedule: Schedule, instance_id: str) -> bool:
+    """Whether the next scheduler would expect runs and leases on an instance."""
+    return (
+        instance_id in schedule.stored_fleet
+        and instance_id not in schedule.stored_bounds
+    )
 
 
 def find_bounds_to_leave(
@@ -507,6 +525,24 @@
     }
 
 
+def find_bounds_to_store(
+    schedule: Schedule, lease: dt.timedelta, now: dt.datetime
+) -> dict[str, dt.datetime]:
+    """Return the ends of leases to store for the next scheduler, by instance ID.
+
+    An instance that has just fallen silent is left out, since its leases could not be
+    extended before another write.
+    """
+    states = schedule.instances
+    return {
+        name: bound
+        for name, bound in find_bounds_to_leave(schedule, lease, now).items()
+        if name not in states
+        or name in schedule.inherited_bounds
+        or _is_silent_for_long(states[name], now)
+    }
+
+
 def _is_silent_for_long(state: InstanceState, now: dt.datetime) -> bool:
     since = state.silent_since
     return since is not None and now - since >= MIN_SILENCE
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -332,6 +332,8 @@
     :param is_handed_over: Whether the scheduler before has stopped, and all before it.
     :param unknown_runs: All runs of earlier schedulers that are not known and may
         exist; ``None`` if any may.
+    :param stored_bounds: Ends of leases that the store may hold, to which the scheduler
+        keeps, by instance ID.
     :param stored_fleet: Instances that the stored fleet record certainly includes.
     :param no_inherited_runs_after: A job with a higher store revision cannot have
         runs from an earlier scheduler; ``None`` if that revision is not yet known.
@@ -361,6 +363,7 @@
     inherited_bounds: dict[str, dt.datetime] = field(factory=dict)
     is_handed_over: bool = False
     unknown_runs: InheritedRuns | None = None
+    stored_bounds: dict[str, dt.datetime] = field(factory=dict)
     stored_fleet: frozenset[str] = frozenset()
     no_inherited_runs_after: int | None = None
     config: JobConfig = JobConfig()
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -281,6 +281,7 @@
             self.leadership.mailbox.offer,
             self.leadership.needs_instances,
             lambda fence: self.leadership.mailbox.offer(leadership.LoadFailed(fence)),
+            self.leadership.find_lease_record_date,
         )
         self.metrics.set_leading(True)
         self.scheduler.start()
--- a/src/fighead/store.py
+++ b/src/fighead/store.py
@@ -23,6 +23,8 @@
 JOB_TERM_KEY = JOB_CONTROL_PREFIX + "term"
 JOB_ELECTORATE_KEY = JOB_CONTROL_PREFIX + "electorate"
 JOB_MEMBERS_PREFIX = JOB_CONTROL_PREFIX + "members/"
+#: Ends of leases that the leader keeps to. Other entries watch when they are written.
+JOB_LEASES_KEY = JOB_CONTROL_PREFIX + "leases"
 #: Accepted jobs that have not ended; the key of a job followed by
 #: ``CANCEL_MARK_SUFFIX`` marks it as cancelled.
 JOBS_PREFIX = "fighead/jobs/"
--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -197,6 +197,7 @@
     :param may_act: Whether the entry may send starts and renew leases now.
     :param report: Called with each report; must not block.
     :param needs_answers: Whether the instance must confirm the leader by its answers.
+    :param may_renew: Whether leases may be extended, beside ``may_act``.
     """
 
     client: InstanceClient
@@ -206,6 +207,7 @@
     may_act: t.Callable[[], bool]
     report: t.Callable[[AgentReport], None]
     needs_answers: t.Callable[[], bool] = lambda: False
+    may_renew: t.Callable[[], bool] = lambda: True
     mailbox: Mailbox[AgentOrder] = field(factory=lambda: Mailbox("agent", 4096))
     _acknowledged_sequence: int = 0
     _last_end_sequence: int = 0
@@ -299,7 +301,8 @@
     async def _request_listing(self, wait: dt.timedelta) -> Listing:
         # An instance whose answers are lost may still receive calls. Its leases are
         # not extended, so that the time of their expiry stays known.
-        lease_until_ms = self._extend_leases() if self._is_answering else 0
+        may_extend = self._is_answering and self.may_renew()
+        lease_until_ms = self._extend_leases() if may_extend else 0
         listing = await self.client.renew_and_list(
             self.fence, self._acknowledged_sequence, lease_until_ms, wait, CALL_TIMEOUT
         )
--- a/src/fighead/tasks/fleet.py
+++ b/src/fighead/tasks/fleet.py
@@ -7,11 +7,21 @@
 
 from ..clock import Clock, sleep
 from ..codec import to_json
+from ..decisions.handover import LeaseBounds, encode_bounds
 from ..exceptions import StoreError
 from ..log import Event, log_event
 from ..mailbox import Mailbox
 from ..run import RegisteredInstance
-from ..store import FLEET_KEY, JOB_LEADER_KEY, Compare, KeyValue, Put, Txn, TxnResult
+from ..store import (
+    FLEET_KEY,
+    JOB_LEADER_KEY,
+    JOB_LEASES_KEY,
+    Compare,
+    KeyValue,
+    Put,
+    Txn,
+    TxnResult,
+)
 from .watch import STORE_TIMEOUT, StoreClient
 
 #: Pause before a failed write is repeated.
@@ -36,18 +46,23 @@
 
     :param read_revision: Revision of the record that was read at the start of the
         term; 0 if there was none.
+    :param term: Term of the leader.
+    :param bounds: When the leases end that the leader doesn't extend, by instance ID.
     """
 
     fence: int
     fleet: Fleet
     read_revision: int = 0
+    term: int = 0
+    bounds: t.Mapping[str, dt.datetime] = field(factory=dict)
 
 
 @frozen
 class FleetRecorded:
-    """Reports that ``fleet`` is stored."""
+    """Reports that ``fleet`` is stored, with ends of leases."""
 
     fleet: Fleet
+    bounds: t.Mapping[str, dt.datetime] = field(factory=dict)
 
 
 @define(eq=False)
@@ -67,6 +82,8 @@
     mailbox: Mailbox[RecordFleet] = field(factory=lambda: Mailbox("fleet"))
 
     _revision: int = 0
+    # Ends of leases that the store may hold under the present term.
+    _stored_bounds: LeaseBounds | None = None
 
     async def run(self) -> None:
         """Serve the mailbox until cancelled."""
@@ -74,7 +91,7 @@
             msg = await self.mailbox.get()
             self._revision = max(self._revision, msg.read_revision)
             if await self._write(msg):
-                self.report(FleetRecorded(msg.fleet))
+                self.report(FleetRecorded(msg.fleet, msg.bounds))
 
     async def _write(self, msg: RecordFleet) -> bool:
         """Retry the write until the store answers; return whether it took effect.
@@ -84,6 +101,7 @@
         expects the record before it, so that one that is made late replaces none.
         """
         put = Put(FLEET_KEY, to_json(msg.fleet))
+        puts = (put, *self._put_bounds(msg))
         while True:
             compares = (
                 Compare(JOB_LEADER_KEY, msg.fence),
@@ -91,7 +109,7 @@
             )
             try:
                 result: TxnResult = await self.store.call(
-                    Txn(compares, (put,)), STORE_TIMEOUT
+                    Txn(compares, puts), STORE_TIMEOUT
                 )
             except StoreError as exc:
                 log_event(Event.STORE_CALL_FAILED, what="fleet", reason=exc.message)
@@ -109,3 +127,16 @@
             self._revision = stored.mod_revision
             if stored.value == put.value:
                 return True
+
+    def _put_bounds(self, msg: RecordFleet) -> tuple[Put, ...]:
+        """Return the write of the ends of leases, unless those in the store hold.
+
+        The record of another term counts as none.
+        """
+        stored = self._stored_bounds
+        is_stored = stored is not None and stored.term == msg.term
+        if not (msg.bounds or (is_stored and stored and stored.leases_ms)):
+            return ()
+        leases_ms = encode_bounds(msg.bounds, self.clock.now())
+        self._stored_bounds = LeaseBounds(msg.term, leases_ms)
+        return (Put(JOB_LEASES_KEY, to_json(self._stored_bounds)),)
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -32,6 +32,7 @@
     JOB_CONTROL_PREFIX,
     JOB_ELECTORATE_KEY,
     JOB_LEADER_KEY,
+    JOB_LEASES_KEY,
     JOB_MEMBERS_PREFIX,
     JOB_TERM_KEY,
     Compare,
@@ -286,6 +287,8 @@
     _instance_answers: dict[str, InstanceAnswers] = field(factory=dict)
     _instances: tuple[str, ...] = ()
     _electorate_requested_at: dt.datetime | None = None
+    # Revision of the latest record of the ends of leases, and when it was first seen.
+    _lease_record_seen: tuple[int, dt.datetime | None] = (0, None)
     # When this entry was elected after another one led.
     _elected_at: dt.datetime | None = None
     # When no earlier leader could be confirmed any more, and why.
@@ -436,6 +439,8 @@
             self._apply_electorate(kv)
         elif kv.key == JOB_LEADER_KEY:
             self._apply_leader_key(kv)
+        elif kv.key == JOB_LEASES_KEY:
+            self._note_lease_record(kv)
         elif kv.key.startswith(JOB_MEMBERS_PREFIX):
             self._apply_member(kv)
 
@@ -458,6 +463,16 @@
             self._electorate = None
             log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=exc.message)
 
+    def _note_lease_record(self, kv: KeyValue) -> None:
+        """Note when a record was seen, which is later than when it was written."""
+        if kv.mod_revision != self._lease_record_seen[0]:
+            self._lease_record_seen = (kv.mod_revision, self.clock.now())
+
+    def find_lease_record_date(self, revision: int) -> dt.datetime | None:
+        """Return when this entry first saw a revision of the stored ends of leases."""
+        seen, at = self._lease_record_seen
+        return at if seen == revision else None
+
     def _apply_member(self, kv: KeyValue) -> None:
         name = kv.key.removeprefix(JOB_MEMBERS_PREFIX)
         members = dict(self.view.members)
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -23,7 +23,7 @@
 )
 from ..decisions.admission import QueuedStarts
 from ..decisions.authority import Authority
-from ..decisions.handover import Handover
+from ..decisions.handover import Handover, LeaseBounds
 from ..decisions.schedule_state import (
     INCARNATIONS_PER_TERM,
     InstanceState,
@@ -45,6 +45,7 @@
     HANDOVER_KEY,
     JOB_CONTROL_PREFIX,
     JOB_LEADER_KEY,
+    JOB_LEASES_KEY,
     JOB_PROGRESS_PREFIX,
     JOBS_PREFIX,
     LEARNED_EFFECTS_KEY,
@@ -139,11 +140,13 @@
     """What earlier schedulers have left has been read from the store.
 
     :param record: Their record of the fleet; ``None`` if none is stored.
+    :param bounds: The same for the ends of leases.
     :param handover: The same for the hand-over.
     :param read_at: When they were read.
     """
 
     record: KeyValue | None
+    bounds: KeyValue | None
     handover: KeyValue | None
     read_at: dt.datetime
 
@@ -192,6 +195,8 @@
     :param steady_s: Source of steady seconds, to measure durations.
     :param report_instances: Called with the instances that have answered.
     :param needs_instances: Whether instances must confirm this entry as the leader.
+    :param find_lease_record_date: Returns when this entry first saw a revision of the
+        stored ends of leases; ``None`` if it has not seen it.
     :param agents: Agent of each instance, by instance ID.
     """
 
@@ -210,6 +215,7 @@
     report_instances: t.Callable[[InstancesAnswered], None] = lambda _: None
     needs_instances: t.Callable[[], bool] = lambda: False
     on_load_failed: t.Callable[[int], None] = lambda _: None
+    find_lease_record_date: t.Callable[[int], dt.datetime | None] = lambda _: None
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("scheduler", 65536))
     agents: dict[str, AgentTask] = field(factory=dict)
     _recorder: RecorderTask = field(init=False)
@@ -220,6 +226,7 @@
     _ignored_registrations: dict[str, KeyValue] = field(factory=dict)
     _fleet_read_revision: int = 0
     _requested_fleet: Fleet | None = None
+    _requested_bounds: dict[str, dt.datetime] = field(factory=dict)
     _is_fleet_write_pending: bool = False
     _deferreds: list[t.Any] = field(factory=list)
     _is_loaded: bool = False
@@ -348,7 +355,8 @@
         and leave less of it to the renewals of the leader's lease.
         """
         records = [
-            await self._read_key(key, "load") for key in (FLEET_KEY, HANDOVER_KEY)
+            await self._read_key(key, "load")
+            for key in (FLEET_KEY, JOB_LEASES_KEY, HANDOVER_KEY)
         ]
         self.mailbox.offer(FleetLoaded(*records, self.clock.now()))
         waited = dt.timedelta()
@@ -462,8 +470,8 @@
                 self._handle_store_keys(msg, now)
             case JobsRecorded():
                 self._handle_recorded(msg)
-            case FleetRecorded(fleet):
-                self._handle_recorded_fleet(fleet)
+            case FleetRecorded():
+                self._handle_recorded_fleet(msg)
             case LeadershipLost(fence):
                 # Requests under an earlier fence were made again under the current one.
                 if fence == self.schedule.fence:
@@ -637,11 +645,17 @@
             self.may_act,
             self.mailbox.offer,
             self.needs_instances,
+            lambda: instance.instance_id not in self.schedule.stored_bounds,
         )
         self.agents[instance.instance_id] = agent
         agent.start()
 
     def _inherit(self, msg: FleetLoaded) -> None:
+        bounds = _decode_record(msg.bounds, LeaseBounds) if msg.bounds else None
+        if msg.bounds is not None and bounds is not None:
+            known_at = self.find_lease_record_date(msg.bounds.mod_revision)
+            written_at = known_at or msg.read_at
+            handover.inherit_lease_bounds(self.schedule, bounds, written_at)
         left = _decode_record(msg.handover, Handover) if msg.handover else None
         if left is not None:
             handover.inherit_handover(self.schedule, left, msg.read_at)
@@ -896,7 +910,7 @@
         self._apply_effects(self._describe_waits(now))
         for instance_id in sorted(self.agents.keys() - self.schedule.instances.keys()):
             self._remove_agent(instance_id)
-        self._request_fleet_write()
+        self._request_fleet_write(now)
         for job_id in [
             j.job_id for j in self.schedule.jobs.values() if j.is_end_stored
         ]:
@@ -913,8 +927,8 @@
         )
         return waiting.describe_waits(self._wait_watch, self.schedule, status, now)
 
-    def _request_fleet_write(self) -> None:
-        """Request a write of the fleet record if the fleet has changed.
+    def _request_fleet_write(self, now: dt.datetime) -> None:
+        """Request a write of the fleet record if it or the ends of leases changed.
 
         One write is under way at a time, and until it is made an instance that it
         leaves out is not used: the record may already lack it.
@@ -927,21 +941,34 @@
             tuple(sorted(names)),
             tuple(each for each in unregistered if each.instance_id in names),
         )
-        if fleet == self._requested_fleet:
+        bounds = instance_tracking.find_bounds_to_store(self.schedule, self.lease, now)
+        if (fleet, bounds) == (self._requested_fleet, self._requested_bounds):
             return
-        self._requested_fleet, self._is_fleet_write_pending = fleet, True
-        instance_tracking.set_stored_fleet(
-            self.schedule, self.schedule.stored_fleet.intersection(fleet.instances)
+        self._requested_fleet, self._requested_bounds = fleet, bounds
+        self._is_fleet_write_pending = True
+        # Until the write is answered, the store may hold either record.
+        instance_tracking.set_stored_records(
+            self.schedule,
+            self.schedule.stored_fleet.intersection(fleet.instances),
+            self.schedule.stored_bounds | bounds,
         )
         self._fleet.mailbox.offer(
-            RecordFleet(self.schedule.fence, fleet, self._fleet_read_revision)
+            RecordFleet(
+                self.schedule.fence,
+                fleet,
+                self._fleet_read_revision,
+                self.schedule.latest_term,
+                bounds,
+            )
         )
 
-    def _handle_recorded_fleet(self, fleet: Fleet) -> None:
+    def _handle_recorded_fleet(self, msg: FleetRecorded) -> None:
         # A write under an earlier fence may be answered late.
-        if fleet == self._requested_fleet:
+        if (msg.fleet, msg.bounds) == (self._requested_fleet, self._requested_bounds):
             self._is_fleet_write_pending = False
-            instance_tracking.set_stored_fleet(self.schedule, fleet.instances)
+            instance_tracking.set_stored_records(
+                self.schedule, msg.fleet.instances, msg.bounds
+            )
 
     def _request_placement(self) -> None:
         if self._placement_call is None or not self._placement_call.active():
@@ -1072,6 +1099,8 @@
         )
         self._is_writing = False
         self._requested_fleet, self._is_fleet_write_pending = None, False
+        # A successor reads no ends of leases of an earlier term.
+        self.schedule.stored_bounds = {}
 
 
 def _describe_load(msg: StateLoaded) -> dict[str, int]:
--- a/tests/test_handover_records.py
+++ b/tests/test_handover_records.py
@@ -1,15 +1,18 @@
 """What a leader leaves to its successor, and what that may conclude from it."""
 
+import datetime as dt
+import json
+
 import pytest
 from attrs import evolve
 
 from fighead.codec import from_json, to_json
 from fighead.decisions import handover, instance_tracking, placement
-from fighead.decisions.handover import Handover, PossibleRuns
+from fighead.decisions.handover import Handover, LeaseBounds, PossibleRuns
 from fighead.exceptions import RequestError
 from fighead.job import JobPhase, JobSpec, Stage
 from fighead.run import EndKind
-from fighead.store import HANDOVER_KEY
+from fighead.store import HANDOVER_KEY, JOB_LEASES_KEY
 from job_builders import (
     JOB_ID,
     LEASE,
@@ -142,6 +145,40 @@
 # Ends of leases.
 
 
+def test_the_end_of_leases_is_inherited_from_the_leader_before_alone():
+    bounds = LeaseBounds(1, {"i2": 2000})
+    schedule = make_successor()
+    assert handover.inherit_lease_bounds(schedule, bounds, at_seconds(-1))
+    schedule.sole_at = at_seconds(1)
+    assert find_started(schedule) == [0, 1, 2, 3]
+    schedule = make_successor(term=3)
+    assert not handover.inherit_lease_bounds(schedule, bounds, at_seconds(-1))
+    schedule.sole_at = at_seconds(1)
+    assert find_started(schedule) == []
+
+
+def test_an_end_of_leases_that_is_later_than_this_leader_can_tell_is_no_wait():
+    schedule = make_successor()
+    handover.inherit_lease_bounds(
+        schedule, LeaseBounds(1, {"i2": 60_000}), at_seconds(0)
+    )
+    schedule.sole_at = at_seconds(8)
+    assert find_started(schedule, 8) == [0, 1, 2, 3]
+
+
+def test_ends_of_leases_are_kept_over_a_chain_of_leaders():
+    bound, now = at_seconds(LEASES_S), at_seconds(0)
+    left = LeaseBounds(1, handover.encode_bounds({"i2": bound}, now))
+    for term in range(2, 12):
+        now += dt.timedelta(seconds=0.5)
+        schedule = make_successor(term=term)
+        schedule.elected_at = schedule.predecessors_end = now
+        handover.inherit_lease_bounds(schedule, left, now - dt.timedelta(seconds=0.5))
+        bounds = instance_tracking.find_bounds_to_leave(schedule, LEASE, now)
+        left = LeaseBounds(term, handover.encode_bounds(bounds, now))
+    assert 1400 <= left.leases_ms["i2"] <= 1420
+
+
 def test_leases_of_an_instance_that_has_just_fallen_silent_are_left_out():
     schedule = make_schedule(("i1",))
     state = schedule.instances["i1"]
@@ -154,6 +191,16 @@
         assert list(found) == names
 
 
+def test_nothing_is_placed_on_an_instance_whose_leases_are_not_extended():
+    schedule = make_schedule(("i1",))
+    instance_tracking.set_stored_records(schedule, ["i1"], {"i1": at_seconds(9)})
+    state = schedule.instances["i1"]
+    obstacle = placement.find_obstacle(state, at_seconds(1))
+    assert obstacle is placement.Obstacle.NOT_IN_STORED_FLEET
+    instance_tracking.set_stored_records(schedule, ["i1"], {})
+    assert placement.find_obstacle(state, at_seconds(1)) is None
+
+
 # What a leader leaves.
 
 
@@ -238,7 +285,7 @@
         from_json(value, Handover)
 
 
-@pytest.mark.parametrize("key", [HANDOVER_KEY])
+@pytest.mark.parametrize("key", [HANDOVER_KEY, JOB_LEASES_KEY])
 def test_odd_records_of_the_leader_before_stop_no_work(key):
     job = JobSpec("x", (Stage(count=8, cpu=500, estimate_ms=400),))
     for value in ODD_HANDOVERS:
@@ -256,6 +303,10 @@
 LASTING_JOB = JobSpec("x", (Stage(count=8, cpu=2000, is_lasting=True),))
 
 
+def find_stored(cluster, key):
+    return cluster.store.items[key].value
+
+
 def start_cluster(entries=5, instances=4):
     cluster = JobCluster(
         entry_names=tuple(f"e{n}" for n in range(entries)), instance_count=instances
@@ -278,6 +329,34 @@
     assert len(started) == 8 and lapsed
 
 
+def test_leases_that_the_store_says_to_end_are_not_extended():
+    cluster = start_cluster()
+    leader = cluster.leader()
+    cluster.silent_instances.add("i0")
+    cluster.advance(3)
+    record = json.loads(find_stored(cluster, JOB_LEASES_KEY))
+    assert record["leases_ms"].keys() == {"i0"}
+    # The leader reaches the instance again, and can't rewrite the record.
+    cluster.entries[leader].store.is_cut = True
+    cluster.silent_instances.clear()
+    cluster.advance(1)
+    cluster.kill_entries(leader)
+    cluster.silent_instances.add("i0")
+    cluster.advance(10)
+    assert not cluster.find_breaches()
+
+
+def test_leases_are_extended_again_once_the_record_is_rewritten():
+    cluster = start_cluster()
+    cluster.silent_instances.add("i0")
+    cluster.advance(3)
+    cluster.silent_instances.clear()
+    cluster.advance(10)
+    assert "leases_ms" not in json.loads(find_stored(cluster, JOB_LEASES_KEY))
+    assert not [e for e in cluster.history if e.event == "lapsed"]
+    assert not cluster.find_breaches()
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_no_task_runs_twice_in_a_row_of_hand_overs_beside_cuts_and_late_orders(seed):
     cluster = JobCluster(
