Leave instances that have left out of the reserved share

What callers saw: beside a release and a row of hand-overs a serving task was held back for up to 3 s although enough instances were spare.

Cause: the share that is reserved for quick tasks and fillers was taken of all instances of the schedule.

Evidence: the test, with 18 of 20 instances gone and two spare, failed before: the task was not started. It starts at once now.

--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -128,6 +128,7 @@
     :param max_starts: Starts after which the round ends; a gang may exceed it.
     :param states: All instances, in the order of the schedule.
     :param positions: Position in ``states``, by instance ID.
+    :param registered_count: Number of instances that have not left.
     :param changes: Position of the instance of each start in this round.
     :param used_cpu: Processor demand of all runs in millicores.
     :param candidates: Instances evaluated for a kind of task.
@@ -145,6 +146,7 @@
     max_starts: float
     states: list[InstanceState] = field(init=False)
     positions: dict[str, int] = field(init=False)
+    registered_count: int = field(init=False)
     changes: list[int] = field(factory=list)
     used_cpu: int = field(init=False)
     candidates: dict[Kind, Candidates] = field(factory=dict)
@@ -158,6 +160,7 @@
     def __attrs_post_init__(self) -> None:
         self.states = list(self.schedule.instances.values())
         self.positions = {name: n for n, name in enumerate(self.schedule.instances)}
+        self.registered_count = sum(state.is_registered for state in self.states)
         self.used_cpu = sum(state.used.cpu for state in self.states)
 
     def candidates_for(self, kind: Kind, evaluate: Evaluate) -> Candidates:
@@ -193,7 +196,7 @@
     def has_spare_instances(self) -> bool:
         """Whether more instances than are reserved tolerate nearly all fillers."""
         tolerant = self.candidates_for(TOLERANT_KIND, self._evaluate_tolerance)
-        return len(tolerant) > len(self.states) * RESERVED_SHARE
+        return len(tolerant) > self.registered_count * RESERVED_SHARE
 
     def _evaluate_tolerance(self, state: InstanceState) -> float | None:
         if not accepts_runs(state, self.now):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -415,3 +415,14 @@
     assert not placement.place_waiting_tasks(schedule, at_seconds(0))
     assert not placement.place_waiting_tasks(schedule, at_seconds(2.9))
     assert orders_in(placement.place_waiting_tasks(schedule, at_seconds(3)))
+
+
+# Failure: instances that have left count towards the reserved share, so that a serving
+# task is held back although enough instances are spare.
+def test_a_serving_task_is_not_held_back_because_of_instances_that_left():
+    schedule = make_schedule([f"i{number}" for number in range(20)])
+    for number in range(2, 20):
+        state = schedule.instances[f"i{number}"]
+        state.is_registered = state.is_reachable = False
+    add_job(schedule, SENSITIVE)
+    assert orders_in(placement.place_waiting_tasks(schedule, at_seconds(0)))
