Leave instances that have left out of the measure of use

What callers saw: a filler that harms the serving tasks could start after 2 s although the instances were more than half used.

Cause: the capacity of instances that have left, which stay in the schedule until their leases have expired and come back with each new leader, counted as unused.

Evidence: the test, with the only empty instance gone, failed before: the filler started at 8 s. It waits now.

--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -129,8 +129,8 @@
     :param states: All instances, in the order of the schedule.
     :param positions: Position in ``states``, by instance ID.
     :param registered_count: Number of instances that have not left.
+    :param used_cpu: Processor demand of all runs on them in millicores.
     :param changes: Position of the instance of each start in this round.
-    :param used_cpu: Processor demand of all runs in millicores.
     :param candidates: Instances evaluated for a kind of task.
     :param slacks: Slack of the serving tasks on an instance, by instance ID.
     :param free_pressures: Pressure that a serving run tolerates, by stage.
@@ -147,8 +147,8 @@
     states: list[InstanceState] = field(init=False)
     positions: dict[str, int] = field(init=False)
     registered_count: int = field(init=False)
-    changes: list[int] = field(factory=list)
     used_cpu: int = field(init=False)
+    changes: list[int] = field(factory=list)
     candidates: dict[Kind, Candidates] = field(factory=dict)
     slacks: dict[str, InstanceSlack] = field(factory=dict)
     free_pressures: dict[interference.StageId, float] = field(factory=dict)
@@ -161,7 +161,9 @@
         self.states = list(self.schedule.instances.values())
         self.positions = {name: n for n, name in enumerate(self.schedule.instances)}
         self.registered_count = sum(state.is_registered for state in self.states)
-        self.used_cpu = sum(state.used.cpu for state in self.states)
+        self.used_cpu = sum(
+            state.used.cpu for state in self.states if state.is_registered
+        )
 
     def candidates_for(self, kind: Kind, evaluate: Evaluate) -> Candidates:
         """Return the instances for a kind of task, evaluated as far as necessary."""
@@ -189,8 +191,10 @@
         self.used_cpu += stage.spec.demand.cpu
 
     def is_little_used(self) -> bool:
-        """Whether the instances are less than half used."""
-        capacity = sum(state.instance.capacity.cpu for state in self.states)
+        """Whether the instances that have not left are less than half used."""
+        capacity = sum(
+            state.instance.capacity.cpu for state in self.states if state.is_registered
+        )
         return self.used_cpu < LOW_USE_SHARE * capacity
 
     def has_spare_instances(self) -> bool:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -221,6 +221,18 @@
     assert not place_tasks(schedule, 3) and not place_tasks(schedule, 8)
 
 
+# Failure: the capacity of instances that have left makes the others seem little used,
+# so that a filler starts where it harms.
+def test_a_filler_that_no_task_tolerates_waits_if_only_instances_that_left_are_empty():
+    schedule, _, _, _ = make_serving_schedule(tail=60.0)
+    schedule.instances["i2"].is_registered = False
+    set_known_effects(schedule, "s", f=0.9)
+    add_job(schedule, Stage(cpu=24000), job_id=make_job_id(3))
+    assert len(place_tasks(schedule, 3)) == 1
+    add_job(schedule, FILLER)
+    assert not place_tasks(schedule, 3) and not place_tasks(schedule, 8)
+
+
 def test_fillers_are_paused_if_a_serving_task_stays_late():
     schedule, serving, task, number = make_serving_schedule()
     schedule.instances.pop("i2" if serving == "i1" else "i1")
