Leave instances that have left out of the share of suspected ones

What callers saw: more than a third of the instances could get no runs for looking unhealthy, beside instances that were being replaced.

Cause: the share was taken of all instances of the schedule, those that have left included.

Evidence: the test, with 6 of 12 instances gone, failed before: more than 2 of the other 6 were suspected.

--- a/src/fighead/decisions/instance_health.py
+++ b/src/fighead/decisions/instance_health.py
@@ -193,8 +193,9 @@
 
 
 def _may_suspect(schedule: Schedule, now: dt.datetime) -> bool:
-    suspected = sum(is_suspect(s, now) for s in schedule.instances.values())
-    return suspected < len(schedule.instances) * MAX_SUSPECTED_SHARE
+    registered = [s for s in schedule.instances.values() if s.is_registered]
+    suspected = sum(is_suspect(state, now) for state in registered)
+    return suspected < len(registered) * MAX_SUSPECTED_SHARE
 
 
 def _clear_suspicion(state: InstanceState, now: dt.datetime) -> list[Effect]:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -361,6 +361,21 @@
     assert len(suspected) == 2
 
 
+# Failure: instances that have left count, so that most of the others are suspected.
+def test_at_most_a_third_of_the_instances_that_have_not_left_are_suspected():
+    schedule = make_schedule(tuple(f"i{n}" for n in range(12)))
+    states = list(schedule.instances.values())
+    for state in states[6:]:
+        state.is_registered = False
+    for state in states[:6]:
+        state.recent_ends.extend(
+            RecentEnd(at_seconds(1), make_job_id(n), False) for n in range(3)
+        )
+        instance_health.update_suspicion(schedule, state, at_seconds(1.5))
+    suspected = [s for s in states if instance_health.is_suspect(s, at_seconds(2))]
+    assert len(suspected) == 2
+
+
 def test_a_listed_run_of_an_ended_job_is_stopped():
     schedule = make_schedule()
     add_job(schedule)
