Set the pace of a filler that a new leader finds running

What callers saw: a filler that had been slowed down at a hand-over stayed slow, or paused, for as long as it ran; its job didn't end.

Cause: a new leader took a run that it adopted for one at full speed, and so ordered no pace as long as it wanted full speed, or nearly. The instance keeps the last ordered pace.

Evidence: the test, a paused filler that is first listed by a new leader, failed before: no pace was ordered. The first listing sets the pace, by the load that it shows.

--- a/src/fighead/decisions/filler_control.py
+++ b/src/fighead/decisions/filler_control.py
@@ -337,13 +337,14 @@
 
 def _set_pace(run: RunState, percent: int, now: dt.datetime) -> list[Effect]:
     is_extreme = percent in (0, 100) and percent != run.pace_percent
-    if abs(percent - run.pace_percent) < MIN_PACE_CHANGE_PERCENT and not is_extreme:
+    is_small = abs(percent - run.pace_percent) < MIN_PACE_CHANGE_PERCENT
+    if run.is_pace_known and is_small and not is_extreme:
         return []
     if percent <= LOW_PACE_PERCENT and (run.low_pace_since is None):
         run.low_pace_since = now
     elif percent > LOW_PACE_PERCENT:
         run.low_pace_since = None
-    run.pace_percent = percent
+    run.pace_percent, run.is_pace_known = percent, True
     fields = {"task": str(run.key), "run": run.number, "percent": percent}
     return [
         LogNote(Event.RUN_PACED, fields),
--- a/src/fighead/decisions/run_updates.py
+++ b/src/fighead/decisions/run_updates.py
@@ -183,6 +183,7 @@
         stage.spec,
         confirmed_at=now,
         progressed_at=now,
+        is_pace_known=not stage.spec.is_filler,
     )
     add_run(state, stage, task, run)
     _update_progress(schedule, run, listed_run, now)
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -53,6 +53,7 @@
     :param first_listed_percent: ``percent`` in the first listing of the run.
     :param first_listed_at: When the run was first listed.
     :param pace_percent: Last ordered share of full speed, in percent.
+    :param is_pace_known: Whether no earlier scheduler can have ordered another pace.
     :param low_pace_since: Since when the pace has been low enough to move the run.
     :param over_target_since: Since when a serving task has exceeded its target latency.
     """
@@ -72,6 +73,7 @@
     first_listed_percent: int = 0
     first_listed_at: dt.datetime | None = None
     pace_percent: int = 100
+    is_pace_known: bool = True
     low_pace_since: dt.datetime | None = None
     over_target_since: dt.datetime | None = None
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -252,6 +252,17 @@
     assert paces and paces[-1] == 0
 
 
+# Failure: a filler that an earlier leader had slowed down keeps its pace for good.
+def test_a_filler_that_a_new_leader_finds_running_gets_its_pace_anew():
+    schedule = make_schedule(("i1",))
+    add_job(schedule, FILLER)
+    rows = [listed_run(task_key(), 1, 50, 0)]
+    assert orders_in(receive_listing(schedule, "i1", running=rows, at=1)) == [
+        PaceRun(task_key(), 1, 100)
+    ]
+    assert not orders_in(receive_listing(schedule, "i1", running=rows, at=2))
+
+
 def test_harmless_fillers_keep_running_if_a_task_is_late_by_its_own_load():
     schedule, serving, task, number = make_serving_schedule(tail=95.0)
     schedule.instances.pop("i2" if serving == "i1" else "i1")
