Delete old records also in a row of short terms

What callers saw: nothing yet. While no leader stays for a minute, the records of ended jobs are never deleted, and the store only grows.

Cause: each leader waited for a whole minute after its election.

Fix: the records are deleted at each full minute of the time of day, by whoever leads.

Evidence: the test, 70 s of terms of 1, 2 and 5 s, failed before in all three cases.

--- a/src/fighead/clock.py
+++ b/src/fighead/clock.py
@@ -102,6 +102,17 @@
     return deferred
 
 
+def sleep_until_multiple(clock: Clock, interval: dt.timedelta) -> Deferred[None]:
+    """Return a deferred that fires when the time of day is a multiple of ``interval``.
+
+    With an interval of a minute, it fires at the next full minute. So processes that
+    take turns at a periodic task, each for less than the interval, do it as often as
+    one that stays.
+    """
+    epoch = dt.datetime.fromtimestamp(0, dt.UTC)
+    return sleep(clock, interval - (clock.wall_now() - epoch) % interval)
+
+
 class Timeout:
     """A time limit on a deferred, which can be restarted while it waits.
 
--- a/src/fighead/tasks/sweeper.py
+++ b/src/fighead/tasks/sweeper.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 
-from ..clock import Clock, sleep
+from ..clock import Clock, sleep_until_multiple
 from ..codec import from_json
 from ..exceptions import RequestError, StoreError
 from ..job import JobEnding
@@ -36,7 +36,7 @@
     async def run(self) -> None:
         """Delete expired endings periodically until cancelled; log store errors."""
         while True:
-            await sleep(self.clock, SWEEP_INTERVAL)
+            await sleep_until_multiple(self.clock, SWEEP_INTERVAL)
             try:
                 await self._sweep()
             except StoreError as exc:
--- a/tests/test_sweeper.py
+++ b/tests/test_sweeper.py
@@ -56,3 +56,23 @@
     for _ in range(4200):
         reactor.advance(0.1)
     assert len(store.items) == 1
+
+
+# Failure: leaders that follow one another within a minute never delete any records.
+@pytest.mark.parametrize("term_s", [1, 2, 5])
+def test_old_endings_are_removed_in_a_row_of_short_terms(term_s):
+    reactor = Clock()
+    clock = ReactorClock(reactor, START)
+    store = MemoryStore(clock)
+    ended_ms = int((START - HOUR).timestamp() * 1000)
+    ending = JobEnding(JobPhase.COMPLETED, "q", ended_ms)
+    store.put(f"{JOB_ENDINGS_PREFIX}{1:016x}", to_json(ending))
+    reactor.advance(0.5)
+    for _ in range(70 // term_s):
+        fence = store.put(JOB_LEADER_KEY, "{}").revision
+        sweeper = SweeperTask(store, clock, dt.timedelta(seconds=120), fence)
+        running = spawn(sweeper.run())
+        for _ in range(term_s * 10):
+            reactor.advance(0.1)
+        running.cancel()
+    assert list(store.items) == [JOB_LEADER_KEY]
