Store learned effects also in a row of short terms

What callers saw: after a row of hand-overs fillers and serving tasks were placed as if nothing had been learned since the last term of 5 s or more.

Cause: each leader stored its learned effects 5 s after its election and every 5 s from then on, so that a leader of a shorter term stored none.

Fix: they are stored when the time of day is a multiple of 5 s.

Evidence: the test, ten planned hand-overs 1, 2 and 5 s apart, failed before in all three cases: nothing was stored. What a leader learns after the last such moment is still lost, 5 s of it at most.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -7,7 +7,7 @@
 from attrs import define, field, frozen
 
 from .. import job_message as m
-from ..clock import Clock, read_steady_s, sleep
+from ..clock import Clock, read_steady_s, sleep, sleep_until_multiple
 from ..codec import from_json, to_json
 from ..decisions import (
     admission,
@@ -330,7 +330,7 @@
 
     async def _write_learned_periodically(self) -> None:
         while True:
-            await sleep(self.clock, LEARNED_WRITE_INTERVAL)
+            await sleep_until_multiple(self.clock, LEARNED_WRITE_INTERVAL)
             if not self._is_loaded or not self.schedule.interference.effects:
                 continue
             value = to_json(interference.export_effects(self.schedule.interference))
--- /dev/null
+++ b/tests/test_waits_at_handovers.py
@@ -0,0 +1,50 @@
+"""What a new leader starts from zero, in a row of planned hand-overs."""
+
+import pytest
+
+from fighead.codec import from_json
+from fighead.decisions.filler_effects import FillerEffects
+from fighead.decisions.interference import Learned
+from fighead.store import LEARNED_EFFECTS_KEY
+from job_cluster import JobCluster
+from test_handover import find_schedule, restart_when_stopped, stop_leader
+
+HAND_OVERS = 10
+GAPS_S = (1, 2, 5)
+
+
+def start_cluster(**options):
+    """Return a cluster whose entries start again after a planned stop."""
+    names = tuple(f"e{n}" for n in range(9))
+    cluster = JobCluster(entry_names=names, **options)
+    restart_when_stopped(cluster)
+    return cluster
+
+
+def hand_over_in_a_row(cluster, gap_s, each=lambda number: None):
+    """Stop leader after leader, one each ``gap_s`` seconds.
+
+    :param each: Called with the number of the hand-over, in the middle of each gap.
+    """
+    for number in range(HAND_OVERS):
+        stop_leader(cluster)
+        cluster.advance(gap_s / 2)
+        each(number)
+        cluster.advance(gap_s / 2)
+
+
+# Failure: effects that leaders learn in terms of less than 5 s are all lost.
+@pytest.mark.parametrize("gap_s", GAPS_S)
+def test_learned_effects_are_stored_in_a_row_of_hand_overs(gap_s):
+    cluster = start_cluster()
+
+    def learn(number):
+        if cluster.leader() is not None:
+            learned = find_schedule(cluster).interference
+            effects = learned.effects.setdefault("s", FillerEffects())
+            effects.add_filler(f"f{number}", 0.1, 0.001)
+
+    hand_over_in_a_row(cluster, gap_s, learn)
+    kv = cluster.store.items.get(LEARNED_EFFECTS_KEY)
+    assert kv is not None
+    assert from_json(kv.value, Learned).effects
