--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -128,8 +128,9 @@
     :param max_starts: Starts after which the round ends; a gang may exceed it.
     :param states: All instances, in the order of the schedule.
     :param positions: Position in ``states``, by instance ID.
+    :param registered_count: Number of instances that have not left.
+    :param used_cpu: Processor demand of all runs on them in millicores.
     :param changes: Position of the instance of each start in this round.
-    :param used_cpu: Processor demand of all runs in millicores.
     :param candidates: Instances evaluated for a kind of task.
     :param slacks: Slack of the serving tasks on an instance, by instance ID.
     :param free_pressures: Pressure that a serving run tolerates, by stage.
@@ -145,8 +146,9 @@
     max_starts: float
     states: list[InstanceState] = field(init=False)
     positions: dict[str, int] = field(init=False)
-    changes: list[int] = field(factory=list)
+    registered_count: int = field(init=False)
     used_cpu: int = field(init=False)
+    changes: list[int] = field(factory=list)
     candidates: dict[Kind, Candidates] = field(factory=dict)
     slacks: dict[str, InstanceSlack] = field(factory=dict)
     free_pressures: dict[interference.StageId, float] = field(factory=dict)
@@ -158,7 +160,10 @@
     def __attrs_post_init__(self) -> None:
         self.states = list(self.schedule.instances.values())
         self.positions = {name: n for n, name in enumerate(self.schedule.instances)}
-        self.used_cpu = sum(state.used.cpu for state in self.states)
+        self.registered_count = sum(state.is_registered for state in self.states)
+        self.used_cpu = sum(
+            state.used.cpu for state in self.states if state.is_registered
+        )
 
     def candidates_for(self, kind: Kind, evaluate: Evaluate) -> Candidates:
         """Return the instances for a kind of task, evaluated as far as necessary."""
@@ -186,14 +191,16 @@
         self.used_cpu += stage.spec.demand.cpu
 
     def is_little_used(self) -> bool:
-        """Whether the instances are less than half used."""
-        capacity = sum(state.instance.capacity.cpu for state in self.states)
+        """Whether the instances that have not left are less than half used."""
+        capacity = sum(
+            state.instance.capacity.cpu for state in self.states if state.is_registered
+        )
         return self.used_cpu < LOW_USE_SHARE * capacity
 
     def has_spare_instances(self) -> bool:
         """Whether more instances than are reserved tolerate nearly all fillers."""
         tolerant = self.candidates_for(TOLERANT_KIND, self._evaluate_tolerance)
-        return len(tolerant) > len(self.states) * RESERVED_SHARE
+        return len(tolerant) > self.registered_count * RESERVED_SHARE
 
     def _evaluate_tolerance(self, state: InstanceState) -> float | None:
         if not accepts_runs(state, self.now):
