Let the ends of leases that are left cover starts that may arrive late

Cause: a start without an answer may reach the next incarnation up to 12 s late. Its leader keeps the run for that time (`late_until`), but stored and left the end of the instance's leases alone, which may be 12 s earlier. The successor counted it.

The end that is left is now the later one. A successor waits no longer than by its own election, as before the record.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -514,7 +514,7 @@
     Only those that the scheduler doesn't extend, also by calls under way.
     """
     known = {
-        name: lease_bound(schedule, state, lease)
+        name: max([lease_bound(schedule, state, lease), *_find_late_ends(state)])
         for name, state in schedule.instances.items()
         if not state.is_reachable
         and (not state.was_reached or _is_silent_for_long(state, now))
@@ -525,6 +525,13 @@
     }
 
 
+def _find_late_ends(state: InstanceState) -> list[dt.datetime]:
+    """Return until when runs may go on whose starts may arrive late."""
+    if state.is_listed:
+        return []
+    return [run.late_until for run in state.runs.values() if run.late_until]
+
+
 def find_bounds_to_store(
     schedule: Schedule, lease: dt.timedelta, now: dt.datetime
 ) -> dict[str, dt.datetime]:
--- a/tests/test_handover_review.py
+++ b/tests/test_handover_review.py
@@ -100,3 +100,22 @@
     instance_tracking.reset_after_restart(state, LEASE, at_seconds(2))
     left = handover.build_handover(schedule, LEASE, (), at_seconds(3))
     assert str(task_key(0)) in left.instances["i1"].tasks
+
+
+# Failure: a successor takes the leases of a restarted instance for ended before the
+# start of a run that may still arrive there has run out.
+def test_the_end_of_leases_that_is_left_covers_starts_that_may_arrive_late():
+    schedule = make_schedule(("i1",))
+    schedule.predecessors_end = at_seconds(0)
+    add_job(schedule, LASTING)
+    state = schedule.instances["i1"]
+    receive_listing(schedule, "i1", [listed_run(task_key(0), 1)])
+    (run,) = state.runs.values()
+    run.ordered_at, run.may_start_late = at_seconds(1), True
+    instance_tracking.reset_after_restart(state, LEASE, at_seconds(2))
+    now = at_seconds(5)
+    for find in (
+        instance_tracking.find_bounds_to_leave,
+        instance_tracking.find_bounds_to_store,
+    ):
+        assert find(schedule, LEASE, now)["i1"] >= run.late_until
