List instances at once when the store falls silent

Cause, traced in test_a_leader_acts_without_a_gap_as_an_outage_starts[700-1] (times from the cut): the store last confirmed the leader at -0.04 s, so its authority lasts to 1.46 s. The listing that was under way was sent at -0.56 s and answered at 0.5 s. The next one, sent then, 0.54 s after the confirmation, still had the wait of calm, since the key counts as silent from 0.6 s on, and was answered at 1.55 s: 5009 with age_ms=1560, confirmed_by=store. It confirms 0.5 s only, so that 5011 at 1.66 s lasts to 2.0 s, and the agent, which had paused without authority, sent its next listing at 1.72 s: 5009 again, 5011 at 2.14 s. So a listing sent just before the silence is noticed is answered when the authority has ended. The crash of one instance beside it is not part of the cause: the four cases show the same two gaps.

Now the scheduler, once for each silence, asks all agents for an answer when the store's confirmation is 0.9 s old. An agent whose instance still delays a listing lists it once more, without a wait, beside the one under way. Of the two answers the older contents are dropped, told by the instance's clock, so that what has ended is not listed again.

Shorter waits in calm would do it too, but cost calls.

--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -92,6 +92,11 @@
     fence: int
 
 
+@frozen
+class AnswerWanted:
+    """Requests an answer at once, beside a listing that the instance may delay."""
+
+
 @frozen
 class ListingReceived:
     """An instance listed its runs and their ends.
@@ -185,7 +190,7 @@
     | StartUnanswered
     | StopAnswered
 )
-AgentOrder = StartRun | StopRun | PaceRun | Acknowledge | SetFence
+AgentOrder = StartRun | StopRun | PaceRun | Acknowledge | SetFence | AnswerWanted
 
 
 @define(eq=False)
@@ -219,6 +224,11 @@
     #: Stops without an answer, which are repeated.
     _stops: set[StopRun] = field(factory=set)
     _is_stopped: bool = False
+    #: Wait of the listing under way, its number, and the instance's clock in ms in the
+    #: answer that has overtaken it.
+    _wait: dt.timedelta = dt.timedelta()
+    _listing_number: int = 0
+    _overtaken_ms: int = 0
     #: Fired when all ends listed so far are acknowledged.
     _acknowledgement: Deferred[None] | None = None
     _deferreds: t.Any = None
@@ -252,6 +262,9 @@
                     self._acknowledge(sequence)
                 case SetFence(fence):
                     self.fence = max(self.fence, fence)
+                case AnswerWanted():
+                    if self._wait > SHORT_LISTING_WAIT and self.may_act():
+                        spawn(self._overtake_listing())
 
     async def _poll_listings(self) -> None:
         wait = dt.timedelta()
@@ -260,6 +273,8 @@
                 await sleep(self.clock, RETRY_PAUSE)
                 continue
             sent_at, fence = self.clock.now(), self.fence
+            self._listing_number += 1
+            self._wait, self._overtaken_ms = wait, 0
             try:
                 listing = await self._request_listing(wait)
             except WorkerError as exc:
@@ -267,8 +282,12 @@
                 await sleep(self.clock, RETRY_PAUSE)
                 wait = dt.timedelta()
                 continue
-            has_new_end = self._report_listing(listing, sent_at, fence)
+            finally:
+                self._wait = dt.timedelta()
             wait = SHORT_LISTING_WAIT if self.needs_answers() else LISTING_WAIT
+            if listing.clock_ms < self._overtaken_ms:
+                continue
+            has_new_end = self._report_listing(listing, sent_at, fence)
             if self._last_end_sequence > self._acknowledged_sequence:
                 await self._await_acknowledgement()
             elif (
@@ -276,6 +295,18 @@
             ):
                 await sleep(self.clock, UNCHANGED_LISTING_DELAY)
 
+    async def _overtake_listing(self) -> None:
+        """List the instance once more while it delays the answer to a listing."""
+        sent_at, fence, number = self.clock.now(), self.fence, self._listing_number
+        try:
+            listing = await self._request_listing(dt.timedelta())
+        except WorkerError:
+            # The listing under way tells whether the instance still answers.
+            return
+        if not self._is_stopped and number == self._listing_number and self._wait:
+            self._overtaken_ms = listing.clock_ms
+            self._report_listing(listing, sent_at, fence)
+
     async def _await_acknowledgement(self) -> None:
         """Wait until all listed ends are acknowledged, but not for long."""
         self._acknowledgement = Deferred()
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -89,6 +89,9 @@
 MIN_FLUSH_INTERVAL = dt.timedelta(milliseconds=80)
 #: Interval at which timeouts are checked.
 TICK_INTERVAL = dt.timedelta(milliseconds=100)
+#: Age of the store's confirmation from which instances are asked for an answer at once:
+#: the listings under way may be answered after the authority has ended.
+MAX_CONFIRMATION_AGE = dt.timedelta(milliseconds=900)
 #: Maximum time to wait for all instances to accept the fence before jobs are read.
 MAX_FENCING_WAIT = dt.timedelta(milliseconds=500)
 #: How long reads of the jobs may fail one after the other before another entry should
@@ -240,6 +243,8 @@
     # report of them.
     _answered_ids: set[str] = field(factory=set)
     _new_answers: dict[str, tuple[str, dt.datetime]] = field(factory=dict)
+    # Whether instances were asked for an answer since the store last confirmed.
+    _are_answers_wanted: bool = False
     _is_writing: bool = False
     # Jobs whose write has been requested and not yet been answered.
     _job_ids_in_write: set[str] = field(factory=set)
@@ -791,6 +796,15 @@
         self._answered_ids.add(instance.instance_id)
         self._new_answers[instance.instance_id] = (instance.incarnation, msg.sent_at)
 
+    def _request_answers(self, now: dt.datetime) -> None:
+        """Ask instances, once, for the answers that must replace the store's."""
+        sole_at = self.schedule.sole_at
+        is_wanted = sole_at is not None and now - sole_at >= MAX_CONFIRMATION_AGE
+        if is_wanted and not self._are_answers_wanted:
+            for agent in self.agents.values():
+                agent.mailbox.offer(agent_messages.AnswerWanted())
+        self._are_answers_wanted = is_wanted
+
     def _report_answers(self) -> None:
         if not self._new_answers:
             return
@@ -893,6 +907,7 @@
         self._apply_effects(
             instance_tracking.update_authority(self.schedule, self.read_authority())
         )
+        self._request_answers(now)
         self._apply_effects(
             instance_tracking.update_instances(self.schedule, self.lease, now)
         )
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -23,9 +23,12 @@
     StartRun,
 )
 from fighead.tasks.agent import (
+    LISTING_WAIT,
     Acknowledge,
     AgentTask,
+    AnswerWanted,
     InstanceRestarted,
+    ListingReceived,
     StartAnswered,
     StartUnanswered,
 )
@@ -48,6 +51,7 @@
         self.instance = RegisteredInstance("i-1", "1", "10.0.0.1:80", "u")
         self.start_results = list(start_results)
         self.listing_calls = []
+        self.listing_waits = []
         self.start_leases_ms = []
 
     async def start(self, order, lease_until_ms, fence, timeout):
@@ -59,6 +63,7 @@
 
     async def renew_and_list(self, fence, acknowledged, lease_until_ms, wait, timeout):
         answer = Deferred()
+        self.listing_waits.append(wait)
         self.listing_calls.append((acknowledged, answer))
         return await answer
 
@@ -206,3 +211,68 @@
     timer.advance(1)
     assert len(instance.listing_calls) == 1
     assert not timer.getDelayedCalls()
+
+
+def start_delayed_listing(timer, instance, may_act=lambda: True):
+    """Start an agent whose second listing may be delayed; return it and its reports."""
+    reports = []
+    clock = ReactorClock(timer, START_TIME)
+    agent = AgentTask(instance, clock, LEASE, 1, may_act, reports.append)
+    agent.start()
+    answer_listing(instance, 0, 1)
+    timer.pump([0.1] * 2)
+    assert instance.listing_waits == [dt.timedelta(), LISTING_WAIT]
+    return agent, reports
+
+
+def answer_listing(instance, number, clock_ms):
+    instance.listing_calls[number][1].callback(Listing(clock_ms, (), ()))
+
+
+def find_listed_ms(reports):
+    """Return the clocks of the reported listings."""
+    listings = [each for each in reports if isinstance(each, ListingReceived)]
+    return [each.listing.clock_ms for each in listings]
+
+
+# Failure: no instance confirms the leader until a long listing is answered.
+def test_an_instance_is_listed_at_once_beside_a_delayed_listing(timer):
+    instance = ScriptedInstance()
+    agent, reports = start_delayed_listing(timer, instance)
+    agent.mailbox.offer(AnswerWanted())
+    assert instance.listing_waits[2:] == [dt.timedelta()]
+    answer_listing(instance, 2, 500)
+    assert find_listed_ms(reports) == [1, 500]
+    assert reports[-1].sent_at == agent.clock.now()
+    answer_listing(instance, 1, 1000)
+    assert find_listed_ms(reports) == [1, 500, 1000]
+    assert len(instance.listing_calls) == 4
+
+
+# Failure: of two listings under way the older contents are applied last.
+def test_a_listing_that_another_one_has_overtaken_is_not_reported(timer):
+    instance = ScriptedInstance()
+    agent, reports = start_delayed_listing(timer, instance)
+    agent.mailbox.offer(AnswerWanted())
+    answer_listing(instance, 2, 500)
+    answer_listing(instance, 1, 499)
+    assert find_listed_ms(reports) == [1, 500]
+    agent.mailbox.offer(AnswerWanted())
+    answer_listing(instance, 3, 1000)
+    answer_listing(instance, 4, 999)
+    assert find_listed_ms(reports) == [1, 500, 1000]
+
+
+def test_an_instance_whose_answer_is_due_soon_is_not_listed_twice(timer):
+    instance = ScriptedInstance()
+    agent, _ = start_agent(timer, instance)
+    agent.mailbox.offer(AnswerWanted())
+    assert len(instance.listing_calls) == 1
+
+
+def test_an_agent_without_permission_lists_no_instance_beside_a_listing(timer):
+    instance, permitted = ScriptedInstance(), [True]
+    agent, _ = start_delayed_listing(timer, instance, lambda: permitted[0])
+    permitted[0] = False
+    agent.mailbox.offer(AnswerWanted())
+    assert len(instance.listing_calls) == 2
