Confirm a new leader again once instances have answered it

Cause, traced (times from the first cut): e1 leads through the first outage of 1.8 s; its key lapses meanwhile, so that e3 is elected for term 2 at 1.9 s. The store's confirmation is that of the election. The instances first answer e3 to calls of 1.96 s. An incarnation confirms a leader only if it answered it before the store last did, since a later one may have obeyed the next leader, and the next read of the key was due at 2.4 s. The store goes away at 2.2 s: sole_at stays 1.9 s, first_at of all four instances is 1.96 s, none can ever confirm e3, and 5009 at 3.4 s (age_ms=1720, confirmed_by=election) is the last line to the end of the outage, while both peers confirm it every 0.5 s.

The rule is right, the confirmation was missing. The leader now reads its key at once when as many instances as must confirm it have answered and too few of them did so before the store's confirmation. The read is later than all these answers, so that there is one for an election, or for a restart of most of the fleet, and none in calm.

The new test of the read fails on the code before.

--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -789,8 +789,23 @@
             self._instance_answers[instance_id] = authority.add_answer(
                 self._instance_answers.get(instance_id), incarnation, sent_at
             )
+        if self._must_store_confirm_first():
+            self._request_confirmation()
         self._confirm_without_store()
 
+    def _must_store_confirm_first(self) -> bool:
+        """Whether too many instances have first answered since the store confirmed.
+
+        They can't confirm this leader until the store has confirmed it once more.
+        """
+        stored = (self._electorate.instances if self._electorate else None) or ()
+        confirming = authority.find_confirming_instances(
+            self._instance_answers, self._sole_at
+        )
+        answered = self._instance_answers.keys() & set(stored)
+        needed = authority.count_needed(stored)
+        return len(confirming.keys() & answered) < needed <= len(answered)
+
     def _confirm_without_store(self) -> None:
         """Take over what peers and instances confirm while the store is silent.
 
--- a/tests/test_takeover_review.py
+++ b/tests/test_takeover_review.py
@@ -7,7 +7,9 @@
 
 from fighead.codec import from_json
 from fighead.decisions import authority
+from fighead.decisions.election import RENEWAL_INTERVAL
 from fighead.job import JobSpec, Stage
+from fighead.store import JOB_LEADER_KEY
 from fighead.tasks.leadership import LeadershipTask
 from job_cluster import JobCluster, cut_off, reconnect
 from test_takeover import (
@@ -144,6 +146,36 @@
     assert leadership.is_leading and leadership.may_act()
 
 
+def restart_leader(cluster):
+    """Kill the leader and return the leadership task of the next one."""
+    cluster.kill_entries(cluster.leader())
+    while cluster.leader() is None:
+        cluster.advance(0.02)
+    return cluster.entries[cluster.leader()].entry.leadership
+
+
+# Failure: no instance can confirm a new leader before the next read of its key.
+def test_the_store_confirms_a_new_leader_again_once_instances_have_answered():
+    cluster, _ = start_small_cluster(4)
+    leadership = restart_leader(cluster)
+    cluster.advance(0.3)
+    answers = leadership._instance_answers
+    assert len(answers) == 4
+    assert len(authority.find_confirming_instances(answers, leadership._sole_at)) == 4
+
+
+# Failure: a leader that too few instances answer reads its key over and over.
+def test_a_leader_whose_instances_are_silent_reads_its_key_no_more_often():
+    cluster, _ = start_small_cluster(4)
+    cluster.silent_instances |= {"i0", "i1", "i2"}
+    restart_leader(cluster)
+    cluster.advance(2)
+    known = len(cluster.store.reads)
+    cluster.advance(4)
+    reads = [read.key for read in cluster.store.reads[known:]]
+    assert reads.count(JOB_LEADER_KEY) <= 4 / RENEWAL_INTERVAL.total_seconds()
+
+
 # Failure: the long listings under way when the store falls silent are answered too
 # late.
 @pytest.mark.parametrize("instances", [1, 2, 4])
