--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -128,8 +128,9 @@
     :param max_starts: Starts after which the round ends; a gang may exceed it.
     :param states: All instances, in the order of the schedule.
     :param positions: Position in ``states``, by instance ID.
+    :param registered_count: Number of instances that have not left.
+    :param used_cpu: Processor demand of all runs on them in millicores.
     :param changes: Position of the instance of each start in this round.
-    :param used_cpu: Processor demand of all runs in millicores.
     :param candidates: Instances evaluated for a kind of task.
     :param slacks: Slack of the serving tasks on an instance, by instance ID.
     :param free_pressures: Pressure that a serving run tolerates, by stage.
@@ -145,8 +146,9 @@
     max_starts: float
     states: list[InstanceState] = field(init=False)
     positions: dict[str, int] = field(init=False)
-    changes: list[int] = field(factory=list)
+    registered_count: int = field(init=False)
     used_cpu: int = field(init=False)
+    changes: list[int] = field(factory=list)
     candidates: dict[Kind, Candidates] = field(factory=dict)
     slacks: dict[str, InstanceSlack] = field(factory=dict)
     free_pressures: dict[interference.StageId, float] = field(factory=dict)
@@ -158,7 +160,10 @@
     def __attrs_post_init__(self) -> None:
         self.states = list(self.schedule.instances.values())
         self.positions = {name: n for n, name in enumerate(self.schedule.instances)}
-        self.used_cpu = sum(state.used.cpu for state in self.states)
+        self.registered_count = sum(state.is_registered for state in self.states)
+        self.used_cpu = sum(
+            state.used.cpu for state in self.states if state.is_registered
+        )
 
     def candidates_for(self, kind: Kind, evaluate: Evaluate) -> Candidates:
         """Return the instances for a kind of task, evaluated as far as necessary."""
@@ -186,14 +191,16 @@
         self.used_cpu += stage.spec.demand.cpu
 
     def is_little_used(self) -> bool:
-        """Whether the instances are less than half used."""
-        capacity = sum(state.instance.capacity.cpu for state in self.states)
+        """Whether the instances that have not left are less than half used."""
+        capacity = sum(
+            state.instance.capacity.cpu for state in self.states if state.is_registered
+        )
         return self.used_cpu < LOW_USE_SHARE * capacity
 
     def has_spare_instances(self) -> bool:
         """Whether more instances than are reserved tolerate nearly all fillers."""
         tolerant = self.candidates_for(TOLERANT_KIND, self._evaluate_tolerance)
-        return len(tolerant) > len(self.states) * RESERVED_SHARE
+        return len(tolerant) > self.registered_count * RESERVED_SHARE
 
     def _evaluate_tolerance(self, state: InstanceState) -> float | None:
         if not accepts_runs(state, self.now):
@@ -304,7 +311,9 @@
     schedule: Schedule, now: dt.datetime
 ) -> list[tuple[JobState, StageState]]:
     found = [
-        pair for pair in find_due_stages(schedule, now) if schedule.may_start(pair[0])
+        pair
+        for pair in find_due_stages(schedule, now)
+        if schedule.find_startable(*pair)
     ]
     found.sort(key=lambda pair: _urgency(*pair, now))
     return found
@@ -333,7 +342,7 @@
         if not _is_starved(round_, job, stage):
             return []
     effects: list[Effect] = []
-    for index in sorted(stage.waiting_indexes):
+    for index in sorted(round_.schedule.find_startable(job, stage)):
         task = stage.tasks[index]
         task.waiting_since = task.waiting_since or round_.now
         state = _choose_instance(round_, job, stage, task)
@@ -383,10 +392,10 @@
     usable. A task that has failed prefers instances whose last run succeeded.
     """
     candidates = _find_candidates(round_, job, stage)
-    is_held_back = _is_held_back(round_, stage, task)
-    if not (is_held_back or task.avoided_instances or task.failures):
+    must_keep_off = is_held_back(round_, stage, task)
+    if not (must_keep_off or task.avoided_instances or task.failures):
         return next(iter(candidates), None)
-    usable = [s for s in candidates if s.serving or not is_held_back]
+    usable = [s for s in candidates if s.serving or not must_keep_off]
     not_avoided = [
         s for s in usable if s.instance.instance_id not in task.avoided_instances
     ]
@@ -398,7 +407,7 @@
     return next(iter(proven or not_avoided or usable), None)
 
 
-def _is_held_back(round_: PlacementRound, stage: StageState, task: TaskState) -> bool:
+def is_held_back(round_: PlacementRound, stage: StageState, task: TaskState) -> bool:
     """Whether a serving task must keep off instances without serving tasks.
 
     The last such instances are reserved for quick tasks and for fillers that no
@@ -622,7 +631,7 @@
     round_: PlacementRound, job: JobState, stage: StageState
 ) -> list[Effect]:
     """Start all tasks of a gang with the same run number, or none of them."""
-    if len(stage.waiting_indexes) < len(stage.tasks):
+    if len(round_.schedule.find_startable(job, stage)) < len(stage.tasks):
         return []
     usable = list(_find_candidates(round_, job, stage))
     chosen = _choose_gang_instances(usable, stage)
--- a/src/fighead/decisions/run_updates.py
+++ b/src/fighead/decisions/run_updates.py
@@ -183,6 +183,7 @@
         stage.spec,
         confirmed_at=now,
         progressed_at=now,
+        is_pace_known=not stage.spec.is_filler,
     )
     add_run(state, stage, task, run)
     _update_progress(schedule, run, listed_run, now)
@@ -192,7 +193,10 @@
         "percent": listed_run.percent,
     }
     fields["instance"] = state.instance.instance_id
-    return [LogNote(Event.RUN_ADOPTED, fields)]
+    effects: list[Effect] = [LogNote(Event.RUN_ADOPTED, fields)]
+    if state.instance.is_draining and stage.spec.is_lasting:
+        effects += stop_runs([run])
+    return effects
 
 
 def add_run(
@@ -201,6 +205,7 @@
     """Add a run to its instance, its stage and its task."""
     task.runs.append(run)
     task.waiting_since = None
+    task.is_accounted = True
     task.highest_run_number = max(task.highest_run_number, run.number)
     stage.waiting_indexes.discard(task.key.index)
     instance_id = state.instance.instance_id
@@ -312,7 +317,8 @@
         effects += stop_runs(member.runs)
     schedule.unsaved_jobs.add(job.job_id)
     if stage.is_done:
-        open_stages(job)
+        # No earlier scheduler has seen the task done, so none has opened them.
+        open_stages(job, are_accounted=task.is_accounted)
     if all(each.is_done for each in job.stages.values()):
         effects += end_job(schedule, job, JobPhase.COMPLETED, "all tasks are done")
     return effects
--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -92,6 +92,11 @@
     fence: int
 
 
+@frozen
+class AnswerWanted:
+    """Requests an answer at once, beside a listing that the instance may delay."""
+
+
 @frozen
 class ListingReceived:
     """An instance listed its runs and their ends.
@@ -185,7 +190,7 @@
     | StartUnanswered
     | StopAnswered
 )
-AgentOrder = StartRun | StopRun | PaceRun | Acknowledge | SetFence
+AgentOrder = StartRun | StopRun | PaceRun | Acknowledge | SetFence | AnswerWanted
 
 
 @define(eq=False)
@@ -197,6 +202,7 @@
     :param may_act: Whether the entry may send starts and renew leases now.
     :param report: Called with each report; must not block.
     :param needs_answers: Whether the instance must confirm the leader by its answers.
+    :param may_renew: Whether leases may be extended, beside ``may_act``.
     """
 
     client: InstanceClient
@@ -206,6 +212,7 @@
     may_act: t.Callable[[], bool]
     report: t.Callable[[AgentReport], None]
     needs_answers: t.Callable[[], bool] = lambda: False
+    may_renew: t.Callable[[], bool] = lambda: True
     mailbox: Mailbox[AgentOrder] = field(factory=lambda: Mailbox("agent", 4096))
     _acknowledged_sequence: int = 0
     _last_end_sequence: int = 0
@@ -217,6 +224,11 @@
     #: Stops without an answer, which are repeated.
     _stops: set[StopRun] = field(factory=set)
     _is_stopped: bool = False
+    #: Wait of the listing under way, its number, and the instance's clock in ms in the
+    #: answer that has overtaken it.
+    _wait: dt.timedelta = dt.timedelta()
+    _listing_number: int = 0
+    _overtaken_ms: int = 0
     #: Fired when all ends listed so far are acknowledged.
     _acknowledgement: Deferred[None] | None = None
     _deferreds: t.Any = None
@@ -250,6 +262,9 @@
                     self._acknowledge(sequence)
                 case SetFence(fence):
                     self.fence = max(self.fence, fence)
+                case AnswerWanted():
+                    if self._wait > SHORT_LISTING_WAIT and self.may_act():
+                        spawn(self._overtake_listing())
 
     async def _poll_listings(self) -> None:
         wait = dt.timedelta()
@@ -258,6 +273,8 @@
                 await sleep(self.clock, RETRY_PAUSE)
                 continue
             sent_at, fence = self.clock.now(), self.fence
+            self._listing_number += 1
+            self._wait, self._overtaken_ms = wait, 0
             try:
                 listing = await self._request_listing(wait)
             except WorkerError as exc:
@@ -265,8 +282,12 @@
                 await sleep(self.clock, RETRY_PAUSE)
                 wait = dt.timedelta()
                 continue
-            has_new_end = self._report_listing(listing, sent_at, fence)
+            finally:
+                self._wait = dt.timedelta()
             wait = SHORT_LISTING_WAIT if self.needs_answers() else LISTING_WAIT
+            if listing.clock_ms < self._overtaken_ms:
+                continue
+            has_new_end = self._report_listing(listing, sent_at, fence)
             if self._last_end_sequence > self._acknowledged_sequence:
                 await self._await_acknowledgement()
             elif (
@@ -274,6 +295,18 @@
             ):
                 await sleep(self.clock, UNCHANGED_LISTING_DELAY)
 
+    async def _overtake_listing(self) -> None:
+        """List the instance once more while it delays the answer to a listing."""
+        sent_at, fence, number = self.clock.now(), self.fence, self._listing_number
+        try:
+            listing = await self._request_listing(dt.timedelta())
+        except WorkerError:
+            # The listing under way tells whether the instance still answers.
+            return
+        if not self._is_stopped and number == self._listing_number and self._wait:
+            self._overtaken_ms = listing.clock_ms
+            self._report_listing(listing, sent_at, fence)
+
     async def _await_acknowledgement(self) -> None:
         """Wait until all listed ends are acknowledged, but not for long."""
         self._acknowledgement = Deferred()
@@ -299,7 +332,8 @@
     async def _request_listing(self, wait: dt.timedelta) -> Listing:
         # An instance whose answers are lost may still receive calls. Its leases are
         # not extended, so that the time of their expiry stays known.
-        lease_until_ms = self._extend_leases() if self._is_answering else 0
+        may_extend = self._is_answering and self.may_renew()
+        lease_until_ms = self._extend_leases() if may_extend else 0
         listing = await self.client.renew_and_list(
             self.fence, self._acknowledged_sequence, lease_until_ms, wait, CALL_TIMEOUT
         )
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -28,9 +28,11 @@
 from ..mailbox import Mailbox, process_messages, spawn
 from ..model import Capacity, JobMember, Member
 from ..store import (
+    HANDOVER_KEY,
     JOB_CONTROL_PREFIX,
     JOB_ELECTORATE_KEY,
     JOB_LEADER_KEY,
+    JOB_LEASES_KEY,
     JOB_MEMBERS_PREFIX,
     JOB_TERM_KEY,
     Compare,
@@ -226,6 +228,8 @@
     :param on_elected: Called after this entry is elected, with the leader and
         whether this process already led and no other has led since.
     :param on_deposed: Called when this entry stops being the leader.
+    :param describe_handover: Called when this entry steps down as planned. It returns
+        the record for the next leader; ``None`` if there is none.
     :param capacity: What this entry's machine provides.
     :param confirmation: What last confirmed this entry as the leader.
     """
@@ -238,6 +242,7 @@
     on_elected: t.Callable[[Leader, bool], None]
     on_deposed: t.Callable[[], None]
     capacity: Capacity = Capacity()
+    describe_handover: t.Callable[[], str | None] = lambda: None
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("leadership"))
     view: ControlView = ControlView()
     confirmation: Confirmation | None = None
@@ -282,6 +287,8 @@
     _instance_answers: dict[str, InstanceAnswers] = field(factory=dict)
     _instances: tuple[str, ...] = ()
     _electorate_requested_at: dt.datetime | None = None
+    # Revision of the latest record of the ends of leases, and when it was first seen.
+    _lease_record_seen: tuple[int, dt.datetime | None] = (0, None)
     # When this entry was elected after another one led.
     _elected_at: dt.datetime | None = None
     # When no earlier leader could be confirmed any more, and why.
@@ -432,6 +439,8 @@
             self._apply_electorate(kv)
         elif kv.key == JOB_LEADER_KEY:
             self._apply_leader_key(kv)
+        elif kv.key == JOB_LEASES_KEY:
+            self._note_lease_record(kv)
         elif kv.key.startswith(JOB_MEMBERS_PREFIX):
             self._apply_member(kv)
 
@@ -454,6 +463,16 @@
             self._electorate = None
             log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=exc.message)
 
+    def _note_lease_record(self, kv: KeyValue) -> None:
+        """Note when a record was seen, which is later than when it was written."""
+        if kv.mod_revision != self._lease_record_seen[0]:
+            self._lease_record_seen = (kv.mod_revision, self.clock.now())
+
+    def find_lease_record_date(self, revision: int) -> dt.datetime | None:
+        """Return when this entry first saw a revision of the stored ends of leases."""
+        seen, at = self._lease_record_seen
+        return at if seen == revision else None
+
     def _apply_member(self, kv: KeyValue) -> None:
         name = kv.key.removeprefix(JOB_MEMBERS_PREFIX)
         members = dict(self.view.members)
@@ -741,8 +760,9 @@
         self._is_resigned = True
         if self._is_leading:
             fence = self.view.leader.fence if self.view.leader else 0
+            left = self.describe_handover()
             self._step_down("the entry is stopping")
-            spawn(self._delete_leader_key(fence))
+            spawn(self._delete_leader_key(fence, left))
 
     # Confirmation by the store, or by peers and instances.
 
@@ -769,8 +789,23 @@
             self._instance_answers[instance_id] = authority.add_answer(
                 self._instance_answers.get(instance_id), incarnation, sent_at
             )
+        if self._must_store_confirm_first():
+            self._request_confirmation()
         self._confirm_without_store()
 
+    def _must_store_confirm_first(self) -> bool:
+        """Whether too many instances have first answered since the store confirmed.
+
+        They can't confirm this leader until the store has confirmed it once more.
+        """
+        stored = (self._electorate.instances if self._electorate else None) or ()
+        confirming = authority.find_confirming_instances(
+            self._instance_answers, self._sole_at
+        )
+        answered = self._instance_answers.keys() & set(stored)
+        needed = authority.count_needed(stored)
+        return len(confirming.keys() & answered) < needed <= len(answered)
+
     def _confirm_without_store(self) -> None:
         """Take over what peers and instances confirm while the store is silent.
 
@@ -979,9 +1014,9 @@
             peer_capacity=asdict(self._find_capacities()[peer]),
             capacity=asdict(self.capacity),
         )
-        fence = self._leader_kv.mod_revision
+        fence, left = self._leader_kv.mod_revision, self.describe_handover()
         self._step_down(f"entry {peer} can carry more")
-        spawn(self._delete_leader_key(fence))
+        spawn(self._delete_leader_key(fence, left))
 
     def _yield_leadership(self, fence: int) -> None:
         """Let any other entry lead, and stand for election after it."""
@@ -989,11 +1024,14 @@
             return
         if self._is_leading:
             self._handed_over_at = self.clock.now()
+            left = self.describe_handover()
             self._fail("the jobs can't be read")
-            spawn(self._delete_leader_key(fence))
+            spawn(self._delete_leader_key(fence, left))
 
-    async def _delete_leader_key(self, fence: int) -> None:
-        txn = Txn((Compare(JOB_LEADER_KEY, fence),), (Delete(JOB_LEADER_KEY),))
+    async def _delete_leader_key(self, fence: int, left: str | None) -> None:
+        """Delete the leader key, and store what this leader leaves to the next one."""
+        puts = (Put(HANDOVER_KEY, left),) if left is not None else ()
+        txn = Txn((Compare(JOB_LEADER_KEY, fence),), (*puts, Delete(JOB_LEADER_KEY)))
         try:
             await self.store.call(txn, STORE_TIMEOUT)
         except StoreError as exc:
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -7,10 +7,11 @@
 from attrs import define, field, frozen
 
 from .. import job_message as m
-from ..clock import Clock, read_steady_s, sleep
+from ..clock import Clock, read_steady_s, sleep, sleep_until_multiple
 from ..codec import from_json, to_json
 from ..decisions import (
     admission,
+    handover,
     instance_tracking,
     interference,
     job_lifecycle,
@@ -22,6 +23,7 @@
 )
 from ..decisions.admission import QueuedStarts
 from ..decisions.authority import Authority
+from ..decisions.handover import Handover, LeaseBounds
 from ..decisions.schedule_state import (
     INCARNATIONS_PER_TERM,
     InstanceState,
@@ -40,8 +42,10 @@
 from ..store import (
     CANCEL_MARK_SUFFIX,
     FLEET_KEY,
+    HANDOVER_KEY,
     JOB_CONTROL_PREFIX,
     JOB_LEADER_KEY,
+    JOB_LEASES_KEY,
     JOB_PROGRESS_PREFIX,
     JOBS_PREFIX,
     LEARNED_EFFECTS_KEY,
@@ -85,6 +89,9 @@
 MIN_FLUSH_INTERVAL = dt.timedelta(milliseconds=80)
 #: Interval at which timeouts are checked.
 TICK_INTERVAL = dt.timedelta(milliseconds=100)
+#: Age of the store's confirmation from which instances are asked for an answer at once:
+#: the listings under way may be answered after the authority has ended.
+MAX_CONFIRMATION_AGE = dt.timedelta(milliseconds=900)
 #: Maximum time to wait for all instances to accept the fence before jobs are read.
 MAX_FENCING_WAIT = dt.timedelta(milliseconds=500)
 #: How long reads of the jobs may fail one after the other before another entry should
@@ -133,12 +140,18 @@
 
 @frozen
 class FleetLoaded:
-    """The fleet record has been read from the store.
+    """What earlier schedulers have left has been read from the store.
 
-    :param record: Record of an earlier scheduler; ``None`` if none is stored.
+    :param record: Their record of the fleet; ``None`` if none is stored.
+    :param bounds: The same for the ends of leases.
+    :param handover: The same for the hand-over.
+    :param read_at: When they were read.
     """
 
     record: KeyValue | None
+    bounds: KeyValue | None
+    handover: KeyValue | None
+    read_at: dt.datetime
 
 
 @frozen
@@ -185,6 +198,8 @@
     :param steady_s: Source of steady seconds, to measure durations.
     :param report_instances: Called with the instances that have answered.
     :param needs_instances: Whether instances must confirm this entry as the leader.
+    :param find_lease_record_date: Returns when this entry first saw a revision of the
+        stored ends of leases; ``None`` if it has not seen it.
     :param agents: Agent of each instance, by instance ID.
     """
 
@@ -203,6 +218,7 @@
     report_instances: t.Callable[[InstancesAnswered], None] = lambda _: None
     needs_instances: t.Callable[[], bool] = lambda: False
     on_load_failed: t.Callable[[int], None] = lambda _: None
+    find_lease_record_date: t.Callable[[int], dt.datetime | None] = lambda _: None
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("scheduler", 65536))
     agents: dict[str, AgentTask] = field(factory=dict)
     _recorder: RecorderTask = field(init=False)
@@ -213,6 +229,7 @@
     _ignored_registrations: dict[str, KeyValue] = field(factory=dict)
     _fleet_read_revision: int = 0
     _requested_fleet: Fleet | None = None
+    _requested_bounds: dict[str, dt.datetime] = field(factory=dict)
     _is_fleet_write_pending: bool = False
     _deferreds: list[t.Any] = field(factory=list)
     _is_loaded: bool = False
@@ -226,7 +243,11 @@
     # report of them.
     _answered_ids: set[str] = field(factory=set)
     _new_answers: dict[str, tuple[str, dt.datetime]] = field(factory=dict)
+    # Whether instances were asked for an answer since the store last confirmed.
+    _are_answers_wanted: bool = False
     _is_writing: bool = False
+    # Jobs whose write has been requested and not yet been answered.
+    _job_ids_in_write: set[str] = field(factory=set)
     _flushed_at: dt.datetime | None = None
     _placement_call: t.Any = None
     _next_round_at: dt.datetime = field(init=False)
@@ -314,7 +335,7 @@
 
     async def _write_learned_periodically(self) -> None:
         while True:
-            await sleep(self.clock, LEARNED_WRITE_INTERVAL)
+            await sleep_until_multiple(self.clock, LEARNED_WRITE_INTERVAL)
             if not self._is_loaded or not self.schedule.interference.effects:
                 continue
             value = to_json(interference.export_effects(self.schedule.interference))
@@ -338,9 +359,13 @@
         neither before it has loaded. It would take as long on a slow link, though,
         and leave less of it to the renewals of the leader's lease.
         """
-        self.mailbox.offer(FleetLoaded(await self._read_key(FLEET_KEY, "load")))
+        records = [
+            await self._read_key(key, "load")
+            for key in (FLEET_KEY, JOB_LEASES_KEY, HANDOVER_KEY)
+        ]
+        self.mailbox.offer(FleetLoaded(*records, self.clock.now()))
         waited = dt.timedelta()
-        while not self._has_fenced_all_instances() and waited < MAX_FENCING_WAIT:
+        while not self._has_fenced_predecessors() and waited < MAX_FENCING_WAIT:
             await sleep(self.clock, PLACEMENT_DELAY * 2)
             waited += PLACEMENT_DELAY * 2
         store, started_at = self.adapter.store, self.clock.now()
@@ -406,11 +431,13 @@
         log_event(Event.STORE_CALL_FAILED, what=what, reason=exc.message)
         self.metrics.count_store_failure(what)
 
-    def _has_fenced_all_instances(self) -> bool:
-        """Whether every instance with an agent has answered under the fence.
+    def _has_fenced_predecessors(self) -> bool:
+        """Whether earlier schedulers have stopped, or no instance obeys them.
 
         Only meaningful until jobs are loaded: pending listings are removed later.
         """
+        if self.schedule.is_handed_over:
+            return True
         return bool(self.agents) and self._pending.by_instance.keys() >= (
             self.agents.keys()
         )
@@ -438,8 +465,8 @@
                     )
             case m.CancelTold(job_id):
                 self._apply_effects(job_lifecycle.cancel_job(self.schedule, job_id))
-            case FleetLoaded(record):
-                self._inherit_fleet(record)
+            case FleetLoaded():
+                self._inherit(msg)
             case StateLoaded():
                 self._handle_loaded_state(msg, now)
             case JobLookedUp():
@@ -448,8 +475,8 @@
                 self._handle_store_keys(msg, now)
             case JobsRecorded():
                 self._handle_recorded(msg)
-            case FleetRecorded(fleet):
-                self._handle_recorded_fleet(fleet)
+            case FleetRecorded():
+                self._handle_recorded_fleet(msg)
             case LeadershipLost(fence):
                 # Requests under an earlier fence were made again under the current one.
                 if fence == self.schedule.fence:
@@ -578,7 +605,8 @@
 
     def _list_unregistered(self, instance: RegisteredInstance) -> None:
         """List an instance that is not used, and renew the leases of its runs."""
-        instance_tracking.add_unregistered(self.schedule, instance, self.lease)
+        now = self.clock.now()
+        instance_tracking.add_unregistered(self.schedule, instance, now)
         if instance.instance_id not in self.agents:
             self._start_agent(instance)
 
@@ -603,7 +631,7 @@
         if known is not None and instance_tracking.has_restarted(known, instance):
             self._handle_restart(instance_id, instance.incarnation)
         effects = instance_tracking.add_instance(
-            self.schedule, instance, self.lease, self.clock.now()
+            self.schedule, instance, self.clock.now()
         )
         if instance_id not in self.agents:
             self._start_agent(instance)
@@ -622,10 +650,35 @@
             self.may_act,
             self.mailbox.offer,
             self.needs_instances,
+            lambda: instance.instance_id not in self.schedule.stored_bounds,
         )
         self.agents[instance.instance_id] = agent
         agent.start()
 
+    def _inherit(self, msg: FleetLoaded) -> None:
+        bounds = _decode_record(msg.bounds, LeaseBounds) if msg.bounds else None
+        if msg.bounds is not None and bounds is not None:
+            known_at = self.find_lease_record_date(msg.bounds.mod_revision)
+            written_at = known_at or msg.read_at
+            handover.inherit_lease_bounds(self.schedule, bounds, written_at)
+        left = _decode_record(msg.handover, Handover) if msg.handover else None
+        if left is not None:
+            handover.inherit_handover(self.schedule, left, msg.read_at)
+        self._inherit_fleet(msg.record)
+
+    def describe_handover(self) -> str | None:
+        """Return the record for the successor; ``None`` if little is known.
+
+        The scheduler must not act any more.
+        """
+        if self.schedule.inherited_fleet is None:
+            return None
+        unsaved = self.schedule.unsaved_jobs | self._job_ids_in_write
+        left = handover.build_handover(
+            self.schedule, self.lease, unsaved, self._read_clock()
+        )
+        return to_json(left)
+
     def _inherit_fleet(self, record: KeyValue | None) -> None:
         self._fleet_read_revision = record.mod_revision if record else 0
         fleet = _decode_record(record, Fleet) if record else Fleet(())
@@ -701,7 +754,7 @@
             case agent_messages.CallFailed(_, reason, leases_end_at):
                 instance_tracking.extend_lease_bound(state, leases_end_at)
                 if state.is_reachable:
-                    state.is_reachable = False
+                    instance_tracking.record_silence(state, now)
                     log_event(
                         Event.INSTANCE_SILENT, instance=instance_id, reason=reason
                     )
@@ -743,6 +796,15 @@
         self._answered_ids.add(instance.instance_id)
         self._new_answers[instance.instance_id] = (instance.incarnation, msg.sent_at)
 
+    def _request_answers(self, now: dt.datetime) -> None:
+        """Ask instances, once, for the answers that must replace the store's."""
+        sole_at = self.schedule.sole_at
+        is_wanted = sole_at is not None and now - sole_at >= MAX_CONFIRMATION_AGE
+        if is_wanted and not self._are_answers_wanted:
+            for agent in self.agents.values():
+                agent.mailbox.offer(agent_messages.AnswerWanted())
+        self._are_answers_wanted = is_wanted
+
     def _report_answers(self) -> None:
         if not self._new_answers:
             return
@@ -845,6 +907,7 @@
         self._apply_effects(
             instance_tracking.update_authority(self.schedule, self.read_authority())
         )
+        self._request_answers(now)
         self._apply_effects(
             instance_tracking.update_instances(self.schedule, self.lease, now)
         )
@@ -862,7 +925,7 @@
         self._apply_effects(self._describe_waits(now))
         for instance_id in sorted(self.agents.keys() - self.schedule.instances.keys()):
             self._remove_agent(instance_id)
-        self._request_fleet_write()
+        self._request_fleet_write(now)
         for job_id in [
             j.job_id for j in self.schedule.jobs.values() if j.is_end_stored
         ]:
@@ -879,33 +942,48 @@
         )
         return waiting.describe_waits(self._wait_watch, self.schedule, status, now)
 
-    def _request_fleet_write(self) -> None:
-        """Request a write of the fleet record if the fleet has changed.
+    def _request_fleet_write(self, now: dt.datetime) -> None:
+        """Request a write of the fleet record if it or the ends of leases changed.
 
         One write is under way at a time, and until it is made an instance that it
         leaves out is not used: the record may already lack it.
         """
         if not self._is_loaded or self._is_fleet_write_pending:
             return
+        names = instance_tracking.fleet_to_store(self.schedule, self.lease)
+        unregistered = instance_tracking.find_unregistered(self.schedule)
         fleet = Fleet(
-            tuple(sorted(instance_tracking.fleet_to_store(self.schedule, self.lease))),
-            tuple(instance_tracking.find_unregistered(self.schedule)),
+            tuple(sorted(names)),
+            tuple(each for each in unregistered if each.instance_id in names),
         )
-        if fleet == self._requested_fleet:
+        bounds = instance_tracking.find_bounds_to_store(self.schedule, self.lease, now)
+        if (fleet, bounds) == (self._requested_fleet, self._requested_bounds):
             return
-        self._requested_fleet, self._is_fleet_write_pending = fleet, True
-        instance_tracking.set_stored_fleet(
-            self.schedule, self.schedule.stored_fleet.intersection(fleet.instances)
+        self._requested_fleet, self._requested_bounds = fleet, bounds
+        self._is_fleet_write_pending = True
+        # Until the write is answered, the store may hold either record.
+        instance_tracking.set_stored_records(
+            self.schedule,
+            self.schedule.stored_fleet.intersection(fleet.instances),
+            self.schedule.stored_bounds | bounds,
         )
         self._fleet.mailbox.offer(
-            RecordFleet(self.schedule.fence, fleet, self._fleet_read_revision)
+            RecordFleet(
+                self.schedule.fence,
+                fleet,
+                self._fleet_read_revision,
+                self.schedule.latest_term,
+                bounds,
+            )
         )
 
-    def _handle_recorded_fleet(self, fleet: Fleet) -> None:
+    def _handle_recorded_fleet(self, msg: FleetRecorded) -> None:
         # A write under an earlier fence may be answered late.
-        if fleet == self._requested_fleet:
+        if (msg.fleet, msg.bounds) == (self._requested_fleet, self._requested_bounds):
             self._is_fleet_write_pending = False
-            instance_tracking.set_stored_fleet(self.schedule, fleet.instances)
+            instance_tracking.set_stored_records(
+                self.schedule, msg.fleet.instances, msg.bounds
+            )
 
     def _request_placement(self) -> None:
         if self._placement_call is None or not self._placement_call.active():
@@ -961,6 +1039,7 @@
         if is_progress_due:
             self._flushed_at = now
         self._is_writing = True
+        self._job_ids_in_write.update(write.job_id for write in writes)
         self._write_requested_s = self.steady_s()
         self._recorder.mailbox.offer(
             RecordJobs(self.schedule.fence, writes, end_sequences)
@@ -984,12 +1063,19 @@
             sequence = end_sequences.get(agent.identity)
             if sequence is not None:
                 self._acknowledged_sequences[agent.identity] = sequence
+                self._note_stored_ends(agent, sequence)
                 agent.mailbox.offer(agent_messages.Acknowledge(sequence))
 
+    def _note_stored_ends(self, agent: AgentTask, sequence: int) -> None:
+        state = self.schedule.instances.get(agent.client.instance.instance_id)
+        if state is not None and state.instance.identity == agent.identity:
+            state.stored_end_sequence = sequence
+
     def _handle_recorded(self, msg: JobsRecorded) -> None:
         if msg.is_last and msg.fence == self.schedule.fence:
             self._is_writing = False
         for write in msg.writes:
+            self._job_ids_in_write.discard(write.job_id)
             job = self.schedule.jobs.get(write.job_id)
             if job is None:
                 continue
@@ -1028,6 +1114,8 @@
         )
         self._is_writing = False
         self._requested_fleet, self._is_fleet_write_pending = None, False
+        # A successor reads no ends of leases of an earlier term.
+        self.schedule.stored_bounds = {}
 
 
 def _describe_load(msg: StateLoaded) -> dict[str, int]:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -221,6 +221,18 @@
     assert not place_tasks(schedule, 3) and not place_tasks(schedule, 8)
 
 
+# Failure: the capacity of instances that have left makes the others seem little used,
+# so that a filler starts where it harms.
+def test_a_filler_that_no_task_tolerates_waits_if_only_instances_that_left_are_empty():
+    schedule, _, _, _ = make_serving_schedule(tail=60.0)
+    schedule.instances["i2"].is_registered = False
+    set_known_effects(schedule, "s", f=0.9)
+    add_job(schedule, Stage(cpu=24000), job_id=make_job_id(3))
+    assert len(place_tasks(schedule, 3)) == 1
+    add_job(schedule, FILLER)
+    assert not place_tasks(schedule, 3) and not place_tasks(schedule, 8)
+
+
 def test_fillers_are_paused_if_a_serving_task_stays_late():
     schedule, serving, task, number = make_serving_schedule()
     schedule.instances.pop("i2" if serving == "i1" else "i1")
@@ -240,6 +252,17 @@
     assert paces and paces[-1] == 0
 
 
+# Failure: a filler that an earlier leader had slowed down keeps its pace for good.
+def test_a_filler_that_a_new_leader_finds_running_gets_its_pace_anew():
+    schedule = make_schedule(("i1",))
+    add_job(schedule, FILLER)
+    rows = [listed_run(task_key(), 1, 50, 0)]
+    assert orders_in(receive_listing(schedule, "i1", running=rows, at=1)) == [
+        PaceRun(task_key(), 1, 100)
+    ]
+    assert not orders_in(receive_listing(schedule, "i1", running=rows, at=2))
+
+
 def test_harmless_fillers_keep_running_if_a_task_is_late_by_its_own_load():
     schedule, serving, task, number = make_serving_schedule(tail=95.0)
     schedule.instances.pop("i2" if serving == "i1" else "i1")
@@ -349,6 +372,21 @@
     assert len(suspected) == 2
 
 
+# Failure: instances that have left count, so that most of the others are suspected.
+def test_at_most_a_third_of_the_instances_that_have_not_left_are_suspected():
+    schedule = make_schedule(tuple(f"i{n}" for n in range(12)))
+    states = list(schedule.instances.values())
+    for state in states[6:]:
+        state.is_registered = False
+    for state in states[:6]:
+        state.recent_ends.extend(
+            RecentEnd(at_seconds(1), make_job_id(n), False) for n in range(3)
+        )
+        instance_health.update_suspicion(schedule, state, at_seconds(1.5))
+    suspected = [s for s in states if instance_health.is_suspect(s, at_seconds(2))]
+    assert len(suspected) == 2
+
+
 def test_a_listed_run_of_an_ended_job_is_stopped():
     schedule = make_schedule()
     add_job(schedule)
@@ -385,3 +423,44 @@
         < filler_control.PAUSE_HARMFUL_AFTER
         < filler_control.PAUSE_ALL_AFTER
     )
+
+
+def make_schedule_of_reserved_instances():
+    """Return a schedule whose only usable instance is reserved, for a while."""
+    names = [f"i{number}" for number in range(10)]
+    schedule = make_schedule(names)
+    for name in names[1:]:
+        state = schedule.instances[name]
+        state.instance = evolve(state.instance, is_draining=True)
+    return schedule
+
+
+SENSITIVE = Stage(1, 1000, 100, is_lasting=True, image="s", target_ms=50)
+
+
+# Failure: each leader holds a serving task back for as long as the one before.
+def test_a_serving_task_of_an_earlier_leader_is_not_held_back_again():
+    schedule = make_schedule_of_reserved_instances()
+    schedule.fence = 7
+    job = add_job(schedule, SENSITIVE)
+    assert job.revision <= schedule.fence
+    assert orders_in(placement.place_waiting_tasks(schedule, at_seconds(0)))
+
+
+def test_a_serving_task_of_a_new_job_is_held_back_once():
+    schedule = make_schedule_of_reserved_instances()
+    add_job(schedule, SENSITIVE)
+    assert not placement.place_waiting_tasks(schedule, at_seconds(0))
+    assert not placement.place_waiting_tasks(schedule, at_seconds(2.9))
+    assert orders_in(placement.place_waiting_tasks(schedule, at_seconds(3)))
+
+
+# Failure: instances that have left count towards the reserved share, so that a serving
+# task is held back although enough instances are spare.
+def test_a_serving_task_is_not_held_back_because_of_instances_that_left():
+    schedule = make_schedule([f"i{number}" for number in range(20)])
+    for number in range(2, 20):
+        state = schedule.instances[f"i{number}"]
+        state.is_registered = state.is_reachable = False
+    add_job(schedule, SENSITIVE)
+    assert orders_in(placement.place_waiting_tasks(schedule, at_seconds(0)))
