Hand on neither instances that have left nor jobs that have ended

Found in review: the hand-over record grew with each planned hand-over. A leader handed on all that it had inherited: each instance that ever left, and the ID of each job that ever was unsaved at a hand-over. The store would refuse the record in the end, and with it the removal of the leader key in the same transaction; before, unknown instances came first and displaced others (MAX_RUNS), and tasks of long-running jobs waited without need.

--- a/src/fighead/decisions/handover.py
+++ b/src/fighead/decisions/handover.py
@@ -99,7 +99,11 @@
         count += len(runs.tasks)
         possible[instance_id] = runs
     # Instances that have not been listed may still list ends of these.
-    inherited_jobs = (runs.jobs for runs in schedule.inherited_runs.values())
+    inherited_jobs = (
+        schedule.inherited_runs[name].jobs
+        for name in possible.keys() & schedule.inherited_runs.keys()
+        if not _is_listed(schedule, name)
+    )
     return Handover(
         schedule.latest_term,
         has_sole_authority(schedule, now),
@@ -128,6 +132,11 @@
     )
 
 
+def _is_listed(schedule: Schedule, instance_id: str) -> bool:
+    state = schedule.instances.get(instance_id)
+    return state is not None and state.is_listed
+
+
 def _find_possible_runs(schedule: Schedule, instance_id: str) -> PossibleRuns | None:
     """Return the runs that may exist on an instance; ``None`` if any may."""
     state = schedule.instances.get(instance_id)
--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -416,6 +416,9 @@
 def set_inherited_fleet(schedule: Schedule, instance_ids: t.Iterable[str]) -> None:
     """Set the instances to which an earlier scheduler may have assigned runs."""
     schedule.inherited_fleet = frozenset(instance_ids)
+    # What the one before left of others would be handed on for ever.
+    for instance_id in schedule.inherited_runs.keys() - schedule.inherited_fleet:
+        del schedule.inherited_runs[instance_id]
 
 
 def describe_incomplete_fleet(schedule: Schedule, now: dt.datetime) -> list[Effect]:
--- a/tests/test_handover_review.py
+++ b/tests/test_handover_review.py
@@ -10,8 +10,10 @@
 from fighead.job import JobSpec, Stage
 from job_builders import (
     LEASE,
+    add_instance,
     add_job,
     at_seconds,
+    ended_run,
     listed_run,
     make_schedule,
     receive_listing,
@@ -119,3 +121,25 @@
         instance_tracking.find_bounds_to_store,
     ):
         assert find(schedule, LEASE, now)["i1"] >= run.late_until
+
+
+# Failure: instances that have left and jobs that have ended stay in the record.
+def test_a_record_does_not_grow_over_a_chain_of_hand_overs():
+    left = None
+    for term in range(1, 30):
+        names = (f"i{term}", f"i{term + 1}")
+        schedule = make_schedule((), term=term)
+        schedule.is_settled = False
+        if left is not None:
+            assert handover.inherit_handover(schedule, left, at_seconds(0))
+        # The instance of the number of the term before has left since.
+        instance_tracking.set_inherited_fleet(schedule, names[:1])
+        for name in names:
+            add_instance(schedule, name)
+        end = ended_run(1, task_key(job_id=f"job{term}"), 1)
+        receive_listing(schedule, names[1], (), [end])
+        receive_listing(schedule, names[0])
+        schedule.is_settled = True
+        left = handover.build_handover(schedule, LEASE, [f"job{term}"], at_seconds(2))
+    assert len(left.instances) <= 3
+    assert len(left.unsaved_jobs) <= 2
