Store no new ends of leases while the store doesn't answer

Found in review, in process: in an outage of the store, lasting tasks were stopped on an instance that was silent for 3 s, and it got no work until the store was back.

Cause: a leader keeps to the ends of leases from when it asks for their write, and extends them only after a later write.

The test failed before, with tasks that lapsed, and passes on.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -541,15 +541,20 @@
     """Return the ends of leases to store for the next scheduler, by instance ID.
 
     An instance that has just fallen silent is left out, since its leases could not be
-    extended before another write.
+    extended before another write. So are all that the store doesn't hold yet while it
+    doesn't answer.
     """
-    states = schedule.instances
+    states, sole_at = schedule.instances, schedule.sole_at
+    is_store_away = sole_at is None or now - sole_at > AUTHORITY_TIMEOUT
     return {
         name: bound
         for name, bound in find_bounds_to_leave(schedule, lease, now).items()
-        if name not in states
-        or name in schedule.inherited_bounds
-        or _is_silent_for_long(states[name], now)
+        if (name in schedule.stored_bounds or not is_store_away)
+        and (
+            name not in states
+            or name in schedule.inherited_bounds
+            or _is_silent_for_long(states[name], now)
+        )
     }
 
 
--- a/tests/test_handover_review.py
+++ b/tests/test_handover_review.py
@@ -115,7 +115,7 @@
     (run,) = state.runs.values()
     run.ordered_at, run.may_start_late = at_seconds(1), True
     instance_tracking.reset_after_restart(state, LEASE, at_seconds(2))
-    now = at_seconds(5)
+    schedule.sole_at = now = at_seconds(5)
     for find in (
         instance_tracking.find_bounds_to_leave,
         instance_tracking.find_bounds_to_store,
@@ -143,3 +143,30 @@
         left = handover.build_handover(schedule, LEASE, [f"job{term}"], at_seconds(2))
     assert len(left.instances) <= 3
     assert len(left.unsaved_jobs) <= 2
+
+
+# Whole entries.
+
+
+def run_lasting_job(entries=5, instances=4):
+    cluster = JobCluster(
+        entry_names=tuple(f"e{n}" for n in range(entries)), instance_count=instances
+    )
+    cluster.submit(job_id(1), JobSpec("x", (LASTING,)))
+    cluster.advance(4)
+    return cluster
+
+
+# Failure: an instance that is silent for some seconds in an outage of the store gets no
+# leases and no work until the store is back.
+def test_runs_go_on_where_an_instance_is_silent_for_a_moment_in_an_outage():
+    cluster = run_lasting_job()
+    for process in cluster.entries.values():
+        process.store.is_cut = process.store.is_watch_silent = True
+    cluster.advance(3)
+    cluster.silent_instances.add("i0")
+    cluster.advance(3)
+    cluster.silent_instances.clear()
+    cluster.advance(20)
+    lapsed = [event for event in cluster.history if event.event == "lapsed"]
+    assert not lapsed
