Leave a job as unsaved while a later write of it is under way

Cause: the re-elected leader writes all jobs again. The answer to the write before, under the earlier fence, took the job out of those whose write is under way, so the hand-over called it stored. An instance out of reach that still lists ends of it was not waited for.

Evidence: the test failed before (no job was left as unsaved). Answers under an earlier fence no longer count; at a re-election all jobs are unsaved anyway.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -1060,7 +1060,9 @@
         if msg.is_last and msg.fence == self.schedule.fence:
             self._is_writing = False
         for write in msg.writes:
-            self._job_ids_in_write.discard(write.job_id)
+            # A later write of the job may be under way under the present fence.
+            if msg.fence == self.schedule.fence:
+                self._job_ids_in_write.discard(write.job_id)
             job = self.schedule.jobs.get(write.job_id)
             if job is None:
                 continue
@@ -1098,6 +1100,7 @@
             job.job_id for job in self.schedule.jobs.values() if not job.is_end_stored
         )
         self._is_writing = False
+        self._job_ids_in_write.clear()
         self._requested_fleet, self._is_fleet_write_pending = None, False
         # A successor reads no ends of leases of an earlier term.
         self.schedule.stored_bounds = {}
--- a/tests/test_handover_review.py
+++ b/tests/test_handover_review.py
@@ -5,9 +5,13 @@
 
 import pytest
 
+from fighead.codec import from_json
 from fighead.decisions import handover, instance_tracking
+from fighead.decisions.handover import Handover
 from fighead.decisions.schedule_state import InheritedRuns
 from fighead.job import JobSpec, Stage
+from fighead.mailbox import Mailbox
+from fighead.tasks.recorder import JobsRecorded
 from job_builders import (
     LEASE,
     add_instance,
@@ -170,3 +174,35 @@
     cluster.advance(20)
     lapsed = [event for event in cluster.history if event.event == "lapsed"]
     assert not lapsed
+
+
+# Failure: an answer under an earlier fence hides that a later write of the same job is
+# under way, and the successor takes its stored progress for complete.
+def test_a_job_whose_later_write_is_under_way_is_left_as_unsaved():
+    scheduler, requests = start_write()
+    scheduler._update_fence(scheduler.schedule.fence + 1)
+    flush(scheduler)
+    first, second = requests
+    assert second.writes
+    revisions = {job_id(1): 1}
+    scheduler._handle_recorded(
+        JobsRecorded(first.fence, first.writes, revisions, is_last=True)
+    )
+    assert from_json(scheduler.describe_handover(), Handover).unsaved_jobs == (
+        job_id(1),
+    )
+
+
+def start_write():
+    """Return a scheduler, and the writes that it requests, which stay under way."""
+    cluster = run_lasting_job()
+    scheduler = cluster.entries[cluster.leader()].entry.scheduler
+    scheduler._recorder.mailbox = Mailbox("captured writes")
+    scheduler.schedule.unsaved_jobs.add(job_id(1))
+    flush(scheduler)
+    return scheduler, scheduler._recorder.mailbox._messages
+
+
+def flush(scheduler):
+    scheduler._flushed_at = None
+    scheduler._flush(scheduler.clock.now())
