Write and acknowledge nothing once a write was refused

Cause: a write that is refused because the leader key has changed is over, and its jobs are no longer marked as unsaved. A tick that comes before the entry steps down finds nothing to write, and so takes all listed ends for stored and acknowledges them. An instance that the next leader has not listed yet discards them.

A fence never comes back: the entry steps down, or is re-elected and writes all jobs again. Until then it starts no other write.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -474,8 +474,8 @@
                 self._handle_recorded_fleet(msg)
             case LeadershipLost(fence):
                 # Requests under an earlier fence were made again under the current one.
+                # No other follows this one, which is made again after a re-election.
                 if fence == self.schedule.fence:
-                    self._is_writing = False
                     self._notify_fence_refused(fence)
             case InheritedRunsBound(revision):
                 self.schedule.no_inherited_runs_after = revision
--- a/tests/test_handover_review.py
+++ b/tests/test_handover_review.py
@@ -11,7 +11,7 @@
 from fighead.decisions.schedule_state import InheritedRuns
 from fighead.job import JobSpec, Stage
 from fighead.mailbox import Mailbox
-from fighead.tasks.recorder import JobsRecorded
+from fighead.tasks.recorder import JobsRecorded, LeadershipLost
 from job_builders import (
     LEASE,
     add_instance,
@@ -193,6 +193,20 @@
     )
 
 
+# Failure: the ends of runs are acknowledged although the write of their effects was
+# refused, so a successor starts their tasks again.
+def test_ends_are_not_acknowledged_after_their_write_was_refused():
+    scheduler, requests = start_write()
+    scheduler.schedule.instances["i0"].last_end_sequence = 5
+    scheduler._handle(LeadershipLost(requests[0].fence))
+    flush(scheduler)
+    assert scheduler.agents["i0"]._acknowledged_sequence == 0
+    scheduler._update_fence(scheduler.schedule.fence + 1)
+    flush(scheduler)
+    assert [write.job_id for write in requests[1].writes] == [job_id(1)]
+    assert requests[1].end_sequences["i0/1"] == 5
+
+
 def start_write():
     """Return a scheduler, and the writes that it requests, which stay under way."""
     cluster = run_lasting_job()
