Leave out of a hand-over what can be no task

Found in review: a leader couldn't step down as planned while an instance listed a run whose name is of the right form and can be no task's, such as one with a space in its ID or with a number of ten digits. Building the record raised ValueError before the leader stopped; the message was dropped, and the entry led on until it exited.

Evidence: the test failed before, with ValueError. No job has such an ID and no stage such a task, so the successor needs none of them.

--- a/src/fighead/decisions/handover.py
+++ b/src/fighead/decisions/handover.py
@@ -5,6 +5,7 @@
 """
 
 import datetime as dt
+import re
 import typing as t
 
 from attrs import field, frozen
@@ -30,7 +31,8 @@
 MILLISECOND = dt.timedelta(milliseconds=1)
 
 
-_is_task_key = deep_iterable(matches_re(r"[0-9A-Za-z_-]{1,64}(\.[0-9]{1,9}){3}"))
+_TASK_KEY = re.compile(r"[0-9A-Za-z_-]{1,64}(\.[0-9]{1,9}){3}")
+_is_task_key = deep_iterable(matches_re(_TASK_KEY))
 _is_leases_ms = deep_mapping(
     instance_of(str), and_(instance_of(int), ge(0), le(MAX_LEASES_MS))
 )
@@ -160,7 +162,8 @@
 
 
 def _format_keys(keys: t.Iterable[TaskKey]) -> tuple[str, ...]:
-    return tuple(sorted(str(key) for key in keys))
+    """Return the texts of keys, without those that an instance has made up."""
+    return tuple(sorted(filter(_TASK_KEY.fullmatch, map(str, keys))))
 
 
 def inherit_handover(
--- a/tests/test_handover_review.py
+++ b/tests/test_handover_review.py
@@ -9,10 +9,11 @@
 from fighead.decisions import handover, instance_tracking
 from fighead.decisions.handover import Handover
 from fighead.decisions.schedule_state import InheritedRuns
-from fighead.job import JobSpec, Stage
+from fighead.job import JobSpec, Stage, TaskKey
 from fighead.mailbox import Mailbox
 from fighead.tasks.recorder import JobsRecorded, LeadershipLost
 from job_builders import (
+    JOB_ID,
     LEASE,
     add_instance,
     add_job,
@@ -149,6 +150,23 @@
     assert len(left.unsaved_jobs) <= 2
 
 
+# Failure: a leader can't step down as planned while an instance lists a run whose name
+# can be no task's.
+def test_a_run_with_an_odd_name_is_not_left():
+    schedule = make_schedule(("i1",))
+    add_job(schedule, LASTING)
+    odd = [
+        TaskKey("no job", 0, 0, 0),
+        TaskKey("", 0, 0, 0),
+        TaskKey(JOB_ID, -1, 0, 0),
+        TaskKey(JOB_ID, 0, 10**9, 0),
+    ]
+    runs = [listed_run(key, 1) for key in (*odd, task_key(0))]
+    receive_listing(schedule, "i1", runs)
+    left = handover.build_handover(schedule, LEASE, (), at_seconds(2))
+    assert left.instances["i1"].tasks == (str(task_key(0)),)
+
+
 # Whole entries.
 
 
