Add tests of what a leader leaves out, and of one that is not alone

Also tests of unwanted runs and of `was_sole` at both ends. The random row of changes has failing tasks now, and checks that no earlier leader acts too long.

--- a/tests/test_handover_review.py
+++ b/tests/test_handover_review.py
@@ -84,12 +84,15 @@
         if rng.random() < 0.5:
             reconnect(cluster)
         disturb(cluster, rng)
+        failing = rng.sample(range(CHAIN.stages[0].count), rng.choice([0, 0, 1]))
+        cluster.failing_tasks |= {(job_id(number), index) for index in failing}
         cluster.submit(job_id(number), CHAIN)
         cluster.advance(rng.choice([0.5, 1, 2, 4]))
     reconnect(cluster)
     cluster.silent_instances = set()
     cluster.advance(25)
     assert not cluster.find_breaches()
+    assert not cluster.find_overdue_leaders()
     assert cluster.entries[cluster.leader()].entry.scheduler.schedule.is_settled
 
 
@@ -167,6 +170,46 @@
     assert left.instances["i1"].tasks == (str(task_key(0)),)
 
 
+def make_leaving_instance():
+    """Return a schedule and the state of ``i2``, which is not registered any more."""
+    schedule = make_schedule(("i1", "i2"), term=2)
+    instance_tracking.unregister_instances(schedule, ("i2",))
+    return schedule, schedule.instances["i2"]
+
+
+def test_an_instance_that_has_not_been_listed_stays_in_the_fleet():
+    schedule, state = make_leaving_instance()
+    state.is_listed = state.is_reachable = False
+    assert "i2" in instance_tracking.fleet_to_store(schedule, LEASE)
+    schedule.is_settled = False
+    assert "i2" in instance_tracking.fleet_to_store(schedule, LEASE)
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+def test_an_instance_with_a_run_stays_in_the_fleet(is_known):
+    schedule, _ = make_leaving_instance()
+    if is_known:
+        add_job(schedule, LASTING)
+    receive_listing(schedule, "i2", [listed_run(task_key(0), 1)])
+    assert "i2" in instance_tracking.fleet_to_store(schedule, LEASE)
+
+
+def test_a_leader_that_is_not_alone_tells_its_successor():
+    schedule = make_schedule(("i1",), term=2)
+    left = handover.build_handover(schedule, LEASE, (), at_seconds(5))
+    schedule.predecessors_end = at_seconds(4)
+    assert handover.build_handover(schedule, LEASE, (), at_seconds(5)).was_sole
+    assert not left.was_sole
+
+
+@pytest.mark.parametrize("was_sole", [True, False])
+def test_a_successor_waits_for_leaders_before_unless_the_last_was_alone(was_sole):
+    schedule = make_schedule((), term=3)
+    handover.inherit_handover(schedule, Handover(2, was_sole), at_seconds(0))
+    now = at_seconds(1)
+    assert instance_tracking.has_sole_authority(schedule, now) == was_sole
+
+
 # Whole entries.
 
 
