--- a/src/fighead/decisions/handover.py
+++ b/src/fighead/decisions/handover.py
@@ -5,6 +5,7 @@
 """
 
 import datetime as dt
+import re
 import typing as t
 
 from attrs import field, frozen
@@ -30,7 +31,8 @@
 MILLISECOND = dt.timedelta(milliseconds=1)
 
 
-_is_task_key = deep_iterable(matches_re(r"[0-9A-Za-z_-]{1,64}(\.[0-9]{1,9}){3}"))
+_TASK_KEY = re.compile(r"[0-9A-Za-z_-]{1,64}(\.[0-9]{1,9}){3}")
+_is_task_key = deep_iterable(matches_re(_TASK_KEY))
 _is_leases_ms = deep_mapping(
     instance_of(str), and_(instance_of(int), ge(0), le(MAX_LEASES_MS))
 )
@@ -99,7 +101,11 @@
         count += len(runs.tasks)
         possible[instance_id] = runs
     # Instances that have not been listed may still list ends of these.
-    inherited_jobs = (runs.jobs for runs in schedule.inherited_runs.values())
+    inherited_jobs = (
+        schedule.inherited_runs[name].jobs
+        for name in possible.keys() & schedule.inherited_runs.keys()
+        if not _is_listed(schedule, name)
+    )
     return Handover(
         schedule.latest_term,
         has_sole_authority(schedule, now),
@@ -128,6 +134,11 @@
     )
 
 
+def _is_listed(schedule: Schedule, instance_id: str) -> bool:
+    state = schedule.instances.get(instance_id)
+    return state is not None and state.is_listed
+
+
 def _find_possible_runs(schedule: Schedule, instance_id: str) -> PossibleRuns | None:
     """Return the runs that may exist on an instance; ``None`` if any may."""
     state = schedule.instances.get(instance_id)
@@ -151,7 +162,8 @@
 
 
 def _format_keys(keys: t.Iterable[TaskKey]) -> tuple[str, ...]:
-    return tuple(sorted(str(key) for key in keys))
+    """Return the texts of keys, without those that an instance has made up."""
+    return tuple(sorted(filter(_TASK_KEY.fullmatch, map(str, keys))))
 
 
 def inherit_handover(
--- a/tests/test_handover_review.py
+++ b/tests/test_handover_review.py
@@ -5,13 +5,20 @@
 
 import pytest
 
+from fighead.codec import from_json
 from fighead.decisions import handover, instance_tracking
+from fighead.decisions.handover import Handover
 from fighead.decisions.schedule_state import InheritedRuns
-from fighead.job import JobSpec, Stage
+from fighead.job import JobSpec, Stage, TaskKey
+from fighead.mailbox import Mailbox
+from fighead.tasks.recorder import JobsRecorded, LeadershipLost
 from job_builders import (
+    JOB_ID,
     LEASE,
+    add_instance,
     add_job,
     at_seconds,
+    ended_run,
     listed_run,
     make_schedule,
     receive_listing,
@@ -77,12 +84,15 @@
         if rng.random() < 0.5:
             reconnect(cluster)
         disturb(cluster, rng)
+        failing = rng.sample(range(CHAIN.stages[0].count), rng.choice([0, 0, 1]))
+        cluster.failing_tasks |= {(job_id(number), index) for index in failing}
         cluster.submit(job_id(number), CHAIN)
         cluster.advance(rng.choice([0.5, 1, 2, 4]))
     reconnect(cluster)
     cluster.silent_instances = set()
     cluster.advance(25)
     assert not cluster.find_breaches()
+    assert not cluster.find_overdue_leaders()
     assert cluster.entries[cluster.leader()].entry.scheduler.schedule.is_settled
 
 
@@ -113,9 +123,161 @@
     (run,) = state.runs.values()
     run.ordered_at, run.may_start_late = at_seconds(1), True
     instance_tracking.reset_after_restart(state, LEASE, at_seconds(2))
-    now = at_seconds(5)
+    schedule.sole_at = now = at_seconds(5)
     for find in (
         instance_tracking.find_bounds_to_leave,
         instance_tracking.find_bounds_to_store,
     ):
         assert find(schedule, LEASE, now)["i1"] >= run.late_until
+
+
+# Failure: instances that have left and jobs that have ended stay in the record.
+def test_a_record_does_not_grow_over_a_chain_of_hand_overs():
+    left = None
+    for term in range(1, 30):
+        names = (f"i{term}", f"i{term + 1}")
+        schedule = make_schedule((), term=term)
+        schedule.is_settled = False
+        if left is not None:
+            assert handover.inherit_handover(schedule, left, at_seconds(0))
+        # The instance of the number of the term before has left since.
+        instance_tracking.set_inherited_fleet(schedule, names[:1])
+        for name in names:
+            add_instance(schedule, name)
+        end = ended_run(1, task_key(job_id=f"job{term}"), 1)
+        receive_listing(schedule, names[1], (), [end])
+        receive_listing(schedule, names[0])
+        schedule.is_settled = True
+        left = handover.build_handover(schedule, LEASE, [f"job{term}"], at_seconds(2))
+    assert len(left.instances) <= 3
+    assert len(left.unsaved_jobs) <= 2
+
+
+# Failure: a leader can't step down as planned while an instance lists a run whose name
+# can be no task's.
+def test_a_run_with_an_odd_name_is_not_left():
+    schedule = make_schedule(("i1",))
+    add_job(schedule, LASTING)
+    odd = [
+        TaskKey("no job", 0, 0, 0),
+        TaskKey("", 0, 0, 0),
+        TaskKey(JOB_ID, -1, 0, 0),
+        TaskKey(JOB_ID, 0, 10**9, 0),
+    ]
+    runs = [listed_run(key, 1) for key in (*odd, task_key(0))]
+    receive_listing(schedule, "i1", runs)
+    left = handover.build_handover(schedule, LEASE, (), at_seconds(2))
+    assert left.instances["i1"].tasks == (str(task_key(0)),)
+
+
+def make_leaving_instance():
+    """Return a schedule and the state of ``i2``, which is not registered any more."""
+    schedule = make_schedule(("i1", "i2"), term=2)
+    instance_tracking.unregister_instances(schedule, ("i2",))
+    return schedule, schedule.instances["i2"]
+
+
+def test_an_instance_that_has_not_been_listed_stays_in_the_fleet():
+    schedule, state = make_leaving_instance()
+    state.is_listed = state.is_reachable = False
+    assert "i2" in instance_tracking.fleet_to_store(schedule, LEASE)
+    schedule.is_settled = False
+    assert "i2" in instance_tracking.fleet_to_store(schedule, LEASE)
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+def test_an_instance_with_a_run_stays_in_the_fleet(is_known):
+    schedule, _ = make_leaving_instance()
+    if is_known:
+        add_job(schedule, LASTING)
+    receive_listing(schedule, "i2", [listed_run(task_key(0), 1)])
+    assert "i2" in instance_tracking.fleet_to_store(schedule, LEASE)
+
+
+def test_a_leader_that_is_not_alone_tells_its_successor():
+    schedule = make_schedule(("i1",), term=2)
+    left = handover.build_handover(schedule, LEASE, (), at_seconds(5))
+    schedule.predecessors_end = at_seconds(4)
+    assert handover.build_handover(schedule, LEASE, (), at_seconds(5)).was_sole
+    assert not left.was_sole
+
+
+@pytest.mark.parametrize("was_sole", [True, False])
+def test_a_successor_waits_for_leaders_before_unless_the_last_was_alone(was_sole):
+    schedule = make_schedule((), term=3)
+    handover.inherit_handover(schedule, Handover(2, was_sole), at_seconds(0))
+    now = at_seconds(1)
+    assert instance_tracking.has_sole_authority(schedule, now) == was_sole
+
+
+# Whole entries.
+
+
+def run_lasting_job(entries=5, instances=4):
+    cluster = JobCluster(
+        entry_names=tuple(f"e{n}" for n in range(entries)), instance_count=instances
+    )
+    cluster.submit(job_id(1), JobSpec("x", (LASTING,)))
+    cluster.advance(4)
+    return cluster
+
+
+# Failure: an instance that is silent for some seconds in an outage of the store gets no
+# leases and no work until the store is back.
+def test_runs_go_on_where_an_instance_is_silent_for_a_moment_in_an_outage():
+    cluster = run_lasting_job()
+    for process in cluster.entries.values():
+        process.store.is_cut = process.store.is_watch_silent = True
+    cluster.advance(3)
+    cluster.silent_instances.add("i0")
+    cluster.advance(3)
+    cluster.silent_instances.clear()
+    cluster.advance(20)
+    lapsed = [event for event in cluster.history if event.event == "lapsed"]
+    assert not lapsed
+
+
+# Failure: an answer under an earlier fence hides that a later write of the same job is
+# under way, and the successor takes its stored progress for complete.
+def test_a_job_whose_later_write_is_under_way_is_left_as_unsaved():
+    scheduler, requests = start_write()
+    scheduler._update_fence(scheduler.schedule.fence + 1)
+    flush(scheduler)
+    first, second = requests
+    assert second.writes
+    revisions = {job_id(1): 1}
+    scheduler._handle_recorded(
+        JobsRecorded(first.fence, first.writes, revisions, is_last=True)
+    )
+    assert from_json(scheduler.describe_handover(), Handover).unsaved_jobs == (
+        job_id(1),
+    )
+
+
+# Failure: the ends of runs are acknowledged although the write of their effects was
+# refused, so a successor starts their tasks again.
+def test_ends_are_not_acknowledged_after_their_write_was_refused():
+    scheduler, requests = start_write()
+    scheduler.schedule.instances["i0"].last_end_sequence = 5
+    scheduler._handle(LeadershipLost(requests[0].fence))
+    flush(scheduler)
+    assert scheduler.agents["i0"]._acknowledged_sequence == 0
+    scheduler._update_fence(scheduler.schedule.fence + 1)
+    flush(scheduler)
+    assert [write.job_id for write in requests[1].writes] == [job_id(1)]
+    assert requests[1].end_sequences["i0/1"] == 5
+
+
+def start_write():
+    """Return a scheduler, and the writes that it requests, which stay under way."""
+    cluster = run_lasting_job()
+    scheduler = cluster.entries[cluster.leader()].entry.scheduler
+    scheduler._recorder.mailbox = Mailbox("captured writes")
+    scheduler.schedule.unsaved_jobs.add(job_id(1))
+    flush(scheduler)
+    return scheduler, scheduler._recorder.mailbox._messages
+
+
+def flush(scheduler):
+    scheduler._flushed_at = None
+    scheduler._flush(scheduler.clock.now())
