Exclude earlier leaders once the entries that led follow

Callers saw tasks of lost instances and jobs with unknown runs wait for over 12 s after the return of the machines (in process), though the one that had led was back and led again.

Cause: a new leader excluded earlier ones only through majorities of the electorate, or by time. With most entries dark and half of the instances gone it had neither, and waited 8 or 60 s for a leader whose process had ended before its own began.

What changed: elections record the entries that may act as the leader. The leader reduces the record to itself with the write of the electorate, once it has excluded all others. A new leader takes those before it for ended as soon as each recorded entry follows it or is itself. An entry that follows has stepped down, or its process that led has ended: a machine runs one process of the role, and only an entry that knows the new leader answers it as a follower. The record counts only for the term just before, so that an election by an entry of an earlier version, which doesn't write it, voids it.

Not changed: a leader that isn't back may act on the other side of a cut.

--- a/src/fighead/decisions/authority.py
+++ b/src/fighead/decisions/authority.py
@@ -62,6 +62,28 @@
     return stored.electorate or Electorate(stored.names)
 
 
+@frozen
+class PossibleLeaders:
+    """The entries that may act as the leader of a term, or of an earlier one.
+
+    Each election adds an entry. The leader removes the others once none of them can be
+    confirmed any more.
+
+    :param term: The term up to which ``names`` is complete.
+    """
+
+    term: int
+    names: tuple[str, ...]
+
+    def add(self, name: str) -> "PossibleLeaders":
+        """Return the record of the next term, for which ``name`` is elected.
+
+        >>> PossibleLeaders(3, ("b",)).add("a")
+        PossibleLeaders(term=4, names=('a', 'b'))
+        """
+        return PossibleLeaders(self.term + 1, tuple(sorted({*self.names, name})))
+
+
 class ConfirmationSource(enum.Enum):
     """What may confirm an entry as the leader."""
 
@@ -85,6 +107,7 @@
 class Exclusion(enum.Enum):
     """Why no earlier leader can be confirmed any more."""
 
+    LEADERS = "leaders"
     ENTRIES = "entries"
     INSTANCES = "instances"
     TIME = "time"
@@ -288,6 +311,7 @@
     since: dt.datetime,
     instances: t.Collection[str],
     age: dt.timedelta,
+    possible_leaders: t.Collection[str] | None = None,
 ) -> Exclusion | None:
     """Return why no entry but the leader ``own_name`` can be confirmed any more.
 
@@ -297,8 +321,15 @@
     :param instances: The instances that have answered the leader. They refuse the
         calls of earlier ones.
     :param age: Time since the leader was elected.
+    :param possible_leaders: The entries that may act as an earlier leader; ``None`` if
+        they are not known.
     :return: ``None`` if an earlier leader can be confirmed.
     """
+    # An entry that follows this one has stepped down, or its earlier process has ended.
+    if possible_leaders is not None and followed_at.keys() | {own_name} >= set(
+        possible_leaders
+    ):
+        return Exclusion.LEADERS
     if electorate is None:
         return Exclusion.TIME if age >= MAX_TIME_WITH_NEARLY_ALL else None
     if is_followed(own_name, electorate.names, followed_at, since):
--- a/src/fighead/store.py
+++ b/src/fighead/store.py
@@ -22,6 +22,8 @@
 JOB_LEADER_KEY = JOB_CONTROL_PREFIX + "leader"
 JOB_TERM_KEY = JOB_CONTROL_PREFIX + "term"
 JOB_ELECTORATE_KEY = JOB_CONTROL_PREFIX + "electorate"
+#: The entries that may still act as the leader of some term.
+JOB_LEADERS_KEY = JOB_CONTROL_PREFIX + "leaders"
 JOB_MEMBERS_PREFIX = JOB_CONTROL_PREFIX + "members/"
 #: Ends of leases that the leader keeps to. Other entries watch when they are written.
 JOB_LEASES_KEY = JOB_CONTROL_PREFIX + "leases"
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -18,6 +18,7 @@
     Electorate,
     Exclusion,
     InstanceAnswers,
+    PossibleLeaders,
     StoredElectorate,
     read_electorate,
 )
@@ -32,6 +33,7 @@
     JOB_CONTROL_PREFIX,
     JOB_ELECTORATE_KEY,
     JOB_LEADER_KEY,
+    JOB_LEADERS_KEY,
     JOB_LEASES_KEY,
     JOB_MEMBERS_PREFIX,
     JOB_TERM_KEY,
@@ -63,7 +65,7 @@
 #: Timeout of the deletion of the member key, at the end of a planned stop.
 LEAVE_TIMEOUT = dt.timedelta(milliseconds=400)
 #: Keys that decide an election. A claim expects them as the candidate knows them.
-ELECTION_KEYS = (JOB_TERM_KEY, JOB_ELECTORATE_KEY, JOB_LEADER_KEY)
+ELECTION_KEYS = (JOB_TERM_KEY, JOB_ELECTORATE_KEY, JOB_LEADERS_KEY, JOB_LEADER_KEY)
 #: Minimum time between two writes of the electorate because of other instances.
 ELECTORATE_INTERVAL = dt.timedelta(seconds=2)
 #: How long a member that has stopped answering the leader counts as an elector.
@@ -205,19 +207,23 @@
     :param lease: Id of the lease with which the key expires.
     :param sent_at: When the attempt began, before the lease was granted.
     :param electorate: The stored electorate, on which the write was conditional.
+    :param earlier: The entries that may act as an earlier leader; ``None`` if they are
+        not known.
     """
 
     leader: Leader
     lease: int
     sent_at: dt.datetime
     electorate: KeyValue
+    earlier: PossibleLeaders | None
 
 
 @frozen
 class ElectorateWritten:
-    """This entry has stored the electorate."""
+    """This entry has stored the electorate, and that no earlier leader may act."""
 
     kv: KeyValue
+    leaders: KeyValue
 
 
 @define(eq=False)
@@ -250,6 +256,9 @@
     _leader_kv: KeyValue = KeyValue(JOB_LEADER_KEY)
     _term_kv: KeyValue = KeyValue(JOB_TERM_KEY)
     _electorate_kv: KeyValue = KeyValue(JOB_ELECTORATE_KEY)
+    _leaders_kv: KeyValue = KeyValue(JOB_LEADERS_KEY)
+    # The entries that may act as a leader of an earlier term than this entry, if known.
+    _earlier_leaders: PossibleLeaders | None = None
     # The stored electorate; ``None`` if it can't be read.
     _electorate: Electorate | None = Electorate()
     # One that an unanswered write of this entry may yet store in its place.
@@ -403,8 +412,9 @@
                 self._handle_read_key(msg)
             case ConfirmationWanted():
                 self._request_confirmation()
-            case ElectorateWritten(kv):
+            case ElectorateWritten(kv, leaders):
                 self._apply_electorate(kv)
+                self._leaders_kv = leaders
             case Resign():
                 self._resign()
             case Call(Leave(), reply):
@@ -428,7 +438,7 @@
         self.view = evolve(self.view, members=members)
         for kv in kvs:
             self._apply_key(kv)
-        for key in (JOB_ELECTORATE_KEY, JOB_LEADER_KEY):
+        for key in (JOB_ELECTORATE_KEY, JOB_LEADERS_KEY, JOB_LEADER_KEY):
             if key not in listed:
                 self._apply_key(KeyValue(key))
 
@@ -437,6 +447,8 @@
             self._term_kv = kv
         elif kv.key == JOB_ELECTORATE_KEY:
             self._apply_electorate(kv)
+        elif kv.key == JOB_LEADERS_KEY:
+            self._leaders_kv = kv
         elif kv.key == JOB_LEADER_KEY:
             self._apply_leader_key(kv)
         elif kv.key == JOB_LEASES_KEY:
@@ -463,6 +475,23 @@
             self._electorate = None
             log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=exc.message)
 
+    def _read_possible_leaders(self, term: int) -> PossibleLeaders | None:
+        """Return the entries that may act as a leader; ``None`` if they are not known.
+
+        Entries of earlier versions don't record their elections.
+
+        :param term: The latest term.
+        """
+        kv = self._leaders_kv
+        if not kv.mod_revision:
+            return None
+        try:
+            leaders = from_json(kv.value, PossibleLeaders)
+        except RequestError as exc:
+            log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=exc.message)
+            return None
+        return leaders if leaders.term == term else None
+
     def _note_lease_record(self, kv: KeyValue) -> None:
         """Note when a record was seen, which is later than when it was written."""
         if kv.mod_revision != self._lease_record_seen[0]:
@@ -582,23 +611,25 @@
         sent_at = self.clock.now()
         # The revisions are taken before the lease is granted, so that the write fails
         # if another entry is elected in the meantime.
-        electorate = self._electorate_kv
+        electorate, term = self._electorate_kv, self._next_term()
+        earlier = self._read_possible_leaders(term - 1)
         expected = (
             Compare(JOB_LEADER_KEY, self._leader_kv.mod_revision),
             Compare(JOB_TERM_KEY, self._term_kv.mod_revision),
             Compare(JOB_ELECTORATE_KEY, electorate.mod_revision),
+            Compare(JOB_LEADERS_KEY, self._leaders_kv.mod_revision),
         )
-        leader = Leader(self.me.name, self._next_term(), nonce=self._nonce)
+        leader = Leader(self.me.name, term, nonce=self._nonce)
         lease: LeaseResult = await self.store.call(
             LeaseGrant(election.LEADER_TTL_S), STORE_TIMEOUT
         )
-        txn = Txn(
-            expected,
-            (
-                Put(JOB_LEADER_KEY, to_json(leader), lease.lease),
-                Put(JOB_TERM_KEY, str(leader.term)),
-            ),
-        )
+        puts = [
+            Put(JOB_LEADER_KEY, to_json(leader), lease.lease),
+            Put(JOB_TERM_KEY, str(leader.term)),
+        ]
+        if earlier is not None:
+            puts.append(Put(JOB_LEADERS_KEY, to_json(earlier.add(leader.name))))
+        txn = Txn(expected, tuple(puts))
         try:
             result: TxnResult = await self.store.call(txn, STORE_TIMEOUT)
         except StoreOutcomeUnknownError:
@@ -606,7 +637,9 @@
             return
         if result.succeeded:
             elected = evolve(leader, fence=result.revision)
-            self.mailbox.offer(Elected(elected, lease.lease, sent_at, electorate))
+            self.mailbox.offer(
+                Elected(elected, lease.lease, sent_at, electorate, earlier)
+            )
             return
         found = {kv.key: kv for kv in result.kvs}
         for key in ELECTION_KEYS:
@@ -636,6 +669,7 @@
         self._sole_at = elected.sent_at
         # A write of the electorate under an earlier fence can't take effect any more.
         self._set_electorate(elected.electorate)
+        self._earlier_leaders = elected.earlier
         self._peer_confirmations.clear()
         self._followed_by_peer.clear()
         if not is_uninterrupted:
@@ -844,6 +878,7 @@
         if not self._is_leading or elected_at is None or self._followed_at is not None:
             return
         now = self.clock.now()
+        earlier = self._earlier_leaders
         self._exclusion = authority.find_exclusion(
             self.me.name,
             self._electorate,
@@ -851,6 +886,7 @@
             now - AUTHORITY_TIMEOUT,
             self._instance_answers,
             now - elected_at,
+            earlier.names if earlier is not None else None,
         )
         if self._exclusion is not None:
             self._followed_at = now
@@ -860,7 +896,8 @@
     def _update_electorate(self, fence: int) -> None:
         """Store the members and instances as the electorate, if they have changed.
 
-        No earlier leader may count on the stored one any more.
+        No earlier leader may count on the stored one any more. The same write records
+        this entry as the only one that may act as the leader.
         """
         names = self._find_electors()
         known = self._electorate
@@ -868,13 +905,21 @@
             return
         is_answered = self._requested_electorate is None
         if is_answered and known is not None and known.names == names:
-            is_current = known.instances == self._instances
+            is_current = (
+                known.instances == self._instances and self._is_recorded_as_sole()
+            )
             requested_at = self._electorate_requested_at
             if is_current or self._is_within(ELECTORATE_INTERVAL, requested_at):
                 return
         self._electorate_requested_at = self.clock.now()
         spawn(self._write_electorate(fence, names))
 
+    def _is_recorded_as_sole(self) -> bool:
+        """Whether the store tells that no other entry may act as the leader."""
+        own = self._own_leader
+        leaders = self._read_possible_leaders(own.term) if own is not None else None
+        return leaders is not None and leaders.names == (self.me.name,)
+
     def _find_electors(self) -> tuple[str, ...]:
         """Return the members that have followed this leader lately.
 
@@ -901,19 +946,27 @@
         # An unanswered write is repeated, so that there is one other at the most.
         requested = self._requested_electorate or Electorate(names, self._instances)
         value = to_json(StoredElectorate(electorate=requested))
+        term = self._own_leader.term if self._own_leader else 0
+        leaders = to_json(PossibleLeaders(term, (self.me.name,)))
         self._is_writing_electorate, self._requested_electorate = True, requested
         txn = Txn(
             (
                 Compare(JOB_LEADER_KEY, fence),
                 Compare(JOB_ELECTORATE_KEY, known.mod_revision),
             ),
-            (Put(JOB_ELECTORATE_KEY, value),),
+            (Put(JOB_ELECTORATE_KEY, value), Put(JOB_LEADERS_KEY, leaders)),
         )
         try:
             result: TxnResult = await self.store.call(txn, STORE_TIMEOUT)
             if result.succeeded:
-                kv = KeyValue(JOB_ELECTORATE_KEY, value, 0, result.revision)
-                self.mailbox.offer(ElectorateWritten(kv))
+                kvs = (
+                    KeyValue(key, written, 0, result.revision)
+                    for key, written in (
+                        (JOB_ELECTORATE_KEY, value),
+                        (JOB_LEADERS_KEY, leaders),
+                    )
+                )
+                self.mailbox.offer(ElectorateWritten(*kvs))
             else:
                 await self._read_election_keys()
         except StoreError as exc:
