--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -947,7 +947,7 @@
             sorted(
                 name
                 for name in self.view.members
-                if (is_new and name in earlier)
+                if (is_new and (name in earlier or not earlier))
                 or name == self.me.name
                 or self._is_within(ELECTOR_MEMORY, self._followed_by_peer.get(name))
             )
