--- a/tests/test_handover_review.py
+++ b/tests/test_handover_review.py
@@ -12,6 +12,7 @@
 from fighead.job import JobSpec, Stage, TaskKey
 from fighead.mailbox import Mailbox
 from fighead.tasks.recorder import JobsRecorded, LeadershipLost
+from fighead.tasks.scheduler import SchedulerTask
 from job_builders import (
     JOB_ID,
     LEASE,
@@ -71,8 +72,44 @@
         cluster.crash_instance(rng.choice(list(cluster.instances)))
 
 
+def is_old(schedule):
+    return schedule.latest_term % 2 == 1
+
+
+def let_old_versions_lead(monkeypatch):
+    """Let leaders of odd terms neither read nor write what a leader leaves."""
+    find_bounds = instance_tracking.find_bounds_to_store
+    describe = SchedulerTask.describe_handover
+
+    def choose(function, other):
+        return lambda schedule, *args: (
+            other if is_old(schedule) else function(schedule, *args)
+        )
+
+    for name in ("inherit_handover", "inherit_lease_bounds"):
+        monkeypatch.setattr(handover, name, choose(getattr(handover, name), False))
+    monkeypatch.setattr(
+        instance_tracking, "find_bounds_to_store", choose(find_bounds, {})
+    )
+    monkeypatch.setattr(
+        SchedulerTask,
+        "describe_handover",
+        lambda self: None if is_old(self.schedule) else describe(self),
+    )
+
+
+@pytest.mark.parametrize("seed", range(20, 30))
+def test_no_task_runs_twice_where_leaders_of_two_versions_change(seed, monkeypatch):
+    let_old_versions_lead(monkeypatch)
+    play_row_of_changes(seed)
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_no_task_runs_twice_in_a_row_of_changes_beside_restarts_and_cuts(seed):
+    play_row_of_changes(seed)
+
+
+def play_row_of_changes(seed):
     cluster = JobCluster(
         seed=seed, entry_names=tuple(f"e{n}" for n in range(5)), instance_count=6
     )
