Count only fillers that wait for those that regroup serving tasks

Found in review: after a hand-over a serving task could be moved although no filler had waited for long.

Cause: a new leader takes the tasks of earlier jobs for waiting. One whose end it is then listed keeps that time, and the check for waiting fillers counted all tasks of a stage with any waiting one.

--- a/src/fighead/decisions/regrouping.py
+++ b/src/fighead/decisions/regrouping.py
@@ -82,13 +82,14 @@
 
 
 def _is_filler_waiting(schedule: Schedule, now: dt.datetime) -> bool:
-    return any(
-        task.waiting_since is not None and now - task.waiting_since >= MIN_FILLER_WAIT
+    since = (
+        stage.tasks[index].waiting_since
         for job in schedule.jobs.values()
         for stage in job.stages.values()
-        if stage.spec.is_filler and stage.is_open and stage.waiting_indexes
-        for task in stage.tasks
+        if stage.spec.is_filler and stage.is_open
+        for index in stage.waiting_indexes
     )
+    return any(at is not None and now - at >= MIN_FILLER_WAIT for at in since)
 
 
 def _misplaced_runs(
--- a/tests/test_handover_review.py
+++ b/tests/test_handover_review.py
@@ -6,7 +6,7 @@
 import pytest
 
 from fighead.codec import from_json
-from fighead.decisions import handover, instance_tracking
+from fighead.decisions import handover, instance_tracking, regrouping
 from fighead.decisions.handover import Handover
 from fighead.decisions.schedule_state import InheritedRuns
 from fighead.job import JobSpec, Stage, TaskKey
@@ -247,6 +247,18 @@
     assert instance_tracking.has_sole_authority(schedule, now) == was_sole
 
 
+# Failure: a filler that a new leader has taken for waiting and then found done makes
+# it move a serving task for another that has just come to wait.
+def test_a_filler_that_is_done_is_not_waiting():
+    schedule = make_schedule(("i1",))
+    stage = add_job(schedule, Stage(2, 100, 1, is_filler=True)).stages[0, 0]
+    for task in stage.tasks:
+        task.waiting_since = at_seconds(-6)
+    receive_listing(schedule, "i1", (), [ended_run(1, task_key(0), 1)])
+    stage.tasks[1].waiting_since = at_seconds(2)
+    assert not regrouping._is_filler_waiting(schedule, at_seconds(2))
+
+
 # Whole entries.
 
 
