--- a/tests/test_handover_review.py
+++ b/tests/test_handover_review.py
@@ -11,6 +11,7 @@
 from fighead.decisions.schedule_state import InheritedRuns
 from fighead.job import JobSpec, Stage, TaskKey
 from fighead.mailbox import Mailbox
+from fighead.run import StartRun
 from fighead.tasks.recorder import JobsRecorded, LeadershipLost
 from fighead.tasks.scheduler import SchedulerTask
 from job_builders import (
@@ -330,3 +331,34 @@
 def flush(scheduler):
     scheduler._flushed_at = None
     scheduler._flush(scheduler.clock.now())
+
+
+def test_a_start_that_arrives_late_after_a_second_hand_over_runs_alone():
+    cluster = run_lasting_job(instances=3)
+    cluster.entries[cluster.leader()].entry.stop()
+    cluster.advance(1)
+    leader = cluster.leader()
+    schedule = cluster.entries[leader].entry.scheduler.schedule
+    assert schedule.inherited_runs.keys() == cluster.instances.keys()
+    # The tasks of i1 are moved, and those for i0 get no answer.
+    cluster.lost_calls = {("i0", "start"), ("i0", "stop")}
+    known = set(schedule.instances["i0"].runs)
+    cluster.drain_instance("i1", 60_000)
+    cluster.advance(0.3)
+    late = [
+        run for key, run in schedule.instances["i0"].runs.items() if key not in known
+    ]
+    assert late
+    fence = schedule.fence_for(schedule.instances["i0"])
+    cluster.lost_paths = {(name, "i0") for name in cluster.entries}
+    cluster.crash_instance("i0")
+    cluster.add_instance("i3")
+    cluster.advance(0.3)
+    cluster.entries[leader].entry.stop()
+    cluster.advance(2)
+    lease_until_ms = cluster.instances["i0"].renew_and_list(0, 0, 0).clock_ms + 5000
+    for run in late:
+        order = StartRun(run.key, run.number, "x")
+        cluster.instances["i0"].start(order, lease_until_ms, fence)
+    cluster.advance(1)
+    assert not cluster.find_breaches()
