Take no task for having waited longer than its job exists

Found in review: after a hand-over a filler that had just been accepted counted as one that has waited for 6 s. So it could start where it does harm (2 s), or have a serving task moved for it, at each hand-over.

Cause: a new leader takes all tasks of earlier jobs to have waited for INHERITED_WAIT. The age of the job is a bound, and grows over a row of leaders. It counts only where it is plausible, as before, since clocks differ.

--- a/src/fighead/decisions/job_lifecycle.py
+++ b/src/fighead/decisions/job_lifecycle.py
@@ -22,8 +22,9 @@
 MAX_ENDED_JOBS = 20_000
 #: Maximum number of characters of a queue's name in a log line.
 MAX_LOGGED_QUEUE_CHARS = 200
-#: How long a task of an earlier scheduler is taken to have waited. The true time is not
-#: known, and a series of schedulers must not defer a task again and again.
+#: How long a task of an earlier scheduler is taken to have waited, unless its job is
+#: newer. The true time is not known, and a series of schedulers must not defer a task
+#: again and again.
 INHERITED_WAIT = dt.timedelta(seconds=6)
 #: Attempts of a task while those of its queue are not known. A job can't be revived
 #: once it is shown as failed.
@@ -63,7 +64,8 @@
         _restore_progress(job, progress)
     open_stages(job)
     if revision <= schedule.fence:
-        _assume_waiting(job, now - INHERITED_WAIT)
+        waited = min(age, INHERITED_WAIT) if is_plausible else INHERITED_WAIT
+        _assume_waiting(job, now - waited)
     fields: dict[str, t.Any] = {"job": record.job_id, "revision": revision}
     fields["queue"] = record.queue[:MAX_LOGGED_QUEUE_CHARS]
     fields |= {
--- a/tests/test_handover_review.py
+++ b/tests/test_handover_review.py
@@ -6,7 +6,7 @@
 import pytest
 
 from fighead.codec import from_json
-from fighead.decisions import handover, instance_tracking, regrouping
+from fighead.decisions import handover, instance_tracking, job_lifecycle, regrouping
 from fighead.decisions.handover import Handover
 from fighead.decisions.schedule_state import InheritedRuns
 from fighead.job import JobSpec, Stage, TaskKey
@@ -260,6 +260,20 @@
     assert not regrouping._is_filler_waiting(schedule, at_seconds(2))
 
 
+# Failure: a filler that was accepted just before a hand-over starts where it does harm,
+# or moves a serving task, as if it had waited for long.
+def test_a_task_of_an_earlier_leader_has_not_waited_longer_than_its_job():
+    schedule = make_schedule(("i1",), term=2)
+    schedule.fence = 9
+    record = add_job(make_schedule(), Stage(1, 100, 1, is_filler=True)).record
+    now = at_seconds(0.5)
+    schedule.wall_offset = dt.timedelta()
+    job_lifecycle.add_job(schedule, record, 7, now)
+    assert not regrouping._is_filler_waiting(schedule, now)
+    (task,) = schedule.jobs[JOB_ID].stages[0, 0].tasks
+    assert task.waiting_since == at_seconds(0)
+
+
 # Whole entries.
 
 
