Let a planned hand-over exclude the leaders before it

What callers saw: after a row of planned hand-overs 1 s apart, in which the entries and instances were replaced, tasks of the next lost leader and instance waited for up to 60 s.

Cause: a leader stores the electorate 1.5 s after too many follow it for an earlier one to be confirmed. In shorter terms it kept the names of entries and instances that had left, so that neither the followers nor the answers of the next leader excluded an earlier one; only time did.

Fix: a leader to which the one before has handed over knows that no earlier one acts (the record says so, and is stored with the end of that leader's key). It takes them for excluded, and stores the electorate at once.

Evidence: the test, nine entries and four instances replaced in ten planned hand-overs, then the leader and an instance lost, failed before at 1 s: not settled within 12 s.

--- a/src/fighead/decisions/authority.py
+++ b/src/fighead/decisions/authority.py
@@ -88,6 +88,8 @@
     ENTRIES = "entries"
     INSTANCES = "instances"
     TIME = "time"
+    #: All have stopped as planned.
+    HANDOVER = "handover"
 
 
 @frozen
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -282,6 +282,9 @@
             self.leadership.needs_instances,
             lambda fence: self.leadership.mailbox.offer(leadership.LoadFailed(fence)),
             self.leadership.find_lease_record_date,
+            lambda fence: self.leadership.mailbox.offer(
+                leadership.PredecessorsStopped(fence)
+            ),
         )
         self.metrics.set_leading(True)
         self.scheduler.start()
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -147,6 +147,16 @@
     fence: int
 
 
+@frozen
+class PredecessorsStopped:
+    """The leader before this entry, and all before it, have stopped as planned.
+
+    :param fence: Fence of this entry.
+    """
+
+    fence: int
+
+
 @frozen
 class Resign:
     """The entry is stopping; it deletes its leader key and is no longer a candidate."""
@@ -294,6 +304,8 @@
     # When no earlier leader could be confirmed any more, and why.
     _followed_at: dt.datetime | None = None
     _exclusion: Exclusion | None = None
+    # Whether no earlier leader acts any more because each has stopped as planned.
+    _are_predecessors_stopped: bool = False
     # When the store last confirmed this leader.
     _sole_at: dt.datetime | None = None
     # What confirmed the leader when its authority was last checked; ``None`` if it had
@@ -393,6 +405,8 @@
                     self._fail("the fence of this entry was refused")
             case LoadFailed(fence):
                 self._yield_leadership(fence)
+            case PredecessorsStopped(fence):
+                self._note_stopped_predecessors(fence)
             case CandidacyDue(key_revision):
                 self._start_candidacy(key_revision)
             case Elected():
@@ -642,6 +656,7 @@
             self._instance_answers.clear()
             self._elected_at = self.clock.now()
             self._followed_at = self._exclusion = None
+            self._are_predecessors_stopped = False
         if not self._is_leading:
             self._logged_source = ConfirmationSource.STORE
         self._is_leading, self._own_leader = True, leader
@@ -855,6 +870,15 @@
         if self._exclusion is not None:
             self._followed_at = now
 
+    def _note_stopped_predecessors(self, fence: int) -> None:
+        own = self._own_leader
+        if not self._is_leading or own is None or fence != own.fence:
+            return
+        self._are_predecessors_stopped = True
+        if self._followed_at is None:
+            self._followed_at = self.clock.now()
+            self._exclusion = Exclusion.HANDOVER
+
     # The electorate.
 
     def _update_electorate(self, fence: int) -> None:
@@ -896,7 +920,9 @@
 
     def _is_sole_leader(self) -> bool:
         since = self._followed_at
-        is_sole = since is not None and not self._is_within(AUTHORITY_TIMEOUT, since)
+        is_sole = self._are_predecessors_stopped or (
+            since is not None and not self._is_within(AUTHORITY_TIMEOUT, since)
+        )
         return is_sole and self._is_within(AUTHORITY_TIMEOUT, self._sole_at)
 
     async def _write_electorate(self, fence: int, names: tuple[str, ...]) -> None:
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -197,6 +197,7 @@
     :param needs_instances: Whether instances must confirm this entry as the leader.
     :param find_lease_record_date: Returns when this entry first saw a revision of the
         stored ends of leases; ``None`` if it has not seen it.
+    :param on_handed_over: Called with the fence if all earlier leaders have stopped.
     :param agents: Agent of each instance, by instance ID.
     """
 
@@ -216,6 +217,7 @@
     needs_instances: t.Callable[[], bool] = lambda: False
     on_load_failed: t.Callable[[int], None] = lambda _: None
     find_lease_record_date: t.Callable[[int], dt.datetime | None] = lambda _: None
+    on_handed_over: t.Callable[[int], None] = lambda _: None
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("scheduler", 65536))
     agents: dict[str, AgentTask] = field(factory=dict)
     _recorder: RecorderTask = field(init=False)
@@ -659,6 +661,8 @@
         left = _decode_record(msg.handover, Handover) if msg.handover else None
         if left is not None:
             handover.inherit_handover(self.schedule, left, msg.read_at)
+        if self.schedule.is_handed_over:
+            self.on_handed_over(self.schedule.fence)
         self._inherit_fleet(msg.record)
 
     def describe_handover(self) -> str | None:
--- a/tests/test_waits_at_handovers.py
+++ b/tests/test_waits_at_handovers.py
@@ -11,6 +11,7 @@
 from test_handover import (
     find_schedule,
     lose_instances,
+    release_instance,
     restart_when_stopped,
     stop_leader,
 )
@@ -70,6 +71,13 @@
     assert cluster.leader() is not None
 
 
+def replace_entry(cluster, name, successor):
+    """Stop an entry as planned for good, and start another one."""
+    if not cluster.entries[name].gate.is_dead:
+        cluster.entries[name].entry.stop()
+    cluster.start_entry(successor)
+
+
 def find_settling_time(cluster, limit_s):
     """Return after how many seconds a leader is settled; ``None`` if not in time."""
     for step in range(limit_s * 10):
@@ -79,6 +87,27 @@
     return None
 
 
+# Failure: the electorate names entries and instances that left in terms too short to
+# replace it, so that a later leader waits 60 s for an earlier one to end.
+@pytest.mark.parametrize("gap_s", GAPS_S)
+def test_a_loss_is_overcome_in_time_after_all_were_replaced_in_short_terms(gap_s):
+    cluster = start_cluster()
+    cluster.on_end = cluster.kill_entries
+    cluster.advance(4)
+
+    def replace(number):
+        if number < 9:
+            replace_entry(cluster, f"e{number}", f"n{number}")
+        if number < 4:
+            cluster.add_instance(f"n{number}")
+            release_instance(cluster, f"i{number}")
+
+    hand_over_in_a_row(cluster, gap_s, replace)
+    lose_instances(cluster, "n0")
+    cluster.kill_entries(cluster.leader())
+    assert find_settling_time(cluster, RECOVERY_S) is not None
+
+
 # Failure: entries that are gone for good count as electors for the first 10 s of each
 # term, so that a later leader waits 60 s for an earlier one to end.
 @pytest.mark.parametrize("gap_s", GAPS_S)
