--- a/src/fighead/decisions/authority.py
+++ b/src/fighead/decisions/authority.py
@@ -111,6 +111,8 @@
     ENTRIES = "entries"
     INSTANCES = "instances"
     TIME = "time"
+    #: All have stopped as planned.
+    HANDOVER = "handover"
 
 
 @frozen
