Log requests that an entry leaves without an answer at a planned stop

A listener task owns the port and the connections of a front now, and notes when each request was read whole. Event 4004 (request_cut) tells the method, the path and the age of each request that a stopping entry leaves without an answer. No decision changes: ports are closed and requests in flight are counted as before.

--- a/src/fighead/entry.py
+++ b/src/fighead/entry.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.ssl import DefaultOpenSSLContextFactory
 from twisted.python import log
+from twisted.web.server import Site
 
 from . import message as m
 from .clock import Clock, sleep, with_timeout
@@ -19,7 +20,6 @@
 from .front_context import FrontContext
 from .fronts.caller import CallerFront
 from .fronts.operator import MAX_BODY_BYTES, OperatorFront
-from .fronts.site import make_site
 from .ledger import BurnLedger
 from .log import Event, log_event
 from .mailbox import spawn
@@ -28,6 +28,7 @@
 from .settings import EntrySettings, ListenAddress
 from .tasks.call import call
 from .tasks.ledger import CloseLedger, LedgerTask
+from .tasks.listener import ListenerTask, StopAccepting
 from .tasks.member import MemberTask
 from .tasks.peer import CurveKeys, PeerTask
 from .tasks.store import StoreTask
@@ -65,7 +66,7 @@
     supervisor: SupervisorTask = field(init=False)
     store: StoreTask = field(init=False)
     _random: random.Random = field(init=False)
-    _ports: list[t.Any] = field(factory=list)
+    _listeners: list[ListenerTask] = field(factory=list)
     _is_stopping: bool = False
     _is_finished: bool = False
 
@@ -167,17 +168,25 @@
     def _listen(
         self, address: ListenAddress, resource: t.Any, max_body_bytes: int
     ) -> None:
-        site = make_site(resource, max_body_bytes)
+        listener = ListenerTask(
+            self.clock,
+            lambda site: self._open_port(address, site),
+            resource,
+            max_body_bytes,
+        )
+        listener.start()
+        spawn(listener.run())
+        self._listeners.append(listener)
+
+    def _open_port(self, address: ListenAddress, site: Site) -> t.Any:
         if self.cfg.plain:
-            port = self.reactor.listenTCP(address.port, site, interface=address.host)
-        else:
-            context = DefaultOpenSSLContextFactory(
-                self.cfg.tls_key, self.cfg.tls_certificate
-            )
-            port = self.reactor.listenSSL(
-                address.port, site, context, interface=address.host
-            )
-        self._ports.append(port)
+            return self.reactor.listenTCP(address.port, site, interface=address.host)
+        context = DefaultOpenSSLContextFactory(
+            self.cfg.tls_key, self.cfg.tls_certificate
+        )
+        return self.reactor.listenSSL(
+            address.port, site, context, interface=address.host
+        )
 
     def stop(self) -> None:
         """Start a planned stop and return at once; further calls have no effect."""
@@ -214,8 +223,8 @@
             return
         self._is_finished = True
         log_event(Event.ENTRY_STOPPED)
-        for port in self._ports:
-            port.stopListening()
+        for listener in self._listeners:
+            listener.mailbox.offer(StopAccepting())
         self.peer.stop()
         self.on_end()
 
--- a/src/fighead/fronts/site.py
+++ b/src/fighead/fronts/site.py
@@ -1,10 +1,14 @@
-"""A Twisted site that limits request bodies and closes idle connections."""
+"""A Twisted site whose connections can be closed without losing an answer."""
 
+import datetime as dt
 import typing as t
 
+from twisted.internet.protocol import connectionDone
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
+from ..clock import Clock
+
 #: Time after which an idle connection is closed.
 IDLE_TIMEOUT_S = 75
 TOO_LARGE_RESPONSE = (
@@ -12,23 +16,88 @@
 )
 
 
-def make_site(resource: t.Any, max_body_bytes: int) -> Site:
-    """Return a site that rejects requests by their declared body length.
+class FrontRequest(Request):
+    """A request that can be refused while it is served.
 
     A body of more than twice ``max_body_bytes`` is not read: status 413 is sent and
     the connection closed. A smaller one reaches the front, which checks the exact
     limit and answers with an error in its own encoding.
     """
 
-    class LimitedRequest(Request):
-        def gotLength(self, length: int | None) -> None:  # noqa: N802
-            channel: HTTPChannel = self.channel
-            if length is not None and length > 2 * max_body_bytes:
-                channel.transport.write(TOO_LARGE_RESPONSE)
-                channel.transport.loseConnection()
-                return
-            super().gotLength(length)
+    #: Maximum length of a body in bytes.
+    max_body_bytes: int
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Reject a declared length that is far over the limit."""
+        if length is not None and length > 2 * self.max_body_bytes:
+            self.channel.transport.write(TOO_LARGE_RESPONSE)
+            self.channel.transport.loseConnection()
+            return
+        super().gotLength(length)
+
+
+class FrontChannel(HTTPChannel):
+    """A connection that knows what it owes its client.
+
+    :param clock: Source of the times.
+    :param on_open: Called once the connection is open.
+    :param on_answer: Called with each answer that is complete; it may not be written
+        out yet.
+    :param on_close: Called once the connection is closed, with the reason.
+    """
+
+    #: When the request that is being served was read whole; ``None`` without one.
+    read_at: dt.datetime | None = None
+
+    def __init__(
+        self,
+        clock: Clock,
+        on_open: t.Callable[["FrontChannel"], None],
+        on_answer: t.Callable[["FrontChannel"], None],
+        on_close: t.Callable[["FrontChannel", t.Any], None],
+    ) -> None:
+        super().__init__()
+        self._clock = clock
+        self._on_open = on_open
+        self._on_answer = on_answer
+        self._on_close = on_close
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Report the connection."""
+        super().connectionMade()
+        self._on_open(self)
+
+    def allContentReceived(self) -> None:  # noqa: N802
+        """Note when the request was read whole, and serve it."""
+        self.read_at = self._clock.now()
+        super().allContentReceived()
+
+    def requestDone(self, request: Request) -> None:  # noqa: N802
+        """Report the answer, and read the next request."""
+        self.read_at = None
+        self._on_answer(self)
+        super().requestDone(request)
+
+    def connectionLost(self, reason: t.Any = connectionDone) -> None:  # noqa: N802
+        """Report the end of the connection."""
+        super().connectionLost(reason)
+        self._on_close(self, reason)
+
+
+def make_site(
+    resource: t.Any, max_body_bytes: int, make_channel: t.Callable[[], FrontChannel]
+) -> Site:
+    """Return a site for ``resource``.
+
+    :param max_body_bytes: Maximum length of a body; see :class:`FrontRequest`.
+    :param make_channel: Returns the protocol of a new connection.
+    """
+
+    class LimitedRequest(FrontRequest):
+        pass
 
+    LimitedRequest.max_body_bytes = max_body_bytes
     site = Site(resource, timeout=IDLE_TIMEOUT_S)
     site.requestFactory = LimitedRequest
+    site.protocol = make_channel
     return site
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -19,7 +19,6 @@
 from .decisions.schedule_state import Schedule
 from .exceptions import MailboxFullError, PeerUnreachableError
 from .fronts.job import JobCodec, JobFront
-from .fronts.site import make_site
 from .job import JobConfig
 from .job_front_context import JobFrontContext
 from .job_metric import JobMetrics, make_metrics_app
@@ -32,6 +31,7 @@
 from .tasks import leadership
 from .tasks.call import call
 from .tasks.leadership import ControlView, LeadershipTask
+from .tasks.listener import ListenerTask, StopAccepting
 from .tasks.load import LoadTask
 from .tasks.peer import CurveKeys, PeerTask
 from .tasks.relay import RelayingStore, execute_for_peer
@@ -57,6 +57,8 @@
 NOT_READY_STATUS = 503
 #: Largest request body that is read, in bytes, whatever the configuration allows.
 MAX_BODY_BYTES = 1 << 20
+#: Maximum number of connections that wait to be accepted.
+MAX_WAITING_CONNECTIONS = 500
 
 
 @define(eq=False)
@@ -93,7 +95,7 @@
     _backlog: tuple[QueuedStarts, ...] = ()
     _backlog_at: dt.datetime = field(init=False)
     _started_at: dt.datetime = field(init=False)
-    _ports: list[t.Any] = field(factory=list)
+    _listeners: list[ListenerTask] = field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         cfg = self.cfg
@@ -160,9 +162,17 @@
         log_event(Event.ENTRY_STARTED, availability_zone=self.cfg.zone)
 
     def _listen(self, address: ListenAddress, resource: t.Any) -> None:
-        site = make_site(resource, MAX_BODY_BYTES)
-        port = self.reactor.listenTCP(address.port, site, 500, address.host)
-        self._ports.append(port)
+        listener = ListenerTask(
+            self.clock,
+            lambda site: self.reactor.listenTCP(
+                address.port, site, MAX_WAITING_CONNECTIONS, address.host
+            ),
+            resource,
+            MAX_BODY_BYTES,
+        )
+        listener.start()
+        spawn(listener.run())
+        self._listeners.append(listener)
 
     def _make_ready_app(self) -> Klein:
         app = Klein()
@@ -202,8 +212,8 @@
     async def _drain(self) -> None:
         deadline = self.clock.now() + self.cfg.grace - STOP_RESERVE
         await sleep(self.clock, BALANCER_REACTION_TIME)
-        for port in self._ports:
-            port.stopListening()
+        for listener in self._listeners:
+            listener.mailbox.offer(StopAccepting())
         while self.front_context.in_flight and self.clock.now() < deadline:
             await sleep(self.clock, DRAIN_POLL_INTERVAL)
         try:
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -158,6 +158,11 @@
         "info",
         "A peer's answer came too late, or was meant for an earlier process.",
     )
+    REQUEST_CUT = (
+        4004,
+        "error",
+        "The entry ends and owes a request its answer.",
+    )
 
     @property
     def number(self) -> int:
