Answer every request that was read before an entry ends

Cause: the entry looked once, 2.3 s after SIGTERM, whether requests were in flight, then deleted its member key, closed its links to its peers and ended 0.2 s later. Until then it read and dispatched requests, which waited for an answer of the scheduler's entry that could not arrive any more.

Now one order of steps, each ended by a condition and by a time of the grace period: not ready, hand over, serve until the balancer has reacted; then the listener task closes the port, reads what has arrived, closes idle connections and the others after their answer, which closing writes out; only then the entry leaves and ends, at once. Requests that are left a second before the end of the grace period are refused: 503 for what only reads, 504 for what may have been stored.

A connection that was accepted with the last ones, pipelined requests, requests in parts and clients that don't read are in tests/test_listener.py.

--- a/src/fighead/fronts/job.py
+++ b/src/fighead/fronts/job.py
@@ -22,6 +22,7 @@
 from ..job_front_context import JobFrontContext
 from ..log import Event, log_event
 from ..queries import job as queries
+from .refusal import answer_or_refuse
 
 OK = 200
 GONE = 410
@@ -60,19 +61,17 @@
 
 
 def _with_error_answers(handler: Handler) -> Handler:
-    """Wrap a handler: count requests in flight and answer errors as encoded bodies.
+    """Wrap a handler: answer errors and refusals as encoded bodies.
 
     While the entry drains, clients are asked to close their connections.
     """
 
     @functools.wraps(handler)
     async def handle(self: "JobFront", request: IRequest) -> bytes:
-        self.context.in_flight += 1
         request.setHeader("Content-Type", "application/json")
-        if self.context.is_draining:
-            request.setHeader("Connection", "close")
+        refuse = functools.partial(self._refuse, request)
         try:
-            return await handler(self, request)
+            return await answer_or_refuse(request, handler(self, request), refuse)
         except FigheadError as exc:
             if exc.status >= UNAVAILABLE:
                 request.setHeader("Retry-After", "1")
@@ -84,7 +83,8 @@
             log_event(Event.REQUEST_FAILED, error=type(exc).__name__, text=str(exc))
             return self._send_error(request, 500, "The entry met an unexpected error.")
         finally:
-            self.context.in_flight -= 1
+            if self.context.is_draining:
+                request.setHeader("Connection", "close")
 
     return handle
 
@@ -188,6 +188,17 @@
         request.setResponseCode(status)
         return self._codec.encode_error(reason)
 
+    def _refuse(self, request: IRequest) -> bytes:
+        """Answer a request that is not finished when the entry has to end.
+
+        What a command has sent to the store may still be executed.
+        """
+        request.setHeader("Retry-After", "1")
+        if request.method == b"GET":
+            return self._send_error(request, UNAVAILABLE, "The entry is stopping.")
+        reason = "The entry is stopping and does not know the outcome."
+        return self._send_error(request, UNKNOWN_OUTCOME, reason)
+
     def _get_deadline(self, request: IRequest) -> dt.datetime:
         raw = request.getHeader(self._codec.deadline_header) or ""
         time_limit = DEFAULT_TIME_LIMIT
--- a/src/fighead/fronts/site.py
+++ b/src/fighead/fronts/site.py
@@ -16,6 +16,13 @@
 )
 
 
+#: Sent in place of an answer to a request that has not arrived whole at a stop.
+STOPPING_RESPONSE = (
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+    b"Retry-After: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+
 class FrontRequest(Request):
     """A request that can be refused while it is served.
 
@@ -26,6 +33,8 @@
 
     #: Maximum length of a body in bytes.
     max_body_bytes: int
+    #: Set by a front; ends the work on the request, which is then answered at once.
+    on_refusal: t.Callable[[], None] | None = None
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Reject a declared length that is far over the limit."""
@@ -43,18 +52,19 @@
     :param on_open: Called once the connection is open.
     :param on_answer: Called with each answer that is complete; it may not be written
         out yet.
-    :param on_close: Called once the connection is closed, with the reason.
+    :param on_close: Called once the connection is closed.
     """
 
     #: When the request that is being served was read whole; ``None`` without one.
     read_at: dt.datetime | None = None
+    _is_closing = False
 
     def __init__(
         self,
         clock: Clock,
         on_open: t.Callable[["FrontChannel"], None],
         on_answer: t.Callable[["FrontChannel"], None],
-        on_close: t.Callable[["FrontChannel", t.Any], None],
+        on_close: t.Callable[["FrontChannel"], None],
     ) -> None:
         super().__init__()
         self._clock = clock
@@ -77,11 +87,46 @@
         self.read_at = None
         self._on_answer(self)
         super().requestDone(request)
+        if self._is_closing:
+            # The client may have sent its next request before this answer.
+            self.callLater(0, self._close_if_idle)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being received or served."""
+        return not self.requests
+
+    def close_after_answer(self) -> None:
+        """Let the next answer be the last, unless a further request has been read."""
+        self._is_closing = True
+
+    def close_when_idle(self) -> None:
+        """Close the connection, after the answer to a request that has arrived.
+
+        All that was answered is written out first.
+        """
+        self._is_closing = True
+        self._close_if_idle()
+
+    def _close_if_idle(self) -> None:
+        if self.is_idle and self.connected:
+            self.loseConnection()
+
+    def refuse(self) -> None:
+        """End the work on the request that is being received or served."""
+        if self.is_idle:
+            return
+        request = self.requests[0]
+        if self.read_at is None:
+            self.transport.write(STOPPING_RESPONSE)
+            self.loseConnection()
+        elif request.on_refusal is not None:
+            request.on_refusal()
 
     def connectionLost(self, reason: t.Any = connectionDone) -> None:  # noqa: N802
         """Report the end of the connection."""
         super().connectionLost(reason)
-        self._on_close(self, reason)
+        self._on_close(self)
 
 
 def make_site(
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -6,12 +6,12 @@
 
 from attrs import define, field
 from klein import Klein
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, ensureDeferred
 
 from . import job_message as m
 from . import message
 from .clock import Clock, sleep, with_timeout
-from .decisions import admission, config_request, election
+from .decisions import admission, config_request, election, planned_stop
 from .decisions.admission import QueuedStarts
 from .decisions.config_request import ConfigRequest
 from .decisions.election import Leader
@@ -31,7 +31,7 @@
 from .tasks import leadership
 from .tasks.call import call
 from .tasks.leadership import ControlView, LeadershipTask
-from .tasks.listener import ListenerTask, StopAccepting
+from .tasks.listener import CloseConnections, ConnectionsClosed, ListenerTask
 from .tasks.load import LoadTask
 from .tasks.peer import CurveKeys, PeerTask
 from .tasks.relay import RelayingStore, execute_for_peer
@@ -48,12 +48,6 @@
 CONFIRMATION_DELAY = 3 * AUTHORITY_TIMEOUT
 #: Maximum wait for an answer from the scheduler, here or on a peer.
 SCHEDULER_TIMEOUT = dt.timedelta(milliseconds=800)
-#: Time until the load balancer stops sending requests to an entry that is not
-#: ready: it checks once a second and acts on the second failed check.
-BALANCER_REACTION_TIME = dt.timedelta(milliseconds=2300)
-#: Part of the grace period that is reserved for the end of a planned stop.
-STOP_RESERVE = dt.timedelta(milliseconds=700)
-DRAIN_POLL_INTERVAL = dt.timedelta(milliseconds=50)
 NOT_READY_STATUS = 503
 #: Largest request body that is read, in bytes, whatever the configuration allows.
 MAX_BODY_BYTES = 1 << 20
@@ -210,19 +204,46 @@
         spawn(self._drain())
 
     async def _drain(self) -> None:
-        deadline = self.clock.now() + self.cfg.grace - STOP_RESERVE
-        await sleep(self.clock, BALANCER_REACTION_TIME)
-        for listener in self._listeners:
-            listener.mailbox.offer(StopAccepting())
-        while self.front_context.in_flight and self.clock.now() < deadline:
-            await sleep(self.clock, DRAIN_POLL_INTERVAL)
+        """Serve until the balancer has reacted, then answer all, leave and end.
+
+        What the requests need stays until the last answer is written out.
+        """
+        started_at = self.clock.now()
+        times = planned_stop.plan_stop(started_at, self.cfg.grace)
+        closed = ConnectionsClosed()
         try:
-            await call(self.leadership.mailbox, leadership.Leave())
+            await sleep(self.clock, times.accept_until - started_at)
+            closed = await self._limit(self._close_listeners(times), times.leave_by)
+            left = call(self.leadership.mailbox, leadership.Leave())
+            await self._limit(left, times.leave_by)
+        except TimeoutError as exc:
+            log_event(Event.STORE_CALL_FAILED, what="leave", reason=str(exc))
         finally:
-            log_event(Event.ENTRY_STOPPED)
+            log_event(
+                Event.ENTRY_STOPPED,
+                after_s=round((self.clock.now() - started_at).total_seconds(), 3),
+                answered=closed.answered,
+                refused=closed.refused,
+                cut=closed.cut,
+            )
             self.peer.stop()
             self.on_end()
 
+    async def _close_listeners(
+        self, times: planned_stop.StopTimes
+    ) -> ConnectionsClosed:
+        """Close all listeners at once; return what became of the clients' requests."""
+        msg = CloseConnections(times.refuse_at, times.close_at)
+        replies = [call(listener.mailbox, msg) for listener in self._listeners]
+        closed = [await reply for reply in replies]
+        return closed[0] if closed else ConnectionsClosed()
+
+    def _limit(self, awaitable: t.Any, deadline: dt.datetime) -> Deferred[t.Any]:
+        """Return a deferred with the result; it fails at the deadline without one."""
+        deferred: Deferred[t.Any] = ensureDeferred(awaitable)
+        time_left = max(deadline - self.clock.now(), dt.timedelta())
+        return with_timeout(self.clock, deferred, time_left)
+
     # Configuration.
 
     def _handle_config_watch(self, msg: Snapshot | Changes | StoreContact) -> None:
--- a/src/fighead/job_front_context.py
+++ b/src/fighead/job_front_context.py
@@ -28,7 +28,6 @@
         priority; ``None`` if the job can be accepted now.
     :param config: Configuration in force; ``None`` before the first one.
     :param view: The current leader and members.
-    :param in_flight: Number of client requests being served.
     :param is_draining: Whether the entry is stopping.
     """
 
@@ -40,5 +39,4 @@
     find_retry_after: t.Callable[[int], dt.timedelta | None] = _accept_all
     config: JobConfig | None = None
     view: ControlView = field(factory=ControlView)
-    in_flight: int = 0
     is_draining: bool = False
--- a/src/fighead/platform/daemon.py
+++ b/src/fighead/platform/daemon.py
@@ -12,7 +12,7 @@
 from ..log import Event, configure_logging, log_event
 from ..process_load import AllCallCounts
 from ..run import RegisteredInstance
-from ..runtime import make_clock, reactor, run_until_stopped, stop_reactor
+from ..runtime import end_reactor, make_clock, reactor, run_until_stopped
 from ..tasks.scheduler import PlatformAdapter
 from . import config, instance, submission
 from .settings import SETTINGS_PATH_VARIABLE, load_platform_settings
@@ -78,7 +78,7 @@
     configure_logging(cfg.name)
     clock = make_clock()
     adapter = make_adapter(cfg, clock, reactor)
-    entry = JobEntry(cfg, adapter, make_codec(), clock, reactor, stop_reactor)
+    entry = JobEntry(cfg, adapter, make_codec(), clock, reactor, end_reactor)
     reactor.callWhenRunning(entry.start)
     run_until_stopped(entry.stop, lambda: _reload(path, entry))
 
--- a/src/fighead/runtime.py
+++ b/src/fighead/runtime.py
@@ -59,6 +59,12 @@
     reactor.run(installSignalHandlers=False)
 
 
+def end_reactor() -> None:
+    """Stop the reactor; all responses have been sent."""
+    if reactor.running:
+        reactor.callLater(0, reactor.stop)
+
+
 def stop_reactor() -> None:
     """Stop the reactor after 0.2 s, so that pending responses can be sent."""
     if reactor.running:
--- a/src/fighead/tasks/listener.py
+++ b/src/fighead/tasks/listener.py
@@ -1,14 +1,23 @@
 """The task that owns a listening port and the connections accepted on it."""
 
+import datetime as dt
 import typing as t
 
 from attrs import define, field, frozen
+from twisted.internet.defer import Deferred
 from twisted.web.server import Site
 
-from ..clock import Clock
+from ..clock import Clock, sleep, with_timeout
 from ..fronts.site import FrontChannel, make_site
 from ..log import Event, log_event
 from ..mailbox import Mailbox, process_messages
+from .call import Call
+
+#: Time after the port is closed in which a client that has just connected may send its
+#: request.
+LAST_READ_TIME = dt.timedelta(milliseconds=100)
+#: Time after that for a request of which a part has arrived.
+RECEIVE_TIME = dt.timedelta(milliseconds=500)
 
 
 @frozen
@@ -16,6 +25,35 @@
     """Closes the port. Connections stay open, and requests on them are served."""
 
 
+@frozen
+class CloseConnections:
+    """Request to close the port, and each connection once all is answered.
+
+    It is answered with :class:`ConnectionsClosed`.
+
+    :param refuse_at: When requests without an answer are refused.
+    :param close_at: When connections are closed whose clients don't read.
+    """
+
+    refuse_at: dt.datetime
+    close_at: dt.datetime
+
+
+@frozen
+class ConnectionsClosed:
+    """All connections are closed.
+
+    :param answered: Number of answers since the request to close.
+    :param refused: Number of requests that were refused, as their time was up.
+    :param cut: Number of requests that have no answer, or whose client has not read
+        all of it.
+    """
+
+    answered: int = 0
+    refused: int = 0
+    cut: int = 0
+
+
 @define(eq=False)
 class ListenerTask:
     """Owns a port of a front, and its connections until they are closed.
@@ -23,7 +61,6 @@
     :param listen: Listens with a site and returns the port.
     :param resource: Root resource of the front.
     :param max_body_bytes: Maximum length of a request's body.
-    :param answered: Number of answers so far.
     """
 
     clock: Clock
@@ -31,10 +68,11 @@
     resource: t.Any
     max_body_bytes: int
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("listener"))
-    answered: int = 0
     _port: t.Any = None
     _channels: set[FrontChannel] = field(factory=set)
-    _is_stopping: bool = False
+    _answered: int = 0
+    _is_closing: bool = False
+    _emptied: Deferred[None] | None = None
 
     def start(self) -> None:
         """Listen, before the task runs.
@@ -48,32 +86,91 @@
         """Handle messages until cancelled."""
         await process_messages(self.mailbox, self._handle, "The listener")
 
-    def _handle(self, msg: t.Any) -> None:
+    async def _handle(self, msg: t.Any) -> None:
         match msg:
             case StopAccepting():
-                self._is_stopping = True
                 self._port.stopListening()
+            case Call(CloseConnections(refuse_at, close_at), reply):
+                reply.callback(await self._close(refuse_at, close_at))
 
     def _make_channel(self) -> FrontChannel:
         return FrontChannel(
-            self.clock, self._channels.add, self._count_answer, self._remove_channel
+            self.clock, self._add_channel, self._count_answer, self._remove_channel
         )
 
+    def _add_channel(self, channel: FrontChannel) -> None:
+        self._channels.add(channel)
+        if self._is_closing:
+            channel.close_after_answer()
+
     def _count_answer(self, _: FrontChannel) -> None:
-        self.answered += 1
+        self._answered += 1
 
-    def _remove_channel(self, channel: FrontChannel, reason: t.Any) -> None:
+    def _remove_channel(self, channel: FrontChannel) -> None:
         self._channels.discard(channel)
-        if self._is_stopping and channel.read_at is not None:
-            self._log_cut(channel, type(reason.value).__name__)
-
-    def _log_cut(self, channel: FrontChannel, reason: str) -> None:
-        request = channel.requests[0]
-        age = self.clock.now() - channel.read_at
-        log_event(
-            Event.REQUEST_CUT,
-            method=request.method.decode("ascii", "replace"),
-            path=request.path.decode("utf-8", "replace")[:80],
-            age_s=round(age.total_seconds(), 3),
-            reason=reason,
-        )
+        if not self._channels and self._emptied is not None:
+            emptied, self._emptied = self._emptied, None
+            emptied.callback(None)
+
+    # The end.
+
+    async def _close(
+        self, refuse_at: dt.datetime, close_at: dt.datetime
+    ) -> ConnectionsClosed:
+        earlier, self._is_closing = self._answered, True
+        await self._read_what_has_arrived()
+        self._port.stopListening()
+        for channel in tuple(self._channels):
+            channel.close_after_answer()
+        await self._wait_until_closed(min(self.clock.now() + LAST_READ_TIME, refuse_at))
+        await self._read_what_has_arrived()
+        for channel in tuple(self._channels):
+            channel.close_when_idle()
+        await self._wait_until_closed(min(self.clock.now() + RECEIVE_TIME, refuse_at))
+        refused = self._refuse(is_whole=False)
+        await self._wait_until_closed(refuse_at)
+        refused += self._refuse(is_whole=True)
+        await self._wait_until_closed(close_at)
+        cut = tuple(self._channels)
+        for channel in cut:
+            self._log_cut(channel)
+            channel.transport.abortConnection()
+        return ConnectionsClosed(self._answered - earlier, refused, len(cut))
+
+    def _refuse(self, is_whole: bool) -> int:
+        """Refuse all requests that were read whole, or that were not."""
+        channels = [
+            channel
+            for channel in self._channels
+            if not channel.is_idle and (channel.read_at is not None) is is_whole
+        ]
+        for channel in channels:
+            channel.refuse()
+        return len(channels)
+
+    async def _read_what_has_arrived(self) -> None:
+        """Wait until the reactor has handled the sockets that are ready now."""
+        await sleep(self.clock, dt.timedelta())
+
+    async def _wait_until_closed(self, deadline: dt.datetime) -> None:
+        time_left = deadline - self.clock.now()
+        if not self._channels or time_left <= dt.timedelta():
+            return
+        self._emptied = Deferred()
+        try:
+            await with_timeout(self.clock, self._emptied, time_left)
+        except TimeoutError:
+            self._emptied = None
+
+    def _log_cut(self, channel: FrontChannel) -> None:
+        details: dict[str, t.Any] = {"reason": "the client has not read its answer"}
+        if channel.read_at is not None:
+            request = channel.requests[0]
+            age = self.clock.now() - channel.read_at
+            details = {
+                "reason": "the request could not be refused",
+                "method": request.method.decode("ascii", "replace"),
+                "path": request.path.decode("utf-8", "replace")[:80],
+                "age_s": round(age.total_seconds(), 3),
+            }
+        log_event(Event.REQUEST_CUT, **details)
--- a/tests/open_connections.py
+++ b/tests/open_connections.py
@@ -5,7 +5,7 @@
 import socket
 import time
 
-from attrs import define, field
+from attrs import define
 
 
 @define(eq=False)
@@ -13,7 +13,7 @@
     """One request on an open connection, and what came of it.
 
     :param delay_s: When it is sent, after the start of the play.
-    :param reads_slowly: Whether the client waits before it reads the answer.
+    :param sent_at: When its last byte was sent; ``None`` if it could not be sent.
     """
 
     delay_s: float
--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,224 @@
+import datetime as dt
+
+import pytest
+from klein import Klein
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from fighead.clock import ReactorClock
+from fighead.fronts.refusal import answer_or_refuse
+from fighead.log import Event
+from fighead.mailbox import spawn
+from fighead.tasks import listener as listeners
+from fighead.tasks.call import call
+from fighead.tasks.listener import CloseConnections, ListenerTask
+
+START = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
+GET = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+POST = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
+REFUSE_AT_S = 3
+CLOSE_AT_S = 3.5
+
+
+class Transport(StringTransport):
+    """A connection in memory, whose client may not read."""
+
+    is_aborted = False
+    reads = True
+
+    def loseConnection(self):  # noqa: N802
+        super().loseConnection()
+        if self.reads:
+            self.end()
+
+    def abortConnection(self):  # noqa: N802
+        self.is_aborted = True
+        self.end()
+
+    def end(self):
+        if self.protocol is not None:
+            protocol, self.protocol = self.protocol, None
+            protocol.connected = 0
+            protocol.connectionLost(Failure(ConnectionDone()))
+
+    def setTcpNoDelay(self, _):  # noqa: N802
+        pass
+
+
+class Port:
+    is_open = True
+
+    def stopListening(self):  # noqa: N802
+        self.is_open = False
+
+
+class World:
+    """A listener whose front answers when it is told to."""
+
+    def __init__(self):
+        self.reactor = Clock()
+        self.clock = ReactorClock(self.reactor, START)
+        self.answers = []
+        self.port = Port()
+        app = Klein()
+
+        @app.route("/", branch=True)
+        async def serve(request):
+            answer = Deferred()
+            self.answers.append(answer)
+            return await answer_or_refuse(
+                request, self.wait(answer), lambda: b"refused"
+            )
+
+        self.listener = ListenerTask(
+            self.clock, self.listen, app.resource(), max_body_bytes=100
+        )
+        self.listener.start()
+        spawn(self.listener.run())
+
+    async def wait(self, answer):
+        return await answer
+
+    def listen(self, site):
+        site.reactor = self.reactor
+        self.site = site
+        return self.port
+
+    def connect(self):
+        transport = Transport()
+        protocol = self.site.buildProtocol(None)
+        transport.protocol = protocol
+        protocol.makeConnection(transport)
+        return protocol, transport
+
+    def close(self):
+        self.closed = []
+        msg = CloseConnections(
+            START + dt.timedelta(seconds=REFUSE_AT_S),
+            START + dt.timedelta(seconds=CLOSE_AT_S),
+        )
+        call(self.listener.mailbox, msg).addCallback(self.closed.append)
+
+    def advance(self, seconds):
+        for _ in range(round(seconds * 100)):
+            self.reactor.advance(0.01)
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+@pytest.fixture
+def events(monkeypatch):
+    found = []
+    monkeypatch.setattr(
+        listeners, "log_event", lambda event, **details: found.append((event, details))
+    )
+    return found
+
+
+def test_an_idle_connection_is_closed_at_once(world):
+    _, transport = world.connect()
+    world.close()
+    world.advance(0.2)
+    assert not world.port.is_open
+    assert transport.disconnecting
+    assert world.closed[0].answered == world.closed[0].cut == 0
+
+
+def test_a_request_in_progress_is_answered_before_its_connection_is_closed(world):
+    protocol, transport = world.connect()
+    protocol.dataReceived(GET)
+    world.close()
+    world.advance(2)
+    assert not transport.disconnecting and not world.closed
+    world.answers[0].callback(b"late")
+    world.advance(0.02)
+    assert b"late" in transport.value() and transport.disconnecting
+    assert (world.closed[0].answered, world.closed[0].refused) == (1, 0)
+
+
+def test_a_request_that_arrives_just_after_the_port_is_closed_is_answered(world):
+    protocol, transport = world.connect()
+    world.close()
+    world.advance(0.05)
+    protocol.dataReceived(GET)
+    world.answers[0].callback(b"answer")
+    world.advance(0.2)
+    assert b"answer" in transport.value()
+    assert world.closed[0].answered == 1
+
+
+def test_a_pipelined_request_is_answered_before_its_connection_is_closed(world):
+    protocol, transport = world.connect()
+    protocol.dataReceived(GET)
+    protocol.dataReceived(GET)
+    world.close()
+    world.advance(1)
+    world.answers[0].callback(b"first")
+    world.advance(0.02)
+    assert not transport.disconnecting
+    world.answers[1].callback(b"second")
+    world.advance(0.02)
+    assert b"second" in transport.value() and transport.disconnecting
+
+
+def test_a_request_that_arrives_in_parts_is_answered(world):
+    protocol, transport = world.connect()
+    protocol.dataReceived(POST + b"ab")
+    world.close()
+    world.advance(0.3)
+    protocol.dataReceived(b"cd")
+    world.answers[0].callback(b"whole")
+    world.advance(0.1)
+    assert b"whole" in transport.value()
+
+
+def test_a_request_of_which_only_a_part_arrives_is_refused_in_time(world):
+    protocol, transport = world.connect()
+    protocol.dataReceived(POST + b"ab")
+    world.close()
+    world.advance(0.7)
+    assert b"503" in transport.value() and transport.disconnecting
+    assert world.closed[0].refused == 1
+
+
+def test_a_request_without_an_answer_is_refused_when_its_time_is_up(world):
+    protocol, transport = world.connect()
+    protocol.dataReceived(GET)
+    world.close()
+    world.advance(REFUSE_AT_S - 0.1)
+    assert not world.closed
+    world.advance(0.2)
+    assert b"refused" in transport.value()
+    assert (world.closed[0].refused, world.closed[0].cut) == (1, 0)
+
+
+def test_a_client_that_does_not_read_its_answer_does_not_hold_up_the_stop(
+    world, events
+):
+    protocol, transport = world.connect()
+    transport.reads = False
+    protocol.dataReceived(GET)
+    world.answers[0].callback(b"unread")
+    world.close()
+    world.advance(CLOSE_AT_S - 0.1)
+    assert not world.closed and not transport.is_aborted
+    world.advance(0.2)
+    assert transport.is_aborted
+    assert world.closed[0].cut == 1
+    assert [event for event, _ in events] == [Event.REQUEST_CUT]
+
+
+def test_a_connection_accepted_with_the_last_ones_is_served(world):
+    world.close()
+    protocol, transport = world.connect()
+    protocol.dataReceived(GET)
+    world.advance(0.3)
+    world.answers[0].callback(b"served")
+    world.advance(0.05)
+    assert b"served" in transport.value() and transport.disconnecting
