Fail calls to entries that have left, and finish the answers owed to peers

A question to an entry that has left waited 0.8 s for an answer that could not come: a call to a peer without a connection sent nothing and still waited its whole timeout, and the calls open at a peer whose connection was closed went on waiting. Callers of the other entries saw counts and states late, or refused late.

Such calls fail at once now, and tell whether it is certain that nothing was sent. An entry that ends first finishes its answers to peers, among them the writes that it does for an entry without a store; the wait is bounded by the grace period, and 1008 tells when that was too short.

The three tests in tests/test_peer.py failed on the code before and pass.

--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -33,7 +33,7 @@
 from .tasks.leadership import ControlView, LeadershipTask
 from .tasks.listener import CloseConnections, ConnectionsClosed, ListenerTask
 from .tasks.load import LoadTask
-from .tasks.peer import CurveKeys, PeerTask
+from .tasks.peer import CurveKeys, FinishAnswers, PeerTask
 from .tasks.relay import RelayingStore, execute_for_peer
 from .tasks.scheduler import PlatformAdapter, Reelected, SchedulerTask
 from .tasks.watch import Changes, Snapshot, StoreContact, WatchTask
@@ -216,8 +216,10 @@
             closed = await self._limit(self._close_listeners(times), times.leave_by)
             left = call(self.leadership.mailbox, leadership.Leave())
             await self._limit(left, times.leave_by)
+            answered = call(self.peer.mailbox, FinishAnswers())
+            await self._limit(answered, times.leave_by)
         except TimeoutError as exc:
-            log_event(Event.STORE_CALL_FAILED, what="leave", reason=str(exc))
+            log_event(Event.STOP_CUT_SHORT, reason=str(exc))
         finally:
             log_event(
                 Event.ENTRY_STOPPED,
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -37,6 +37,11 @@
         "warning",
         "The wall clock and the steady clock have parted.",
     )
+    STOP_CUT_SHORT = (
+        1008,
+        "warning",
+        "The grace period is over before the planned stop was complete.",
+    )
     LEASE_GRANTED = (2001, "info", "The store granted a lease.")
     LEASE_LOST = (2002, "warning", "The lease expired; claims are made again.")
     STORE_AWAY = (2003, "warning", "The store is unreachable.")
--- a/src/fighead/tasks/peer.py
+++ b/src/fighead/tasks/peer.py
@@ -6,7 +6,7 @@
 
 import zmq
 from attrs import define, field, frozen
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, DeferredList, fail
 from txzmq import ZmqConnection, ZmqEndpoint, ZmqEndpointType, ZmqFactory
 from zmq.utils import z85
 
@@ -17,6 +17,7 @@
 from ..log import Event, log_event
 from ..mailbox import Mailbox, spawn
 from ..model import Member
+from .call import Call
 
 #: Maximum number of messages queued for a peer; further ones are dropped.
 HIGH_WATER_MARK = 2000
@@ -104,6 +105,14 @@
         self.send([version, request_id, *status, b"", b""])
 
 
+@frozen
+class FinishAnswers:
+    """Request to wait for the answers to all messages of peers that are being handled.
+
+    Later messages are handled too, but not waited for.
+    """
+
+
 @frozen
 class _PendingCall:
     """A request that has been sent to ``peer``, and its answer."""
@@ -131,13 +140,15 @@
     reactor: t.Any
     handle: t.Callable[[str, t.Any], t.Any]
     registry: t.Mapping[str, type] = field(factory=lambda: m.WIRE_MESSAGES)
-    mailbox: Mailbox[m.View] = field(factory=lambda: Mailbox("peer"))
+    mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("peer"))
     _factory: ZmqFactory = field(factory=ZmqFactory)
     _connections: dict[str, _OutboundConnection] = field(factory=dict)
     _connected_addresses: dict[str, str] = field(factory=dict)
     #: Addresses of members to which no connection can be made, by member.
     _unusable_addresses: dict[str, str] = field(factory=dict)
     _pending_calls: dict[str, _PendingCall] = field(factory=dict)
+    #: Peers' messages whose answers are not sent yet.
+    _unanswered: set[Deferred[None]] = field(factory=set)
     _inbound: _InboundConnection | None = None
     _authenticator: _Authenticator | None = None
     _process_id: str = field(factory=lambda: uuid.uuid4().hex)
@@ -153,20 +164,37 @@
             self._factory, endpoint, self.keys, self._handle_frame
         )
         while True:
-            view = await self.mailbox.get()
-            self._update_connections(view.members)
+            match await self.mailbox.get():
+                case m.View(members=members):
+                    self._update_connections(members)
+                case Call(FinishAnswers(), reply):
+                    answers = DeferredList(tuple(self._unanswered))
+                    answers.addCallback(lambda _, reply=reply: reply.callback(None))
 
     def _update_connections(self, members: t.Mapping[str, Member]) -> None:
         for name in list(self._connections):
             member = members.get(name)
             if member is None or member.peer_address != self._connected_addresses[name]:
                 self._connections.pop(name).shutdown()
+                self._fail_calls(name)
         for name in self._unusable_addresses.keys() - members.keys():
             del self._unusable_addresses[name]
         for name, member in members.items():
             if name != self.me and name not in self._connections:
                 self._connect(name, member.peer_address)
 
+    def _fail_calls(self, peer: str) -> None:
+        """Let the calls to a peer fail that has left, or has another address."""
+        for call_id, call in tuple(self._pending_calls.items()):
+            if call.peer == peer:
+                del self._pending_calls[call_id]
+                call.answer.errback(
+                    PeerUnreachableError(
+                        f"Entry {peer} has left before it answered.",
+                        "Retry; another entry takes over its resources.",
+                    )
+                )
+
     def _connect(self, name: str, address: str) -> None:
         if self._unusable_addresses.get(name) == address:
             return
@@ -197,9 +225,19 @@
     ) -> Deferred[t.Any]:
         """Send a message and return a deferred that fires with its answer.
 
-        :raises PeerUnreachableError: If there is no answer within ``timeout``. The
-            peer may still have received the message.
+        :raises PeerUnreachableError: At once if there is no connection to the peer;
+            if the peer leaves; if there is no answer within ``timeout``. Without a
+            connection it is certain that the peer has not received the message.
         """
+        if peer not in self._connections:
+            return fail(
+                PeerUnreachableError(
+                    f"There is no connection to entry {peer}.",
+                    "Retry; if the peer is down, another entry takes over its "
+                    "resources.",
+                    True,
+                )
+            )
         self._last_call_number += 1
         call_id = f"{self._process_id}-{self._last_call_number}"
         deferred: Deferred[t.Any] = Deferred()
@@ -237,7 +275,10 @@
         if envelope.is_answer:
             self._handle_answer(envelope, message)
             return
-        spawn(self._handle_message(envelope, message))
+        answering = spawn(self._handle_message(envelope, message))
+        if envelope.call_id and not answering.called:
+            self._unanswered.add(answering)
+            answering.addBoth(lambda _: self._unanswered.discard(answering))
 
     def _handle_answer(self, envelope: m.Envelope, message: t.Any) -> None:
         call = self._pending_calls.get(envelope.call_id)
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -40,6 +40,7 @@
 from fighead.run import EndKind, RegisteredInstance, RunEnd
 from fighead.settings import ListenAddress
 from fighead.standins.simulated_job_instance import SimulatedJobInstance, restart
+from fighead.tasks.call import Call
 from fighead.tasks.scheduler import PlatformAdapter
 from memory_store import MemoryStore
 
@@ -295,7 +296,9 @@
 
     async def run(self):
         while True:
-            await self.mailbox.get()
+            msg = await self.mailbox.get()
+            if isinstance(msg, Call):
+                msg.reply.callback(None)
 
     def peers(self):
         return tuple(name for name in self.cluster.entries if name != self.me)
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -5,16 +5,19 @@
 import pytest
 from attrs import define, field
 from structlog.testing import capture_logs
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from fighead.clock import ReactorClock
 from fighead.codec import from_wire, to_wire
+from fighead.exceptions import PeerUnreachableError
 from fighead.job import JobPhase
 from fighead.job_message import JOB_MESSAGES, FindPhase, PhaseIs
 from fighead.mailbox import spawn
 from fighead.message import WIRE_MESSAGES, Envelope, View
 from fighead.model import JobMember
-from fighead.tasks.peer import CurveKeys, PeerTask
+from fighead.tasks.call import call
+from fighead.tasks.peer import CurveKeys, FinishAnswers, PeerTask
 from odd_answers import ADDRESSES, NESTED
 
 START = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
@@ -77,6 +80,45 @@
     assert not task.peers() and len(task.reactor.readers) == 1
 
 
+def collect_errors(fut):
+    errors = []
+    fut.addErrback(lambda failure: errors.append(failure.value))
+    return errors
+
+
+def test_a_question_to_a_peer_without_a_connection_fails_at_once(task):
+    errors = collect_errors(task.ask("b", FindPhase("f2")))
+    assert [type(exc) for exc in errors] == [PeerUnreachableError]
+    assert errors[0].is_certain
+    assert not task.reactor.getDelayedCalls()
+
+
+def test_a_question_to_a_peer_that_leaves_fails_at_once(task):
+    members = make_members(b="tcp://127.0.0.1:9", c="tcp://127.0.0.1:9")
+    task.mailbox.offer(View("e1", members=members))
+    errors = collect_errors(task.ask("b", FindPhase("f2")))
+    others_errors = collect_errors(task.ask("c", FindPhase("f2")))
+    assert not errors
+    task.mailbox.offer(View("e1", members=make_members(c="tcp://127.0.0.1:9")))
+    assert [type(exc) for exc in errors] == [PeerUnreachableError]
+    assert not errors[0].is_certain and not others_errors
+
+
+def test_an_entry_that_ends_finishes_its_answers_to_peers(task):
+    answer_to_peer, finished = Deferred(), []
+    task.handle = lambda *_: answer_to_peer
+    task.registry = JOB_MESSAGES
+    task._connections["b"] = SentFrames()
+    frame = to_wire(Envelope("b", "call-1", False, to_wire(FindPhase("f2"))))
+    task._handle_frame(frame)
+    call(task.mailbox, FinishAnswers()).addCallback(finished.append)
+    assert not finished
+    answer_to_peer.callback(PhaseIs(JobPhase.RUNNING))
+    assert finished and len(task._connections["b"]) == 1
+    call(task.mailbox, FinishAnswers()).addCallback(finished.append)
+    assert len(finished) == 2
+
+
 class SentFrames(list):
     """A connection that records what is sent on it."""
 
