Refuse the requests behind a slow one too

Cause: the listener looked once at what each connection was serving. The connection now keeps the state, and refuses whatever follows as well. It no longer writes a refusal after a 400 or a 413 that is being closed.

Both new tests failed before (one refusal of three; no 503) and pass.

--- a/src/fighead/fronts/site.py
+++ b/src/fighead/fronts/site.py
@@ -57,7 +57,11 @@
 
     #: When the request that is being served was read whole; ``None`` without one.
     read_at: dt.datetime | None = None
+    #: Number of requests that were refused.
+    refused = 0
     _is_closing = False
+    _refuses_parts = False
+    _refuses_all = False
 
     def __init__(
         self,
@@ -81,6 +85,8 @@
         """Note when the request was read whole, and serve it."""
         self.read_at = self._clock.now()
         super().allContentReceived()
+        if self._refuses_all:
+            self._refuse_served()
 
     def requestDone(self, request: Request) -> None:  # noqa: N802
         """Report the answer, and read the next request."""
@@ -89,7 +95,7 @@
         super().requestDone(request)
         if self._is_closing:
             # The client may have sent its next request before this answer.
-            self.callLater(0, self._close_if_idle)
+            self.callLater(0, self._close_or_refuse)
 
     @property
     def is_idle(self) -> bool:
@@ -106,22 +112,35 @@
         All that was answered is written out first.
         """
         self._is_closing = True
-        self._close_if_idle()
+        self._close_or_refuse()
 
-    def _close_if_idle(self) -> None:
-        if self.is_idle and self.connected:
-            self.loseConnection()
+    def refuse_parts(self) -> None:
+        """Refuse a request that has not arrived whole, after the answers before it."""
+        self._refuses_parts = True
+        self._close_or_refuse()
 
-    def refuse(self) -> None:
-        """End the work on the request that is being received or served."""
-        if self.is_idle:
+    def refuse_all(self) -> None:
+        """End the work on the request that is being served, and on those after it."""
+        self._refuses_all = True
+        self._refuse_served()
+
+    def _refuse_served(self) -> None:
+        if self.read_at is None:
             return
         request = self.requests[0]
-        if self.read_at is None:
+        if request.on_refusal is not None:
+            self.refused += 1
+            request.on_refusal()
+
+    def _close_or_refuse(self) -> None:
+        if not self.connected or self.transport.disconnecting:
+            return
+        if self.is_idle:
+            self.loseConnection()
+        elif self._refuses_parts and self.read_at is None:
+            self.refused += 1
             self.transport.write(STOPPING_RESPONSE)
             self.loseConnection()
-        elif request.on_refusal is not None:
-            request.on_refusal()
 
     def connectionLost(self, reason: t.Any = connectionDone) -> None:  # noqa: N802
         """Report the end of the connection."""
--- a/src/fighead/tasks/listener.py
+++ b/src/fighead/tasks/listener.py
@@ -71,6 +71,7 @@
     _port: t.Any = None
     _channels: set[FrontChannel] = field(factory=set)
     _answered: int = 0
+    _refused: int = 0
     _is_closing: bool = False
     _emptied: Deferred[None] | None = None
 
@@ -108,6 +109,7 @@
 
     def _remove_channel(self, channel: FrontChannel) -> None:
         self._channels.discard(channel)
+        self._refused += channel.refused
         if not self._channels and self._emptied is not None:
             emptied, self._emptied = self._emptied, None
             emptied.callback(None)
@@ -127,27 +129,19 @@
         for channel in tuple(self._channels):
             channel.close_when_idle()
         await self._wait_until_closed(min(self.clock.now() + RECEIVE_TIME, refuse_at))
-        refused = self._refuse(is_whole=False)
+        for channel in tuple(self._channels):
+            channel.refuse_parts()
         await self._wait_until_closed(refuse_at)
-        refused += self._refuse(is_whole=True)
+        for channel in tuple(self._channels):
+            channel.refuse_all()
         await self._wait_until_closed(close_at)
         cut = tuple(self._channels)
         for channel in cut:
             self._log_cut(channel)
             channel.transport.abortConnection()
+        refused = self._refused + sum(channel.refused for channel in cut)
         return ConnectionsClosed(self._answered - earlier, refused, len(cut))
 
-    def _refuse(self, is_whole: bool) -> int:
-        """Refuse all requests that were read whole, or that were not."""
-        channels = [
-            channel
-            for channel in self._channels
-            if not channel.is_idle and (channel.read_at is not None) is is_whole
-        ]
-        for channel in channels:
-            channel.refuse()
-        return len(channels)
-
     async def _read_what_has_arrived(self) -> None:
         """Wait until the reactor has handled the sockets that are ready now."""
         await sleep(self.clock, dt.timedelta())
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -222,3 +222,26 @@
     world.answers[0].callback(b"served")
     world.advance(0.05)
     assert b"served" in transport.value() and transport.disconnecting
+
+
+def test_pipelined_requests_without_answers_are_all_refused_when_their_time_is_up(
+    world,
+):
+    protocol, transport = world.connect()
+    protocol.dataReceived(GET * 3)
+    world.close()
+    world.advance(REFUSE_AT_S + 0.1)
+    assert transport.value().count(b"refused") == 3
+    assert (world.closed[0].refused, world.closed[0].cut) == (3, 0)
+
+
+def test_a_part_of_a_request_behind_a_slow_one_does_not_hold_up_the_stop(world, events):
+    protocol, transport = world.connect()
+    protocol.dataReceived(GET + POST + b"ab")
+    world.close()
+    world.advance(1)
+    world.answers[0].callback(b"first")
+    world.advance(0.05)
+    assert b"first" in transport.value() and b"503" in transport.value()
+    assert (world.closed[0].refused, world.closed[0].cut) == (1, 0)
+    assert not events
