Write out the last refusals after a freeze or with a short grace period

The listener now leaves 50 ms between the last refusals and the cut, however late it is. The new test, with a transport that writes in a later turn of the reactor, failed before and passes.

--- a/src/fighead/tasks/listener.py
+++ b/src/fighead/tasks/listener.py
@@ -18,6 +18,8 @@
 LAST_READ_TIME = dt.timedelta(milliseconds=100)
 #: Time after that for a request of which a part has arrived.
 RECEIVE_TIME = dt.timedelta(milliseconds=500)
+#: Minimum time in which the last refusals are written out.
+WRITE_TIME = dt.timedelta(milliseconds=50)
 
 
 @frozen
@@ -134,7 +136,7 @@
         await self._wait_until_closed(refuse_at)
         for channel in tuple(self._channels):
             channel.refuse_all()
-        await self._wait_until_closed(close_at)
+        await self._wait_until_closed(max(close_at, self.clock.now() + WRITE_TIME))
         cut = tuple(self._channels)
         for channel in cut:
             self._log_cut(channel)
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -48,6 +48,26 @@
         pass
 
 
+class SlowTransport(Transport):
+    """A connection that writes when the reactor next handles sockets."""
+
+    def __init__(self, reactor):
+        super().__init__()
+        self.reactor = reactor
+        self.written = b""
+
+    def write(self, data):
+        super().write(data)
+        self.reactor.callLater(0.001, self.flush)
+
+    def flush(self):
+        if self.protocol is not None:
+            self.written = self.value()
+
+    def loseConnection(self):  # noqa: N802
+        self.reactor.callLater(0.001, super().loseConnection)
+
+
 class Port:
     is_open = True
 
@@ -87,8 +107,8 @@
         self.site = site
         return self.port
 
-    def connect(self):
-        transport = Transport()
+    def connect(self, transport=None):
+        transport = transport or Transport()
         protocol = self.site.buildProtocol(None)
         transport.protocol = protocol
         protocol.makeConnection(transport)
@@ -245,3 +265,16 @@
     assert b"first" in transport.value() and b"503" in transport.value()
     assert (world.closed[0].refused, world.closed[0].cut) == (1, 0)
     assert not events
+
+
+def test_a_refusal_is_written_out_although_the_process_was_frozen_beyond_its_time(
+    world, events
+):
+    protocol, transport = world.connect(SlowTransport(world.reactor))
+    protocol.dataReceived(GET)
+    world.close()
+    world.advance(1)
+    world.reactor.advance(CLOSE_AT_S)
+    world.advance(0.1)
+    assert b"refused" in transport.written
+    assert world.closed[0].cut == 0 and not events
