Finish the answers to peers before an entry leaves

Callers of an entry that asked a stopping one, above all to have it call the store, could get 503 for a read, or a write that had to be repeated, although the answer came: the stopping entry deleted its member key first and finished its answers then, and since a peer fails its open calls, and drops what arrives, as soon as it sees the key gone.

The entry now finishes its answers before it leaves, and once more after that, for peers that have not seen it yet. test_an_entry_that_ends_answers_its_peers_before_it_leaves failed before: the key was gone while the answers were open. The tests of any grace period and of steps that fail passed before as well.

--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -214,6 +214,9 @@
         try:
             await sleep(self.clock, times.accept_until - started_at)
             closed = await self._limit(self._close_listeners(times), times.leave_by)
+            # Peers drop the answers of an entry that is no member.
+            answered = call(self.peer.mailbox, FinishAnswers())
+            await self._limit(answered, times.leave_by)
             left = call(self.leadership.mailbox, leadership.Leave())
             await self._limit(left, times.leave_by)
             answered = call(self.peer.mailbox, FinishAnswers())
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -8,12 +8,25 @@
 from attrs import evolve
 from structlog.testing import capture_logs
 
+from fighead import job_entry
 from fighead.codec import from_json
 from fighead.decisions.instance_tracking import has_sole_authority
 from fighead.job import JobPhase, JobRecord, JobSpec, Stage
 from fighead.mailbox import spawn
 from fighead.store import FLEET_KEY, JOB_LEADER_KEY, JOB_MEMBERS_PREFIX, JOBS_PREFIX
-from job_cluster import NO_ERROR, START_TIME, JobCluster, cut_off, has_ended, reconnect
+from fighead.tasks.call import Call, call
+from fighead.tasks.leadership import Leave
+from fighead.tasks.listener import CloseConnections
+from fighead.tasks.peer import FinishAnswers
+from job_cluster import (
+    NO_ERROR,
+    START_TIME,
+    FakePeer,
+    JobCluster,
+    cut_off,
+    has_ended,
+    reconnect,
+)
 
 SHORT_STAGE = Stage(count=3, cpu=2000, memory_mb=100, estimate_ms=400)
 LONG_STAGE = Stage(
@@ -702,6 +715,58 @@
     assert ended == ["e1"]
 
 
+def test_an_entry_that_ends_answers_its_peers_before_it_leaves(monkeypatch):
+    waiting = []
+
+    async def hold_calls(self):
+        while True:
+            msg = await self.mailbox.get()
+            if isinstance(msg, Call):
+                waiting.append(msg.reply)
+
+    monkeypatch.setattr(FakePeer, "run", hold_calls)
+    ended = []
+    cluster = JobCluster(on_end=ended.append)
+    cluster.advance(3)
+    cluster.entries["e1"].entry.stop()
+    cluster.advance(4)
+    assert waiting and "e1" in find_member_keys(cluster)
+    while waiting:
+        waiting.pop().callback(None)
+        cluster.advance(0.2)
+    assert "e1" not in find_member_keys(cluster) and ended == ["e1"]
+
+
+@pytest.mark.parametrize("grace_s", [0, 0.1, 1, 6])
+def test_a_planned_stop_ends_within_any_grace_period(grace_s):
+    ended = []
+    cluster = JobCluster(on_end=ended.append)
+    cluster.advance(3)
+    entry = cluster.entries["e1"].entry
+    entry.cfg = evolve(entry.cfg, grace=dt.timedelta(seconds=grace_s))
+    entry.stop()
+    cluster.advance(grace_s + 0.2)
+    assert ended == ["e1"]
+
+
+@pytest.mark.parametrize("step", [CloseConnections, Leave, FinishAnswers])
+def test_a_planned_stop_ends_although_a_step_fails(step, monkeypatch):
+    ended = []
+    cluster = JobCluster(on_end=ended.append)
+    cluster.advance(3)
+
+    def fail(*_):
+        raise OSError("odd socket")
+
+    def call_or_fail(mailbox, msg):
+        return fail() if type(msg) is step else call(mailbox, msg)
+
+    monkeypatch.setattr(job_entry, "call", call_or_fail)
+    cluster.entries["e1"].entry.stop()
+    cluster.advance(6)
+    assert ended == ["e1"]
+
+
 FAULT_KINDS = (
     "kill",
     "kill all",
