End the process although its connections to peers fail to close

An exception of ZeroMQ in PeerTask.stop kept on_end from being called; the process then stayed, without listeners, until the platform killed it. Found by review, not seen in a run. The case of the new parameter failed before and passes.

--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -231,8 +231,10 @@
                 refused=closed.refused,
                 cut=closed.cut,
             )
-            self.peer.stop()
-            self.on_end()
+            try:
+                self.peer.stop()
+            finally:
+                self.on_end()
 
     async def _close_listeners(
         self, times: planned_stop.StopTimes
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -749,7 +749,7 @@
     assert ended == ["e1"]
 
 
-@pytest.mark.parametrize("step", [CloseConnections, Leave, FinishAnswers])
+@pytest.mark.parametrize("step", [CloseConnections, Leave, FinishAnswers, "peer"])
 def test_a_planned_stop_ends_although_a_step_fails(step, monkeypatch):
     ended = []
     cluster = JobCluster(on_end=ended.append)
@@ -762,6 +762,8 @@
         return fail() if type(msg) is step else call(mailbox, msg)
 
     monkeypatch.setattr(job_entry, "call", call_or_fail)
+    if step == "peer":
+        monkeypatch.setattr(FakePeer, "stop", fail)
     cluster.entries["e1"].entry.stop()
     cluster.advance(6)
     assert ended == ["e1"]
