--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -9,7 +9,11 @@
 from twisted.python.failure import Failure
 
 from fighead.clock import ReactorClock
+from fighead.fronts.job import JobCodec, JobFront
 from fighead.fronts.refusal import answer_or_refuse
+from fighead.job import JobConfig, JobSpec, Queue
+from fighead.job_front_context import JobFrontContext
+from fighead.job_metric import JobMetrics
 from fighead.log import Event
 from fighead.mailbox import spawn
 from fighead.tasks import listener as listeners
@@ -83,6 +87,13 @@
         self.clock = ReactorClock(self.reactor, START)
         self.answers = []
         self.port = Port()
+        self.listener = ListenerTask(
+            self.clock, self.listen, self.make_resource(), max_body_bytes=100
+        )
+        self.listener.start()
+        spawn(self.listener.run())
+
+    def make_resource(self):
         app = Klein()
 
         @app.route("/", branch=True)
@@ -93,11 +104,7 @@
                 request, self.wait(answer), lambda: b"refused"
             )
 
-        self.listener = ListenerTask(
-            self.clock, self.listen, app.resource(), max_body_bytes=100
-        )
-        self.listener.start()
-        spawn(self.listener.run())
+        return app.resource()
 
     async def wait(self, answer):
         return await answer
@@ -127,6 +134,34 @@
             self.reactor.advance(0.01)
 
 
+class JobWorld(World):
+    """A listener with the front of jobs of an entry that stops and reaches nobody."""
+
+    def make_resource(self):
+        context = JobFrontContext(
+            self.clock,
+            SilentStore(),
+            lambda _: Deferred(),
+            lambda _: None,
+            JobMetrics("e1"),
+            config=JobConfig(1, (Queue("q", "a", "/q/", "u"),)),
+            is_draining=True,
+        )
+        codec = JobCodec("Time", str, lambda _: JobSpec("x", ()), *[encode] * 3)
+        return JobFront(context, codec).app.resource()
+
+
+def encode(value):
+    return str(value).encode()
+
+
+class SilentStore:
+    """A store that never answers."""
+
+    async def call(self, req, timeout):
+        await Deferred()
+
+
 @pytest.fixture
 def world():
     return World()
@@ -278,3 +313,106 @@
     world.advance(0.1)
     assert b"refused" in transport.written
     assert world.closed[0].cut == 0 and not events
+
+
+def test_a_client_that_disconnects_ends_the_work_on_its_request(world):
+    _, transport = world.connect()
+    transport.protocol.dataReceived(GET)
+    world.close()
+    world.advance(0.1)
+    transport.end()
+    world.advance(0.2)
+    assert world.answers[0].called
+    assert (world.closed[0].refused, world.closed[0].cut) == (0, 0)
+
+
+def test_a_request_whose_work_fails_is_answered_before_its_connection_is_closed(world):
+    protocol, transport = world.connect()
+    protocol.dataReceived(GET)
+    world.close()
+    world.advance(1)
+    world.answers[0].errback(ValueError("odd"))
+    world.advance(0.05)
+    assert b"500" in transport.value() and transport.disconnecting
+    assert world.closed[0].cut == 0
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        b"GET /x HTTP/1.0\r\n\r\n",
+        b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+        b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nab\r\n0\r\n\r\n",
+        b"POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+        b"Content-Length: 2\r\n\r\nab",
+    ],
+    ids=["1.0", "close", "chunked", "continue"],
+)
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_a_request_of_any_form_is_answered_or_refused_once(
+    world, request_bytes, is_answered
+):
+    protocol, transport = world.connect()
+    protocol.dataReceived(request_bytes)
+    world.close()
+    world.advance(1)
+    if is_answered:
+        world.answers[0].callback(b"answer")
+    world.advance(REFUSE_AT_S)
+    final = transport.value().replace(b"HTTP/1.1 100 Continue\r\n\r\n", b"")
+    assert final.count(b"HTTP/1.") == 1
+    assert (b"answer" if is_answered else b"refused") in final
+    assert world.closed[0].cut == 0
+
+
+def test_a_body_that_is_too_large_gets_no_second_answer_at_a_stop(world):
+    protocol, transport = world.connect()
+    transport.reads = False
+    protocol.dataReceived(b"POST /x HTTP/1.1\r\nContent-Length: 9999\r\n\r\nab")
+    world.close()
+    world.advance(CLOSE_AT_S + 0.1)
+    assert transport.value().count(b"HTTP/1.1") == 1
+
+
+def test_a_request_that_arrives_while_the_process_is_frozen_is_answered(world):
+    protocol, transport = world.connect()
+
+    def deliver():
+        if not transport.disconnecting:
+            protocol.dataReceived(GET)
+
+    world.close()
+    world.advance(0.05)
+    # Sockets are read after the timers that are due.
+    world.reactor.callLater(0.001, lambda: world.reactor.callLater(0, deliver))
+    world.reactor.advance(1)
+    assert len(world.answers) == 1
+    world.answers[0].callback(b"answer")
+    world.advance(0.05)
+    assert b"answer" in transport.value()
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "/q/", 503),
+        ("GET", "/q/1", 503),
+        ("POST", "/q/1", 504),
+        ("DELETE", "/q/1", 504),
+    ],
+)
+def test_a_request_that_is_refused_is_told_whether_it_may_have_been_stored(
+    method, path, status
+):
+    world = JobWorld()
+    protocol, transport = world.connect()
+    protocol.dataReceived(
+        f"{method} {path} HTTP/1.1\r\nHost: a\r\nTime: 60000\r\n\r\n".encode()
+    )
+    world.close()
+    world.advance(REFUSE_AT_S + 0.1)
+    assert transport.value().startswith(b"HTTP/1.1 %d " % status)
+    assert b"Connection: close\r\n" in transport.value()
+    assert b"Retry-After: 1\r\n" in transport.value()
+    assert (world.closed[0].refused, world.closed[0].cut) == (1, 0)
