Accept all connections that wait before the port is closed

Callers whose connection waited to be accepted when the port was closed got a reset, with a whole request sent: the listener let the reactor handle its sockets once, and Twisted's Port accepts no more connections at a time than in the turn before, often a single one. Several wait after a freeze of the process. Found by review, not seen in a run.

The listener now waits until a turn accepts none, until the time of the refusals at the latest. The new test failed before (one of five served) and passes.

--- a/src/fighead/tasks/listener.py
+++ b/src/fighead/tasks/listener.py
@@ -72,6 +72,7 @@
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("listener"))
     _port: t.Any = None
     _channels: set[FrontChannel] = field(factory=set)
+    _accepted: int = 0
     _answered: int = 0
     _refused: int = 0
     _is_closing: bool = False
@@ -103,6 +104,7 @@
 
     def _add_channel(self, channel: FrontChannel) -> None:
         self._channels.add(channel)
+        self._accepted += 1
         if self._is_closing:
             channel.close_after_answer()
 
@@ -122,7 +124,7 @@
         self, refuse_at: dt.datetime, close_at: dt.datetime
     ) -> ConnectionsClosed:
         earlier, self._is_closing = self._answered, True
-        await self._read_what_has_arrived()
+        await self._accept_what_has_arrived(refuse_at)
         self._port.stopListening()
         for channel in tuple(self._channels):
             channel.close_after_answer()
@@ -144,6 +146,18 @@
         refused = self._refused + sum(channel.refused for channel in cut)
         return ConnectionsClosed(self._answered - earlier, refused, len(cut))
 
+    async def _accept_what_has_arrived(self, deadline: dt.datetime) -> None:
+        """Wait until the reactor has accepted the connections that are waiting now.
+
+        It may accept a single one each time that it handles sockets.
+        """
+        accepted = -1
+        while accepted != self._accepted:
+            accepted = self._accepted
+            await self._read_what_has_arrived()
+            if self.clock.now() >= deadline:
+                return
+
     async def _read_what_has_arrived(self) -> None:
         """Wait until the reactor has handled the sockets that are ready now."""
         await sleep(self.clock, dt.timedelta())
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -315,6 +315,26 @@
     assert world.closed[0].cut == 0 and not events
 
 
+def test_connections_that_wait_to_be_accepted_at_a_stop_are_served(world):
+    accepted = []
+
+    def accept(count):
+        # A port may accept a single connection in each turn of the reactor.
+        if count and world.port.is_open:
+            protocol, transport = world.connect()
+            protocol.dataReceived(GET)
+            accepted.append(transport)
+            world.reactor.callLater(0, accept, count - 1)
+
+    world.reactor.callLater(0, accept, 5)
+    world.close()
+    world.advance(0.2)
+    for answer in world.answers:
+        answer.callback(b"served")
+    world.advance(0.1)
+    assert [b"served" in transport.value() for transport in accepted] == [True] * 5
+
+
 def test_a_client_that_disconnects_ends_the_work_on_its_request(world):
     _, transport = world.connect()
     transport.protocol.dataReceived(GET)
