Test a stop without time left, a silent store and the second wait for answers

Without the bound on leaving, the bound of the first wait by the time of the refusals, or the wait for answers after leaving, no test failed before; these do.

--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -7,6 +7,7 @@
 import pytest
 from attrs import evolve
 from structlog.testing import capture_logs
+from twisted.internet.defer import Deferred
 
 from fighead import job_entry
 from fighead.codec import from_json
@@ -22,6 +23,7 @@
     NO_ERROR,
     START_TIME,
     FakePeer,
+    GatedStore,
     JobCluster,
     cut_off,
     has_ended,
@@ -731,10 +733,31 @@
     cluster.entries["e1"].entry.stop()
     cluster.advance(4)
     assert waiting and "e1" in find_member_keys(cluster)
-    while waiting:
-        waiting.pop().callback(None)
-        cluster.advance(0.2)
-    assert "e1" not in find_member_keys(cluster) and ended == ["e1"]
+    waiting.pop().callback(None)
+    cluster.advance(0.2)
+    assert "e1" not in find_member_keys(cluster)
+    # A peer that has not seen this yet may have asked again.
+    assert waiting and not ended
+    waiting.pop().callback(None)
+    assert ended == ["e1"]
+
+
+def test_a_planned_stop_ends_although_the_store_never_answers(monkeypatch):
+    ended = []
+    cluster = JobCluster(on_end=ended.append)
+    cluster.advance(3)
+    entry = cluster.entries["e1"].entry
+
+    calls = []
+
+    async def wait_for_ever(*_):
+        calls.append(Deferred())
+        await calls[-1]
+
+    monkeypatch.setattr(GatedStore, "call", wait_for_ever)
+    entry.stop()
+    cluster.advance(entry.cfg.grace.total_seconds())
+    assert ended == ["e1"]
 
 
 @pytest.mark.parametrize("grace_s", [0, 0.1, 1, 6])
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -121,11 +121,11 @@
         protocol.makeConnection(transport)
         return protocol, transport
 
-    def close(self):
+    def close(self, refuse_at_s=REFUSE_AT_S, close_at_s=CLOSE_AT_S):
         self.closed = []
         msg = CloseConnections(
-            START + dt.timedelta(seconds=REFUSE_AT_S),
-            START + dt.timedelta(seconds=CLOSE_AT_S),
+            START + dt.timedelta(seconds=refuse_at_s),
+            START + dt.timedelta(seconds=close_at_s),
         )
         call(self.listener.mailbox, msg).addCallback(self.closed.append)
 
@@ -436,3 +436,12 @@
     assert b"Connection: close\r\n" in transport.value()
     assert b"Retry-After: 1\r\n" in transport.value()
     assert (world.closed[0].refused, world.closed[0].cut) == (1, 0)
+
+
+def test_a_stop_without_time_left_refuses_at_once(world):
+    protocol, transport = world.connect()
+    protocol.dataReceived(GET)
+    world.close(0, 0)
+    world.advance(0.08)
+    assert b"refused" in transport.value()
+    assert (world.closed[0].refused, world.closed[0].cut) == (1, 0)
