--- a/src/fighead/tasks/listener.py
+++ b/src/fighead/tasks/listener.py
@@ -18,6 +18,8 @@
 LAST_READ_TIME = dt.timedelta(milliseconds=100)
 #: Time after that for a request of which a part has arrived.
 RECEIVE_TIME = dt.timedelta(milliseconds=500)
+#: Minimum time in which the last refusals are written out.
+WRITE_TIME = dt.timedelta(milliseconds=50)
 
 
 @frozen
@@ -70,7 +72,9 @@
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("listener"))
     _port: t.Any = None
     _channels: set[FrontChannel] = field(factory=set)
+    _accepted: int = 0
     _answered: int = 0
+    _refused: int = 0
     _is_closing: bool = False
     _emptied: Deferred[None] | None = None
 
@@ -100,6 +104,7 @@
 
     def _add_channel(self, channel: FrontChannel) -> None:
         self._channels.add(channel)
+        self._accepted += 1
         if self._is_closing:
             channel.close_after_answer()
 
@@ -108,6 +113,7 @@
 
     def _remove_channel(self, channel: FrontChannel) -> None:
         self._channels.discard(channel)
+        self._refused += channel.refused
         if not self._channels and self._emptied is not None:
             emptied, self._emptied = self._emptied, None
             emptied.callback(None)
@@ -118,7 +124,7 @@
         self, refuse_at: dt.datetime, close_at: dt.datetime
     ) -> ConnectionsClosed:
         earlier, self._is_closing = self._answered, True
-        await self._read_what_has_arrived()
+        await self._accept_what_has_arrived(refuse_at)
         self._port.stopListening()
         for channel in tuple(self._channels):
             channel.close_after_answer()
@@ -127,26 +133,30 @@
         for channel in tuple(self._channels):
             channel.close_when_idle()
         await self._wait_until_closed(min(self.clock.now() + RECEIVE_TIME, refuse_at))
-        refused = self._refuse(is_whole=False)
+        for channel in tuple(self._channels):
+            channel.refuse_parts()
         await self._wait_until_closed(refuse_at)
-        refused += self._refuse(is_whole=True)
-        await self._wait_until_closed(close_at)
+        for channel in tuple(self._channels):
+            channel.refuse_all()
+        await self._wait_until_closed(max(close_at, self.clock.now() + WRITE_TIME))
         cut = tuple(self._channels)
         for channel in cut:
             self._log_cut(channel)
             channel.transport.abortConnection()
+        refused = self._refused + sum(channel.refused for channel in cut)
         return ConnectionsClosed(self._answered - earlier, refused, len(cut))
 
-    def _refuse(self, is_whole: bool) -> int:
-        """Refuse all requests that were read whole, or that were not."""
-        channels = [
-            channel
-            for channel in self._channels
-            if not channel.is_idle and (channel.read_at is not None) is is_whole
-        ]
-        for channel in channels:
-            channel.refuse()
-        return len(channels)
+    async def _accept_what_has_arrived(self, deadline: dt.datetime) -> None:
+        """Wait until the reactor has accepted the connections that are waiting now.
+
+        It may accept a single one each time that it handles sockets.
+        """
+        accepted = -1
+        while accepted != self._accepted:
+            accepted = self._accepted
+            await self._read_what_has_arrived()
+            if self.clock.now() >= deadline:
+                return
 
     async def _read_what_has_arrived(self) -> None:
         """Wait until the reactor has handled the sockets that are ready now."""
