--- a/src/fighead/platform/standin_store.py
+++ b/src/fighead/platform/standin_store.py
@@ -12,7 +12,7 @@
 from twisted.internet.task import LoopingCall
 from twisted.web.iweb import IRequest
 
-from ..clock import Clock
+from ..clock import Clock, sleep
 from ..codec import from_json
 from ..standins.connection import abort_connection
 from ..standins.keyspace import Keyspace
@@ -37,6 +37,8 @@
         effect.
     :param lost_answers: Fraction of transactions, 0 to 1, that take effect but
         whose connection is aborted without a response.
+    :param delay_s: Time for which every call waits before it is handled. A call whose
+        client gives up earlier has no effect.
     :param forgets: Whether to discard the history of changes once, when the
         faults are set.
     """
@@ -44,6 +46,7 @@
     is_busy: bool = False
     is_silent: bool = False
     lost_answers: float = 0.0
+    delay_s: float = 0.0
     forgets: bool = False
 
 
@@ -77,9 +80,9 @@
         self._expiry_loop.start(EXPIRY_INTERVAL_S)
 
     @app.route("/fighead/kv-key", methods=["GET"])
-    def serve_key(self, request: IRequest) -> t.Any:
+    async def serve_key(self, request: IRequest) -> t.Any:
         """Return one item; 404 if the key is absent."""
-        if not self._admit(request):
+        if not await self._admit(request):
             return b""
         kv = self._keys.get(_query_argument(request, "Key"))
         if not kv.mod_revision:
@@ -88,9 +91,9 @@
         return _encode_reply({**self._encode_item(kv), "AtRev": self._keys.revision})
 
     @app.route("/fighead/kv-range", methods=["GET"])
-    def serve_range(self, request: IRequest) -> t.Any:
+    async def serve_range(self, request: IRequest) -> t.Any:
         """Return a page of the items under ``Prefix``, after the key ``After``."""
-        if not self._admit(request):
+        if not await self._admit(request):
             return b""
         prefix, after = (
             _query_argument(request, "Prefix"),
@@ -109,7 +112,7 @@
 
         Responds with 410 if the history no longer reaches back to the revision.
         """
-        if not self._admit(request):
+        if not await self._admit(request):
             return b""
         prefix, after = (
             _query_argument(request, "Prefix"),
@@ -127,13 +130,13 @@
         return _encode_reply({"events": events, "AtRev": self._keys.revision})
 
     @app.route("/fighead/kv-txn", methods=["POST"])
-    def serve_txn(self, request: IRequest) -> t.Any:
+    async def serve_txn(self, request: IRequest) -> t.Any:
         """Apply puts and deletes if all expected revisions match.
 
         Responds with 412 and the current items if one differs, and with 404 if a
         put names an unknown lease.
         """
-        if not self._admit(request):
+        if not await self._admit(request):
             return b""
         body = json.loads(request.content.read())
         expected = [
@@ -152,13 +155,13 @@
         self._lease_by_key.update((key, lease) for key, _, lease in puts)
         if self._random.random() < self.faults.lost_answers:
             abort_connection(request)
-            return Deferred()
+            return b""
         return _encode_reply({"Revision": self._keys.revision})
 
     @app.route("/fighead/kv-lease", methods=["POST"])
-    def serve_lease(self, request: IRequest) -> bytes:
+    async def serve_lease(self, request: IRequest) -> bytes:
         """Grant a lease of ``TtlMs``."""
-        if not self._admit(request):
+        if not await self._admit(request):
             return b""
         ttl_ms = json.loads(request.content.read())["TtlMs"]
         ttl = dt.timedelta(milliseconds=ttl_ms)
@@ -166,9 +169,9 @@
         return _encode_reply({"Lease": lease, "TtlMs": ttl_ms})
 
     @app.route("/fighead/kv-keep/<int:lease>", methods=["POST"])
-    def serve_keep_alive(self, request: IRequest, lease: int) -> bytes:
+    async def serve_keep_alive(self, request: IRequest, lease: int) -> bytes:
         """Renew a lease; 404 if it has ended."""
-        if not self._admit(request):
+        if not await self._admit(request):
             return b""
         ttl = self._keys.keep_alive(lease, self._clock.now())
         if not ttl:
@@ -176,9 +179,9 @@
         return _encode_reply({"TtlMs": int(ttl.total_seconds() * 1000)})
 
     @app.route("/fighead/kv-lease-end/<int:lease>", methods=["DELETE"])
-    def serve_lease_end(self, request: IRequest, lease: int) -> bytes:
+    async def serve_lease_end(self, request: IRequest, lease: int) -> bytes:
         """Revoke a lease and delete its keys."""
-        if not self._admit(request):
+        if not await self._admit(request):
             return b""
         self._keys.revoke(lease)
         return b"{}"
@@ -192,9 +195,11 @@
             self._keys.history.clear()
         return b"{}"
 
-    def _admit(self, request: IRequest) -> bool:
+    async def _admit(self, request: IRequest) -> bool:
         """Apply the injected faults; return whether to handle the request."""
         request.setHeader("Content-Type", "application/json")
+        if self.faults.delay_s:
+            await sleep(self._clock, dt.timedelta(seconds=self.faults.delay_s))
         if self.faults.is_silent:
             abort_connection(request)
             return False
