Tell clients that a cancellation may be stored when it may

A DELETE whose write got no answer from the store was answered 503, which says that it has not run and never will. The job was cancelled all the same.

Cause: cancel_job returned NotAccepted when its time was up, or when the store refused a repeated write, whatever had become of the earlier ones. submit_job tells them apart.

An attempt without an answer now makes the outcome unknown (504) unless a later one succeeds. Reads never have an unknown outcome, so a 503 still means that nothing was written.

--- a/src/fighead/commands/job.py
+++ b/src/fighead/commands/job.py
@@ -165,14 +165,14 @@
 
 async def cancel_job(
     context: JobFrontContext, job_id: str, deadline: dt.datetime
-) -> Accepted | NoSuchJob | NotAccepted:
+) -> Accepted | NoSuchJob | NotAccepted | Uncertain:
     """Mark a job as cancelled and notify the scheduler, which stops its runs.
 
     A job that has already ended stays unchanged and is reported as accepted.
 
     :param deadline: When to stop retrying; an attempt in progress may outlast it.
     """
-    reason = ""
+    is_certain, reason = True, ""
     while context.clock.now() < deadline:
         try:
             record = await _read_key(context, JOBS_PREFIX + job_id)
@@ -185,16 +185,17 @@
             )
             result: TxnResult = await context.store.call(txn, STORE_TIMEOUT)
         except StoreOutcomeUnknownError as exc:
-            reason = exc.message
+            is_certain, reason = False, exc.message
             await sleep(context.clock, WRITE_RETRY_PAUSE)
             continue
         except StoreError as exc:
-            return NotAccepted(exc.message)
+            reason = exc.message
+            break
         if result.succeeded:
             log_event(Event.JOB_CANCELLING, job=job_id)
             context.send(m.CancelTold(job_id))
             return Accepted()
-    return NotAccepted(reason)
+    return NotAccepted(reason) if is_certain else Uncertain(reason)
 
 
 async def _read_key(context: JobFrontContext, key: str) -> KeyValue | None:
