Accept connections that wait when the port is closed at a planned stop

Clients whose connection an entry had not accepted yet when it closed its port got a reset, with their whole request sent: up to 0.97 s after its last byte.

Cause: the listener let the reactor turn once before it closed the port. A turn accepts as many connections as the one before needed, often a single one, and 20 more if that was not enough; so connections that had come while the process was held up were reset.

The listener now lets the reactor turn until a turn accepts none, 20 times at most, which is enough for the longest queue of the port.

--- a/src/fighead/tasks/listener.py
+++ b/src/fighead/tasks/listener.py
@@ -18,6 +18,9 @@
 LAST_READ_TIME = dt.timedelta(milliseconds=100)
 #: Time after that for a request of which a part has arrived.
 RECEIVE_TIME = dt.timedelta(milliseconds=500)
+#: Maximum number of times that the reactor takes waiting connections before the port is
+#: closed. It takes a few at first and more each time.
+MAX_ACCEPT_ROUNDS = 20
 
 
 @frozen
@@ -70,6 +73,7 @@
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("listener"))
     _port: t.Any = None
     _channels: set[FrontChannel] = field(factory=set)
+    _accepted: int = 0
     _answered: int = 0
     _is_closing: bool = False
     _emptied: Deferred[None] | None = None
@@ -100,6 +104,7 @@
 
     def _add_channel(self, channel: FrontChannel) -> None:
         self._channels.add(channel)
+        self._accepted += 1
         if self._is_closing:
             channel.close_after_answer()
 
@@ -118,7 +123,7 @@
         self, refuse_at: dt.datetime, close_at: dt.datetime
     ) -> ConnectionsClosed:
         earlier, self._is_closing = self._answered, True
-        await self._read_what_has_arrived()
+        await self._accept_what_waits()
         self._port.stopListening()
         for channel in tuple(self._channels):
             channel.close_after_answer()
@@ -148,6 +153,14 @@
             channel.refuse()
         return len(channels)
 
+    async def _accept_what_waits(self) -> None:
+        """Accept all connections that clients have opened; closing would reset them."""
+        for _ in range(MAX_ACCEPT_ROUNDS):
+            accepted = self._accepted
+            await self._read_what_has_arrived()
+            if self._accepted == accepted:
+                return
+
     async def _read_what_has_arrived(self) -> None:
         """Wait until the reactor has handled the sockets that are ready now."""
         await sleep(self.clock, dt.timedelta())
