Reproduce requests cut at the planned stop of a first-stage entry

Requests of callers and operators that an entry reads after its one look at the requests in flight get no answer: it gives up its lease and ends.

--- a/tests/open_connections.py
+++ b/tests/open_connections.py
@@ -20,6 +20,7 @@
     method: str
     path: str
     body: bytes = b""
+    headers: str = ""
     sock: socket.socket = None
     sent_at: float = None
     ended_at: float = None
@@ -46,8 +47,8 @@
         return self.ended_at - self.sent_at
 
 
-def encode(method, path, body=b"", host="mill.example"):
-    head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
+def encode(method, path, body=b"", host="mill.example", headers=""):
+    head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n{headers}"
     if body:
         head += "Content-Type: application/json\r\n"
     return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
@@ -57,7 +58,7 @@
     """Open a connection for each exchange, with one earlier answer on it."""
     for exchange in exchanges:
         exchange.sock = socket.create_connection(("127.0.0.1", port), timeout=5)
-        exchange.sock.sendall(encode("GET", first_path))
+        exchange.sock.sendall(encode("GET", first_path, headers=exchange.headers))
         earlier = Exchange(0, "GET", first_path)
         while not earlier.is_answered:
             earlier.received += exchange.sock.recv(65536)
@@ -90,7 +91,10 @@
         exchange.refused_to_send = True
         return
     try:
-        exchange.sock.sendall(encode(exchange.method, exchange.path, exchange.body))
+        data = encode(
+            exchange.method, exchange.path, exchange.body, headers=exchange.headers
+        )
+        exchange.sock.sendall(data)
         exchange.sent_at = time.monotonic()
     except OSError:
         exchange.refused_to_send = True
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -4,14 +4,16 @@
 
 import pytest
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.testing import MemoryReactorClock
+from twisted.internet.error import ConnectionDone
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
 
 from fighead.clock import ReactorClock
 from fighead.codec import to_json
 from fighead.decisions import ownership
 from fighead.entry import Entry
 from fighead.ledger import BUCKET_LENGTH, Verdict
-from fighead.model import Inventory, Member, Revision, Upstream
+from fighead.model import Category, Inventory, Kind, Member, Revision, Upstream
 from fighead.settings import EntrySettings, ListenAddress
 from fighead.store import (
     BURN_PREFIX,
@@ -19,6 +21,7 @@
     CONTROL_PREFIX,
     CURRENT_REVISION_KEY,
     MEMBERS_PREFIX,
+    LeaseRevoke,
     Txn,
 )
 from fighead.tasks.ledger import LEDGER_WRITE_INTERVAL
@@ -176,3 +179,91 @@
     assert claim.owner == other.name
     advance(reactor, 5)
     assert entry.front_context.view.claims.get("line/u") == claim
+
+
+class SlowStore(MemoryStore):
+    """Takes 0.5 s for each answer, and never answers the end of a lease."""
+
+    async def call(self, req, timeout):
+        if isinstance(req, LeaseRevoke):
+            await Deferred()
+        return await super().call(req, timeout)
+
+
+def send_until_closed(reactor, port_number, request, ends):
+    """Send a request every 50 ms, each on its own connection, until the entry ends.
+
+    :return: The transports of the connections that were open at the end.
+    """
+    factory = next(site for port, site, *_ in reactor.tcpServers if port == port_number)
+    factory.reactor = reactor
+    idle = []
+    for _ in range(400):
+        protocol, transport = factory.buildProtocol(None), ListeningTransport()
+        protocol.makeConnection(transport)
+        transport.protocol = protocol
+        idle.append((protocol, transport))
+    sent = []
+    while not ends and idle:
+        protocol, transport = idle.pop()
+        if not transport.is_closed:
+            protocol.dataReceived(request)
+            sent.append(transport)
+        advance(reactor, 0.05)
+    assert ends
+    return sent
+
+
+class ListeningTransport(StringTransport):
+    """A connection in memory whose client reads everything."""
+
+    is_closed = False
+
+    def loseConnection(self):  # noqa: N802
+        super().loseConnection()
+        self.abortConnection()
+
+    def abortConnection(self):  # noqa: N802
+        if not self.is_closed:
+            self.is_closed = True
+            self.protocol.connected = 0
+            self.protocol.connectionLost(Failure(ConnectionDone()))
+
+    def setTcpNoDelay(self, _):  # noqa: N802
+        pass
+
+
+NO_BODY = "Caller: c\r\nContent-Length: 0\r\n"
+STATUSES = {b"200", b"202", b"404", b"503", b"504"}
+
+
+def encode_request(method, path, headers=""):
+    return f"{method} {path} HTTP/1.1\r\nHost: a\r\n{headers}\r\n".encode()
+
+
+@pytest.mark.parametrize("store_class", [MemoryStore, SlowStore])
+@pytest.mark.parametrize(
+    ("port_number", "request_bytes"),
+    [
+        (1, encode_request("PUT", "/v1/u/work/x?kind=k", NO_BODY)),
+        (1, encode_request("GET", "/v1/u/work/x", "Caller: c\r\n")),
+        (2, encode_request("GET", "/v1/revision", "Authorization: Bearer token\r\n")),
+    ],
+    ids=["submit", "query", "operator"],
+)
+def test_every_request_that_was_read_is_answered_before_an_entry_ends(
+    reactor, start_entry, store_class, port_number, request_bytes
+):
+    entry, store, ends = start_entry(store_class)
+    kind = Kind("k", "u", Category.PLAN, deadline=dt.timedelta(seconds=5))
+    inventory = Inventory(("a",), {}, {}, {"u": Upstream("u")}, {"u/k": kind})
+    store.put(CURRENT_REVISION_KEY, to_json(Revision(1, inventory)))
+    advance(reactor, 10)
+    stopped_at = entry.clock.now()
+    entry.stop()
+    sent = send_until_closed(reactor, port_number, request_bytes, ends)
+    assert ends[0] - stopped_at <= SETTINGS.drain_timeout
+    assert len(sent) > 10
+    answers = [transport.value() for transport in sent]
+    assert {answer.split(b" ")[1] for answer in answers if answer} <= STATUSES
+    assert [number for number, answer in enumerate(answers) if not answer] == []
