Answer every request that was read before a first-stage entry ends

Callers saw connections closed without an answer in the last moments of a planned stop; so did operators whose request waited for the store.

The entry looked once whether a request of a caller was in flight, gave up its claims and its lease, and ended 0.2 s later, while it went on reading requests. Operators' requests were not counted at all.

Each front's connections are now closed by the task that owns them, once all that was read is answered or refused: callers' before the ledger is written and the lease given up, operators' after that, so that a drain can be watched. A request that is not finished in time gets 504 unknown, or for reads of operators 503, which holds whatever became of it. Answers owed to peers are waited for. StopAccepting and in_flight have no use left.

--- a/src/fighead/daemon.py
+++ b/src/fighead/daemon.py
@@ -9,7 +9,7 @@
 
 from .entry import Entry
 from .log import configure_logging
-from .runtime import make_clock, reactor, run_until_stopped, stop_reactor
+from .runtime import end_reactor, make_clock, reactor, run_until_stopped, stop_reactor
 from .settings import EntrySettings, ListenAddress
 from .standins.simulated_instance import Interference, SimulatedInstance
 from .standins.store import StoreStandIn
@@ -19,7 +19,7 @@
 def serve_entry(cfg: EntrySettings) -> None:
     """Run one entry until a signal or an operator begins its planned stop."""
     configure_logging(cfg.name)
-    entry = Entry(cfg, make_clock(), reactor, stop_reactor)
+    entry = Entry(cfg, make_clock(), reactor, end_reactor)
     reactor.callWhenRunning(entry.start)
     run_until_stopped(entry.stop)
 
--- a/src/fighead/entry.py
+++ b/src/fighead/entry.py
@@ -28,9 +28,9 @@
 from .settings import EntrySettings, ListenAddress
 from .tasks.call import call
 from .tasks.ledger import CloseLedger, LedgerTask
-from .tasks.listener import ListenerTask, StopAccepting
+from .tasks.listener import CloseConnections, ConnectionsClosed, ListenerTask
 from .tasks.member import MemberTask
-from .tasks.peer import CurveKeys, PeerTask
+from .tasks.peer import CurveKeys, FinishAnswers, PeerTask
 from .tasks.store import StoreTask
 from .tasks.supervisor import SupervisorTask
 
@@ -38,10 +38,18 @@
 PROBE_INTERVAL = dt.timedelta(seconds=1)
 #: Interval at which timer lag is measured.
 LAG_SAMPLE_INTERVAL = dt.timedelta(milliseconds=100)
-DRAIN_POLL_INTERVAL = dt.timedelta(milliseconds=100)
-#: Time for the load balancer to notice that the entry is not ready. Also the
-#: shortest time allowed for the release of claims.
+#: Time for the load balancer to notice that the entry is not ready.
 DRAIN_DELAY = dt.timedelta(seconds=1)
+#: Part of the drain timeout for what follows after the last request was served.
+END_RESERVE = dt.timedelta(seconds=4)
+#: Part of it for what follows after the claims are released.
+CLOSE_RESERVE = dt.timedelta(milliseconds=1600)
+#: Time for clients to read their answers after the last request was refused.
+WRITE_TIME = dt.timedelta(milliseconds=400)
+#: Shortest time allowed for the rest of the ledger, and for the release of claims.
+RELEASE_TIME = dt.timedelta(milliseconds=800)
+#: Time for operators' requests, and for answers to peers, once the claims are released.
+LAST_ANSWERS_TIME = dt.timedelta(milliseconds=400)
 
 
 @define(eq=False)
@@ -66,8 +74,10 @@
     supervisor: SupervisorTask = field(init=False)
     store: StoreTask = field(init=False)
     _random: random.Random = field(init=False)
-    _listeners: list[ListenerTask] = field(factory=list)
-    _is_stopping: bool = False
+    _caller_listener: ListenerTask | None = None
+    _operator_listener: ListenerTask | None = None
+    _closed: ConnectionsClosed = ConnectionsClosed()
+    _stopping_since: dt.datetime | None = None
     _is_finished: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -157,17 +167,17 @@
             self.stop,
         )
         cfg = self.cfg
-        self._listen(
+        self._caller_listener = self._listen(
             cfg.caller_address, caller_front.app.resource(), cfg.max_body_bytes
         )
-        self._listen(
+        self._operator_listener = self._listen(
             cfg.operator_address, operator_front.app.resource(), MAX_BODY_BYTES
         )
         log_event(Event.ENTRY_STARTED, availability_zone=self.cfg.availability_zone)
 
     def _listen(
         self, address: ListenAddress, resource: t.Any, max_body_bytes: int
-    ) -> None:
+    ) -> ListenerTask:
         listener = ListenerTask(
             self.clock,
             lambda site: self._open_port(address, site),
@@ -176,7 +186,7 @@
         )
         listener.start()
         spawn(listener.run())
-        self._listeners.append(listener)
+        return listener
 
     def _open_port(self, address: ListenAddress, site: Site) -> t.Any:
         if self.cfg.plain:
@@ -190,28 +200,48 @@
 
     def stop(self) -> None:
         """Start a planned stop and return at once; further calls have no effect."""
-        if self._is_stopping:
+        if self._stopping_since is not None:
             return
-        self._is_stopping = True
+        self._stopping_since = self.clock.now()
         log_event(Event.ENTRY_DRAINING)
         self.member.mailbox.offer(m.Stop())
-        spawn(self._drain())
+        spawn(self._drain(self._stopping_since))
 
-    async def _drain(self) -> None:
+    async def _drain(self, started_at: dt.datetime) -> None:
+        """Answer all callers, then give up what their requests need, and end.
+
+        Claims are released from the start, each once its own work is done.
+        """
+        deadline = started_at + self.cfg.drain_timeout
         await sleep(self.clock, DRAIN_DELAY)
-        deadline = self.clock.now() + self.cfg.drain_timeout
-        while self.front_context.in_flight and self.clock.now() < deadline:
-            await sleep(self.clock, DRAIN_POLL_INTERVAL)
-        await self._close_ledger(deadline)
+        refuse_at = max(deadline - END_RESERVE, self.clock.now())
+        self._closed = await self._close_listener(self._caller_listener, refuse_at)
+        release_by = deadline - CLOSE_RESERVE
+        await self._close_ledger(release_by - RELEASE_TIME)
         await self.member.mailbox.put(member_states.FrontDrained())
-        time_left = deadline - self.clock.now()
         # Claims that can't be deleted because the store is unreachable expire with
         # the lease.
-        self.clock.call_later(max(time_left, DRAIN_DELAY), self._finish)
+        time_left = max(release_by - self.clock.now(), RELEASE_TIME)
+        self.clock.call_later(time_left, self._finish)
+
+    async def _close_listener(
+        self, listener: ListenerTask | None, refuse_at: dt.datetime
+    ) -> ConnectionsClosed:
+        """Close the connections of a front, once all requests are answered."""
+        if listener is None:
+            return ConnectionsClosed()
+        close_at = refuse_at + WRITE_TIME
+        closed = call(listener.mailbox, CloseConnections(refuse_at, close_at))
+        time_left = close_at + LAST_ANSWERS_TIME - self.clock.now()
+        try:
+            return await with_timeout(self.clock, closed, time_left)
+        except TimeoutError:
+            log_event(Event.STOP_CUT_SHORT, reason="a front could not be closed")
+            return ConnectionsClosed()
 
     async def _close_ledger(self, deadline: dt.datetime) -> None:
         """Write the rest of the ledger; an error or a late answer is only logged."""
-        time_left = max(deadline - self.clock.now(), DRAIN_DELAY)
+        time_left = max(deadline - self.clock.now(), RELEASE_TIME)
         try:
             answer = call(self.ledger_task.mailbox, CloseLedger())
             await with_timeout(self.clock, answer, time_left)
@@ -222,9 +252,25 @@
         if self._is_finished:
             return
         self._is_finished = True
-        log_event(Event.ENTRY_STOPPED)
-        for listener in self._listeners:
-            listener.mailbox.offer(StopAccepting())
+        spawn(self._end())
+
+    async def _end(self) -> None:
+        """End once operators and peers have the answers that they are owed."""
+        refuse_at = self.clock.now() + LAST_ANSWERS_TIME
+        await self._close_listener(self._operator_listener, refuse_at)
+        answered = call(self.peer.mailbox, FinishAnswers())
+        try:
+            await with_timeout(self.clock, answered, LAST_ANSWERS_TIME)
+        except TimeoutError:
+            log_event(Event.STOP_CUT_SHORT, reason="a peer is owed an answer")
+        duration = self.clock.now() - (self._stopping_since or self.clock.now())
+        log_event(
+            Event.ENTRY_STOPPED,
+            after_s=round(duration.total_seconds(), 3),
+            answered=self._closed.answered,
+            refused=self._closed.refused,
+            cut=self._closed.cut,
+        )
         self.peer.stop()
         self.on_end()
 
--- a/src/fighead/front_context.py
+++ b/src/fighead/front_context.py
@@ -37,7 +37,6 @@
     :param unknown_spellings: Number of requests by spelling of a caller that matches no
         declared name or alias.
     :param check_limiter: Limits the checks in flight.
-    :param in_flight: Number of callers' HTTP requests being served.
     """
 
     clock: Clock
@@ -47,7 +46,6 @@
     dispatch: DispatchState
     unknown_spellings: collections.Counter[str] = field(factory=collections.Counter)
     check_limiter: CheckLimiter = CheckLimiter()
-    in_flight: int = 0
     is_draining: bool = False
     _caller_index: dict[str, str] = field(factory=dict)
     _indexed_revision: int = -1
--- a/src/fighead/fronts/caller.py
+++ b/src/fighead/fronts/caller.py
@@ -18,6 +18,7 @@
 from ..log import Event, log_event
 from ..queries.work import find_work
 from .answer import send_error, send_outcome
+from .refusal import answer_or_refuse
 
 #: Upper limit of the wait that one request may ask for.
 MAX_REQUEST_WAIT = dt.timedelta(seconds=60)
@@ -27,16 +28,19 @@
 
 
 def _with_error_answers(handler: Handler) -> Handler:
-    """Wrap a handler: count requests in flight and answer errors as JSON."""
+    """Wrap a handler: answer errors and refusals as JSON."""
 
     @functools.wraps(handler)
     async def handle(
         self: "CallerFront", request: IRequest, **path_params: str
     ) -> bytes:
-        self.context.in_flight += 1
         try:
             self._require_inventory()
-            return await handler(self, request, **path_params)
+            return await answer_or_refuse(
+                request,
+                handler(self, request, **path_params),
+                lambda: _refuse(request, path_params.get("request_id", "")),
+            )
         except FigheadError as exc:
             return send_error(request, exc)
         except CancelledError:
@@ -49,8 +53,6 @@
                 "Query the work by its request id, and report event 4002 from the log.",
             )
             return send_error(request, failure)
-        finally:
-            self.context.in_flight -= 1
 
     return handle
 
@@ -184,6 +186,12 @@
         self.context.metrics.count_request(upstream, kind, label)
 
 
+def _refuse(request: IRequest, request_id: str) -> bytes:
+    """Answer a request that is not finished when the entry has to end."""
+    reason = "The entry is stopping and does not know the outcome."
+    return send_outcome(request, request_id, m.Unknown(reason))
+
+
 def _is_final(outcome: m.Accepted) -> bool:
     return outcome.record.phase.is_final
 
--- a/src/fighead/fronts/operator.py
+++ b/src/fighead/fronts/operator.py
@@ -13,12 +13,18 @@
 from ..caller import suggest_names
 from ..codec import from_json
 from ..commands.apply import Change, apply_change, read_current
-from ..exceptions import AuthenticationError, FigheadError
+from ..exceptions import (
+    AuthenticationError,
+    FigheadError,
+    NotRunError,
+    StoreOutcomeUnknownError,
+)
 from ..front_context import FrontContext
 from ..ledger import BurnLedger
 from ..queries.burn import BurnReport, compute_burn, read_buckets
 from ..queries.status import read_history, read_status
 from .answer import OK, send_error, send_json
+from .refusal import answer_or_refuse
 
 #: Maximum size of a request body: 2 MiB.
 MAX_BODY_BYTES = 2 << 20
@@ -32,7 +38,7 @@
 
 
 def _authenticated(handler: t.Callable[..., t.Any]) -> t.Callable[..., t.Any]:
-    """Wrap a handler: require the token and answer fighead's errors as JSON."""
+    """Wrap a handler: require the token, answer errors and refusals as JSON."""
 
     @functools.wraps(handler)
     async def handle(
@@ -40,7 +46,11 @@
     ) -> bytes:
         try:
             self._check_token(request)
-            return await handler(self, request, **path_params)
+            return await answer_or_refuse(
+                request,
+                handler(self, request, **path_params),
+                lambda: _refuse(request),
+            )
         except FigheadError as exc:
             return send_error(request, exc)
 
@@ -150,3 +160,17 @@
                 "The request has no valid bearer token.",
                 "Send 'Authorization: Bearer TOKEN' with the [operator_front] token.",
             )
+
+
+def _refuse(request: IRequest) -> bytes:
+    """Answer a request that is not finished when the entry has to end."""
+    if request.method == b"GET":
+        stopping = NotRunError(
+            "The entry is stopping.", "Send the request to another entry."
+        )
+    else:
+        stopping = StoreOutcomeUnknownError(
+            "The entry is stopping and does not know the outcome.",
+            "Read the state from another entry, or repeat the request there.",
+        )
+    return send_error(request, stopping)
--- a/src/fighead/tasks/listener.py
+++ b/src/fighead/tasks/listener.py
@@ -20,11 +20,6 @@
 RECEIVE_TIME = dt.timedelta(milliseconds=500)
 
 
-@frozen
-class StopAccepting:
-    """Closes the port. Connections stay open, and requests on them are served."""
-
-
 @frozen
 class CloseConnections:
     """Request to close the port, and each connection once all is answered.
@@ -88,8 +83,6 @@
 
     async def _handle(self, msg: t.Any) -> None:
         match msg:
-            case StopAccepting():
-                self._port.stopListening()
             case Call(CloseConnections(refuse_at, close_at), reply):
                 reply.callback(await self._close(refuse_at, close_at))
 
