Close TLS connections at a stop without waiting for their clients

A planned stop of an entry with TLS took until the end of its drain timeout, 60 s, while a client kept an idle connection: Twisted closes a TLS connection only once the client has answered the close alert, and a client that does not read its idle connections does not answer. The lower connection is now closed as soon as all is written to it, the alert last.

The test fails without the change and passes with it.

--- a/src/fighead/fronts/site.py
+++ b/src/fighead/fronts/site.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from twisted.internet.protocol import connectionDone
+from twisted.protocols.tls import TLSMemoryBIOProtocol
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
@@ -110,7 +111,13 @@
 
     def _close_if_idle(self) -> None:
         if self.is_idle and self.connected:
-            self.loseConnection()
+            self._lose_at_once()
+
+    def _lose_at_once(self) -> None:
+        """Close the connection once all is written; don't wait for a TLS client."""
+        self.loseConnection()
+        if isinstance(self.transport, TLSMemoryBIOProtocol):
+            self.transport.transport.loseConnection()
 
     def refuse(self) -> None:
         """End the work on the request that is being received or served."""
@@ -119,7 +126,7 @@
         request = self.requests[0]
         if self.read_at is None:
             self.transport.write(STOPPING_RESPONSE)
-            self.loseConnection()
+            self._lose_at_once()
         elif request.on_refusal is not None:
             request.on_refusal()
 
--- a/tests/test_entry_stops.py
+++ b/tests/test_entry_stops.py
@@ -3,13 +3,16 @@
 import random
 import signal
 import socket
+import ssl
+import time
 
 import pytest
 
 import open_connections
-from cluster import OPERATOR_TOKEN, Cluster, wait_until
+from cluster import OPERATOR_TOKEN, Cluster, request_json, wait_until
 from open_connections import Exchange
 from test_planned_stop import find_cut
+from test_security import CURVE_KEYS, write_certificate
 
 CALLER = "Caller: Devin Workshop\r\n"
 OPERATOR = f"Authorization: Bearer {OPERATOR_TOKEN}\r\n"
@@ -101,3 +104,23 @@
     assert len(answered) > 10
     assert {exchange.status for exchange in answered} <= {200, 503, 504}
     assert find_cut(exchanges) == []
+
+
+def test_an_idle_tls_connection_does_not_hold_up_a_planned_stop(tmp_path):
+    write_certificate(tmp_path)
+    cluster = Cluster(tmp_path, worker_count=1, entry_count=1, curve_keys=CURVE_KEYS)
+    try:
+        cluster.start()
+        port = int(cluster.caller_urls["entry-0"].rpartition(":")[2])
+        context = ssl._create_unverified_context()
+        raw = socket.create_connection(("127.0.0.1", port), timeout=5)
+        with context.wrap_socket(raw) as sock:
+            sock.sendall(open_connections.encode("GET", "/ready"))
+            assert b"ready" in sock.recv(65536)
+            url = f"{cluster.operator_urls['entry-0']}/v1/drain"
+            request_json("POST", url)
+            started_at = time.monotonic()
+            assert cluster.processes["entry-0"].popen.wait(STOP_TIMEOUT_S) == 0
+            assert time.monotonic() - started_at < STOP_TIMEOUT_S
+    finally:
+        cluster.stop()
