--- a/src/fighead/fronts/site.py
+++ b/src/fighead/fronts/site.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from twisted.internet.protocol import connectionDone
+from twisted.protocols.tls import TLSMemoryBIOProtocol
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
@@ -119,6 +120,12 @@
         self._refuses_parts = True
         self._close_or_refuse()
 
+    def _lose_at_once(self) -> None:
+        """Close the connection once all is written; don't wait for a TLS client."""
+        self.loseConnection()
+        if isinstance(self.transport, TLSMemoryBIOProtocol):
+            self.transport.transport.loseConnection()
+
     def refuse_all(self) -> None:
         """End the work on the request that is being served, and on those after it."""
         self._refuses_all = True
@@ -136,11 +143,11 @@
         if not self.connected or self.transport.disconnecting:
             return
         if self.is_idle:
-            self.loseConnection()
+            self._lose_at_once()
         elif self._refuses_parts and self.read_at is None:
             self.refused += 1
             self.transport.write(STOPPING_RESPONSE)
-            self.loseConnection()
+            self._lose_at_once()
 
     def connectionLost(self, reason: t.Any = connectionDone) -> None:  # noqa: N802
         """Report the end of the connection."""
--- a/src/fighead/tasks/listener.py
+++ b/src/fighead/tasks/listener.py
@@ -22,11 +22,6 @@
 WRITE_TIME = dt.timedelta(milliseconds=50)
 
 
-@frozen
-class StopAccepting:
-    """Closes the port. Connections stay open, and requests on them are served."""
-
-
 @frozen
 class CloseConnections:
     """Request to close the port, and each connection once all is answered.
@@ -92,8 +87,6 @@
 
     async def _handle(self, msg: t.Any) -> None:
         match msg:
-            case StopAccepting():
-                self._port.stopListening()
             case Call(CloseConnections(refuse_at, close_at), reply):
                 reply.callback(await self._close(refuse_at, close_at))
 
--- a/tests/open_connections.py
+++ b/tests/open_connections.py
@@ -36,6 +36,7 @@
     read_s: float = 0
     port: int = 0
     is_hasty: bool = False
+    headers: str = ""
     sock: socket.socket = None
     sent_at: float = None
     answered_at: float = None
@@ -82,7 +83,7 @@
         return [(*row, status) for row, status in zip(sent, statuses, strict=False)]
 
     def encode(self):
-        data = encode(self.method, self.path, self.body)
+        data = encode(self.method, self.path, self.body, headers=self.headers)
         return data + b"".join(encode(*request) for request in self.further)
 
 
@@ -99,8 +100,8 @@
     return (head, rest) if separator and b"chunked" in head.lower() else None
 
 
-def encode(method, path, body=b"", host="mill.example"):
-    head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
+def encode(method, path, body=b"", host="mill.example", headers=""):
+    head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n{headers}"
     if body:
         head += "Content-Type: application/json\r\n"
     return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
@@ -113,7 +114,7 @@
             continue
         exchange.sock = open_socket(port, exchange)
         exchange.sock.settimeout(5)
-        exchange.sock.sendall(encode("GET", first_path))
+        exchange.sock.sendall(encode("GET", first_path, headers=exchange.headers))
         earlier = Exchange(0, "GET", first_path)
         while not earlier.is_answered:
             earlier.received += exchange.sock.recv(65536)
