Let the soak use open connections until an entry that stops is gone

It stopped single entries, its clients sent no request on a connection that was still open in the last half second of a stop, and nothing checked that each whole request got an answer.

To each entry four clients read and two submit or cancel, each on a connection of its own, which is opened again as soon as the entry closes it. The promise "answer": a request under way in a planned stop is answered, or its connection closed within 200 ms; no event 4004 for a request that could not be refused; the process ends within GraceS. Stops whose process was paused or killed do not count. Times in which the soak itself was held up do not make a request older: it can't tell when the connection was closed.

Two stops of one entry that overlapped made the second wait for the end of the process that the first had started; the first one does for both now.

The test of drawn faults leaves the new series out where it counts pairs, as strictly as before, and another one counts the series.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,9 +1,10 @@
 """Checks of the promises, from what clients and instances saw."""
 
 import collections
+import json
 import typing as t
 
-from .model import Breach, JobSeen, RunSeen
+from .model import Breach, Exchange, JobSeen, RunSeen, Stall, StopSeen
 
 #: Time after an acknowledged cancellation in which tasks may still start.
 CANCEL_S = 5.0
@@ -11,6 +12,14 @@
 ENDS = ("done", "failed", "stopped", "lapsed", "broken", "alone", "crashed")
 #: By how much the clocks of two instances may differ, in seconds.
 CLOCK_ERROR_S = 0.05
+#: Time from the last byte of a request in which its connection may be closed instead.
+CLOSE_S = 0.2
+#: Time from SIGTERM in which a process has to end: ``GraceS`` of its settings.
+STOP_S = 6.0
+#: Event of an entry that ends and owes a request its answer, and the reason that is
+#: a fault of the entry.
+REQUEST_CUT = 4004
+NOT_REFUSED = "the request could not be refused"
 
 
 def find_breaches(
@@ -119,3 +128,76 @@
                 yield Breach("lost", f"no task of {job.job_id} runs at the end")
         elif job.cancelled_s is not None and job.job_id in live:
             yield Breach("unasked", f"{job.job_id} is cancelled and runs at the end")
+
+
+def find_stop_breaches(
+    stops: t.Sequence[StopSeen],
+    exchanges: t.Sequence[Exchange],
+    stalls: t.Sequence[Stall],
+) -> list[Breach]:
+    """Return where a planned stop broke the promise of an answer.
+
+    A stop does not count if its process was paused or killed between SIGTERM and its
+    end, and neither do requests to that process in it. The open clients connect to
+    the entries without a proxy, so no fault disturbs their links; requests count
+    whatever happens to the store, its links and the other entries.
+
+    :param stalls: When the soak was held up; these times do not make a request older.
+    """
+    planned = [stop for stop in stops if not stop.is_disturbed]
+    return [
+        *_find_late_ends(planned),
+        *_find_cut_events(planned),
+        *_find_cut_requests(planned, exchanges, stalls),
+    ]
+
+
+def _find_late_ends(stops: t.Sequence[StopSeen]) -> t.Iterator[Breach]:
+    for stop in stops:
+        lasted_s = stop.running_s - stop.begin_s
+        if lasted_s > STOP_S:
+            text = f"{stop.entry} runs {lasted_s:.3f} s after SIGTERM"
+            yield Breach("answer", text)
+
+
+def _find_cut_events(stops: t.Sequence[StopSeen]) -> t.Iterator[Breach]:
+    for stop in stops:
+        for line in stop.log.splitlines():
+            event = json.loads(line) if line.startswith("{") else {}
+            is_cut = event.get("number") == REQUEST_CUT
+            if is_cut and event.get("reason") == NOT_REFUSED:
+                yield Breach("answer", f"{stop.entry} logged {line}")
+
+
+def _find_cut_requests(
+    stops: t.Sequence[StopSeen],
+    exchanges: t.Sequence[Exchange],
+    stalls: t.Sequence[Stall],
+) -> t.Iterator[Breach]:
+    """Find requests that were sent or unanswered in a stop, and were never answered."""
+    for stop in stops:
+        for exchange in exchanges:
+            is_in_stop = (
+                exchange.entry == stop.entry
+                and exchange.ended_s >= stop.begin_s
+                and exchange.sent_s <= stop.gone_s
+            )
+            age_s = _find_age(exchange, stalls)
+            if is_in_stop and not exchange.status and age_s > CLOSE_S:
+                sent_s = exchange.sent_s - stop.begin_s
+                yield Breach(
+                    "answer",
+                    f"{exchange.method} {exchange.path}, sent {sent_s:.3f} s after "
+                    f"SIGTERM to {stop.entry}, cut {age_s:.3f} s later",
+                )
+
+
+def _find_age(exchange: Exchange, stalls: t.Sequence[Stall]) -> float:
+    """Return how long a connection was open after a request, as far as was looked."""
+    age_s = exchange.ended_s - exchange.sent_s
+    for stall in stalls:
+        overlap_s = min(stall.to_s, exchange.ended_s) - max(
+            stall.from_s, exchange.sent_s
+        )
+        age_s -= max(0.0, overlap_s)
+    return age_s
--- a/soak/model.py
+++ b/soak/model.py
@@ -31,6 +31,7 @@
     LEADER_KILLED = "leader is killed and started again"
     LEADER_STOPPED = "leader is stopped and started again"
     ALL_KILLED = "all entries are killed and started again"
+    ENTRY_ROLLED = "entry is stopped in a series of planned stops"
 
 
 @frozen
@@ -115,6 +116,50 @@
         return self.task.split(".")[0]
 
 
+@frozen
+class Exchange:
+    """A request that was sent whole on an open connection, and its end.
+
+    :param sent_s: Unix time of its last byte.
+    :param ended_s: Unix time of its complete answer, or of the end of its connection.
+    :param status: Status of its complete answer; 0 for none.
+    """
+
+    entry: str
+    method: str
+    path: str
+    sent_s: float
+    ended_s: float
+    status: int
+
+
+@frozen
+class Stall:
+    """A time in which the soak was held up and did not look at its connections."""
+
+    from_s: float
+    to_s: float
+
+
+@define
+class StopSeen:
+    """A planned stop of an entry.
+
+    :param begin_s: Unix time of SIGTERM.
+    :param running_s: Unix time at which its process was last seen running.
+    :param gone_s: Unix time at which its process was first seen to have ended.
+    :param is_disturbed: Whether its process was paused or killed in the meantime.
+    :param log: What its process logged since SIGTERM.
+    """
+
+    entry: str
+    begin_s: float
+    running_s: float
+    gone_s: float = float("inf")
+    is_disturbed: bool = False
+    log: str = ""
+
+
 @frozen
 class Breach:
     """A promise that was broken."""
@@ -127,7 +172,7 @@
 class Result:
     """Outcome of one seed.
 
-    :param served_s: Unix times at which tasks ended as done.
+    :param exchanges: Requests on open connections.
     :param is_served_again: Whether a job sent after all faults was completed in time.
     """
 
@@ -135,5 +180,7 @@
     faults: tuple[Fault, ...]
     jobs: list[JobSeen] = field(factory=list)
     runs: list[RunSeen] = field(factory=list)
+    stops: list[StopSeen] = field(factory=list)
+    exchanges: list[Exchange] = field(factory=list)
     breaches: list[Breach] = field(factory=list)
     is_served_again: bool = False
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -25,10 +25,22 @@
 #: Shortest and longest time for which the cut, and the leader's fault, last then.
 OVERLAP_S = (3.0, 6.0)
 
+#: Fraction of seeds that have a series of planned stops, and of these of those in which
+#: the entries are stopped at once.
+STOPS_SHARE = 0.6
+AT_ONCE_SHARE = 0.4
+#: Shortest and longest time from the warm-up to a series of planned stops.
+STOPS_DELAY_S = (0.0, 3.0)
+#: Shortest and longest time from one stop to the next: some of them overlap.
+STOPS_GAP_S = (1.8, 4.0)
+#: How long a planned stop takes that nothing delays, as far as the plan is concerned.
+STOP_LASTS_S = 2.5
+
 _CUTS = (Kind.INSTANCE_STORE_LINK_SILENT, Kind.INSTANCE_STORE_LINK_RESET)
 _LEADER_FAULTS = (Kind.LEADER_KILLED, Kind.LEADER_PAUSED, Kind.LEADER_STOPPED)
 # Without kinds that only a series has, so that the pairs of known seeds stay.
-_PAIRED_KINDS = [kind for kind in Kind if kind not in (*_CUTS, Kind.LEADER_STOPPED)]
+_SERIES_KINDS = (*_CUTS, Kind.LEADER_STOPPED, Kind.ENTRY_ROLLED)
+_PAIRED_KINDS = [kind for kind in Kind if kind not in _SERIES_KINDS]
 
 
 def draw_faults(seed: int, entries: int, instances: int) -> tuple[Fault, ...]:
@@ -49,6 +61,8 @@
             faults.append(Fault(kind, target, at_s, rng.uniform(*DURATIONS_S)))
     if rng.random() < SERIES_SHARE:
         faults += _draw_series(rng, entries, instances)
+    if rng.random() < STOPS_SHARE:
+        faults += _draw_stops(rng, entries)
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
@@ -67,3 +81,16 @@
         *(Fault(cut, target, begin_s, cut_s) for target in targets),
         Fault(kind, rng.randrange(entries), leader_at_s, rng.uniform(*OVERLAP_S)),
     ]
+
+
+def _draw_stops(rng: random.Random, entries: int) -> list[Fault]:
+    """Return planned stops of all entries in turn, or of several at once."""
+    begin_s = WARM_UP_S + rng.uniform(*STOPS_DELAY_S)
+    targets = rng.sample(range(entries), entries)
+    gap_s = rng.uniform(*STOPS_GAP_S)
+    if rng.random() < AT_ONCE_SHARE:
+        targets, gap_s = targets[: rng.randint(min(2, entries), entries)], 0.0
+    return [
+        Fault(Kind.ENTRY_ROLLED, target, begin_s + number * gap_s, STOP_LASTS_S)
+        for number, target in enumerate(targets)
+    ]
--- a/soak/player.py
+++ b/soak/player.py
@@ -15,12 +15,15 @@
 
 from . import checks
 from .clients import Clients, decode_history
-from .fleet import CORES, Fleet, encode_config
-from .model import Fault, JobSeen, Kind, Result, RunSeen
+from .fleet import CORES, GRACE_S, Fleet, encode_config
+from .model import Fault, JobSeen, Kind, Result, RunSeen, StopSeen
+from .open_clients import OpenClients
 from .plan import LOAD_S, draw_faults
 from .proxy import LinkProxy, Mode
 
 POLL = dt.timedelta(milliseconds=200)
+#: Interval at which a process that stops is looked at.
+STOP_POLL = dt.timedelta(milliseconds=20)
 START_TIMEOUT = dt.timedelta(seconds=30)
 #: Time between two jobs.
 JOB_INTERVAL = dt.timedelta(milliseconds=250)
@@ -47,6 +50,7 @@
     Kind.INSTANCE_STORE_LINK_SILENT: Mode.SILENT,
     Kind.INSTANCE_STORE_LINK_RESET: Mode.RESET,
 }
+_STOPS = (Kind.ENTRY_STOPPED, Kind.ENTRY_ROLLED, Kind.LEADER_STOPPED)
 _STORE_FAULTS: dict[Kind, dict[str, t.Any]] = {
     Kind.STORE_BUSY: {"is_busy": True},
     Kind.STORE_SILENT: {"is_silent": True},
@@ -60,6 +64,7 @@
     """Owns one seed's fleet, clients and result.
 
     :param history: Events that instances told before they were killed.
+    :param _stopping: Planned stops under way, by the entry's name.
     """
 
     reactor: t.Any
@@ -71,7 +76,9 @@
     result: Result = field(init=False)
     fleet: Fleet = field(init=False)
     clients: Clients = field(init=False)
+    open_clients: OpenClients = field(init=False)
     history: list[RunSeen] = field(factory=list)
+    _stopping: dict[str, StopSeen] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         faults = draw_faults(self.seed, self.entry_count, self.instance_count)
@@ -93,6 +100,10 @@
         self.result.breaches = checks.find_breaches(
             self.clients.jobs, self.history, CORES
         )
+        self.result.exchanges = self.open_clients.exchanges
+        self.result.breaches += checks.find_stop_breaches(
+            self.result.stops, self.open_clients.exchanges, self.open_clients.stalls
+        )
         if not self.result.is_served_again:
             self.result.breaches.append(
                 checks.Breach("recover", "a job sent after all faults was not done")
@@ -108,6 +119,13 @@
             [fleet.address(name) for name in fleet.entries],
             random.Random(self.seed),
         )
+        self.open_clients = OpenClients(
+            self.reactor,
+            self.clock,
+            {name: fleet.address(name) for name in fleet.entries},
+            random.Random(f"open clients of {self.seed}"),
+            self.clients.jobs,
+        )
         store = fleet.address("store")
         await self._wait_for(store, "POST", "/fighead/kv-txn", encode_config())
         for name in fleet.instances:
@@ -129,6 +147,7 @@
     # Load and faults.
 
     async def _send_load(self) -> None:
+        self.open_clients.start()
         pending = [spawn(self._inject(fault)) for fault in self.result.faults]
         end = self.clock.now() + dt.timedelta(seconds=LOAD_S)
         while self.clock.now() < end:
@@ -136,6 +155,7 @@
             await sleep(self.clock, JOB_INTERVAL)
         for deferred in pending:
             await deferred
+        await self.open_clients.finish()
 
     async def _inject(self, fault: Fault) -> None:
         await sleep(self.clock, dt.timedelta(seconds=fault.at_s))
@@ -149,7 +169,7 @@
             await self._set_store_faults()
         elif kind in (Kind.ENTRY_PAUSED, Kind.INSTANCE_PAUSED, Kind.LEADER_PAUSED):
             await self._pause(await self._name_of(fault), duration)
-        elif kind in (Kind.ENTRY_STOPPED, Kind.LEADER_STOPPED):
+        elif kind in _STOPS:
             await self._stop_entry(await self._name_of(fault))
         elif kind is Kind.INSTANCE_KILLED:
             await self._restart_instance(await self._name_of(fault))
@@ -197,21 +217,45 @@
 
     async def _pause(self, name: str, duration: dt.timedelta) -> None:
         if self.fleet.is_running(name):
+            self._mark_disturbed(name)
             self.fleet.pause(name)
             await sleep(self.clock, duration)
             self.fleet.resume(name)
 
     async def _stop_entry(self, name: str) -> None:
-        if not self.fleet.is_running(name):
+        """Stop an entry as planned and start it again.
+
+        A process that lives on after the grace period is killed, as the platform does.
+        """
+        if not self.fleet.is_running(name) or name in self._stopping:
             return
+        log_path = self.folder / f"{name}.log"
+        log_size = log_path.stat().st_size
+        begin_s = self._now_s()
+        stop = self._stopping[name] = StopSeen(name, begin_s, begin_s)
+        self.result.stops.append(stop)
         self.fleet.terminate(name)
-        while self.fleet.is_running(name):
-            await sleep(self.clock, POLL)
+        while self.fleet.is_running(name) and self._now_s() < begin_s + GRACE_S:
+            stop.running_s = self._now_s()
+            await sleep(self.clock, STOP_POLL)
+        if self.fleet.is_running(name):
+            self.fleet.kill(name)
+        stop.gone_s = self._now_s()
+        stop.log = log_path.read_bytes()[log_size:].decode(errors="replace")
+        del self._stopping[name]
         self.fleet.start_entry(name)
 
+    def _mark_disturbed(self, name: str) -> None:
+        if name in self._stopping:
+            self._stopping[name].is_disturbed = True
+
+    def _now_s(self) -> float:
+        return self.clock.now().timestamp()
+
     async def _restart_entries(self, names: t.Sequence[str]) -> None:
         killed = [name for name in names if self.fleet.is_running(name)]
         for name in killed:
+            self._mark_disturbed(name)
             self.fleet.kill(name)
         await sleep(self.clock, DOWN)
         for name in killed:
--- a/soak/report.py
+++ b/soak/report.py
@@ -25,6 +25,16 @@
     for seen in result.runs:
         text = f"{seen.instance} {seen.event} {seen.task} run {seen.run}"
         rows.append((seen.at_s - start_s, text))
+    for stop in result.stops:
+        end = f"{stop.gone_s - stop.begin_s:.3f} s"
+        how = ", paused or killed" if stop.is_disturbed else ""
+        text = f"{stop.entry} is stopped as planned, gone after {end}{how}"
+        rows.append((stop.begin_s - start_s, text))
+    for exchange in result.exchanges:
+        if not exchange.status:
+            age_s = exchange.ended_s - exchange.sent_s
+            text = f"{exchange.method} {exchange.path} at {exchange.entry}"
+            rows.append((exchange.sent_s - start_s, f"{text} cut after {age_s:.3f} s"))
     lines = [f"BREACH {breach.promise}: {breach.text}" for breach in result.breaches]
     lines += [f"{at_s:8.3f} {text}" for at_s, text in sorted(rows)]
     return "\n".join(lines) + "\n"
@@ -49,7 +59,8 @@
     verdict = f"{len(result.breaches)} BROKEN" if result.breaches else "kept"
     return (
         f"seed {result.seed}: {verdict}; {len(result.jobs)} jobs, {accepted} accepted, "
-        f"{starts} starts; {kinds}"
+        f"{starts} starts; {len(result.stops)} planned stops, "
+        f"{len(result.exchanges)} requests on open connections; {kinds}"
     )
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,20 +1,40 @@
 """The soak: what its checks find, what it draws, and a short run of real programs."""
 
 import contextlib
+import datetime as dt
+import random
 import socket
+import typing as t
 
 import pytest
-from attrs import evolve
+from attrs import define, evolve, field
 from soak import checks, report
 from soak.__main__ import read_seeds
 from soak.fleet import Fleet, find_free_ports
-from soak.model import Fault, JobSeen, Kind, Result, RunSeen, Step
+from soak.model import (
+    Exchange,
+    Fault,
+    JobSeen,
+    Kind,
+    Result,
+    RunSeen,
+    Stall,
+    Step,
+    StopSeen,
+)
+from soak.open_clients import OpenClients
 from soak.plan import LOAD_S, PAIRS, REGISTERED_S, draw_faults
 from soak.player import Player, find_running, is_settled
 from soak.proxy import LinkProxy, Mode
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python import failure
+
+from fighead.clock import ReactorClock
 
 CORES = 8
+START = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
 CUTS = (Kind.INSTANCE_STORE_LINK_SILENT, Kind.INSTANCE_STORE_LINK_RESET)
 STEPS = (Step(2, 5000), Step(1, 1000, (0,)))
 JOB = JobSeen("a" * 16, STEPS, 100, 0.0, [200], final_state="completed")
@@ -95,6 +115,74 @@
     assert promises(early, job) == []
 
 
+STOP = StopSeen("e0", 10.0, 12.3, 12.32)
+
+
+def cut(sent_s, ended_s, status=0, entry="e0"):
+    return Exchange(entry, "GET", "/plans/", sent_s, ended_s, status)
+
+
+def stop_breaches(*exchanges, stop=STOP, stalls=()):
+    return [
+        breach.promise
+        for breach in checks.find_stop_breaches([stop], exchanges, stalls)
+    ]
+
+
+@pytest.mark.parametrize(
+    "exchange",
+    [cut(12.09, 12.3), cut(9.5, 10.1), cut(10.0, 12.3), cut(12.31, 12.52)],
+)
+def test_a_request_that_a_planned_stop_cuts_too_late_is_found(exchange):
+    assert stop_breaches(exchange) == ["answer"]
+
+
+@pytest.mark.parametrize(
+    "exchange",
+    [
+        cut(12.12, 12.3),
+        cut(12.31, 12.32),
+        cut(11.0, 12.3, 200),
+        cut(11.0, 12.3, 503),
+        cut(11.0, 12.3, entry="e1"),
+        cut(9.0, 9.9),
+        cut(12.33, 13.0),
+    ],
+)
+def test_requests_that_are_answered_or_closed_at_once_or_in_no_stop_pass(exchange):
+    assert stop_breaches(exchange) == []
+
+
+def test_a_request_to_a_process_that_is_paused_or_killed_in_its_stop_passes():
+    exchange = cut(11.0, 12.3)
+    assert stop_breaches(exchange, stop=evolve(STOP, is_disturbed=True)) == []
+    # A stop of the same entry that nothing disturbed still counts.
+    assert stop_breaches(exchange) == ["answer"]
+
+
+def test_the_time_in_which_the_soak_was_held_up_makes_no_request_older():
+    exchange = cut(11.9, 12.3)
+    assert stop_breaches(exchange, stalls=[Stall(12.0, 12.5)]) == []
+    assert stop_breaches(exchange, stalls=[Stall(12.2, 12.5)]) == ["answer"]
+    assert stop_breaches(exchange, stalls=[Stall(11.0, 11.5)]) == ["answer"]
+
+
+def test_an_entry_that_logs_a_request_it_could_not_refuse_is_found():
+    line = '{"number": 4004, "reason": "%s"}\n'
+    own = evolve(STOP, log="no JSON\n" + line % "the request could not be refused")
+    assert stop_breaches(stop=own) == ["answer"]
+    assert stop_breaches(stop=evolve(own, is_disturbed=True)) == []
+    other = evolve(STOP, log=line % "the client has not read its answer")
+    assert stop_breaches(stop=other) == []
+
+
+def test_a_planned_stop_longer_than_the_grace_period_is_found():
+    late = evolve(STOP, running_s=16.01, gone_s=16.02)
+    assert stop_breaches(stop=late) == ["answer"]
+    assert stop_breaches(stop=evolve(late, is_disturbed=True)) == []
+    assert stop_breaches(stop=evolve(late, running_s=15.99)) == []
+
+
 def test_the_runs_of_a_killed_instance_are_those_that_have_not_ended():
     runs = [*HISTORY[:2], seen(2, "done")]
     assert find_running(runs, "i0") == []
@@ -107,8 +195,9 @@
     assert {fault.kind for faults in drawn for fault in faults} == set(Kind)
     for faults in drawn:
         assert all(0 < fault.at_s < LOAD_S for fault in faults)
-        pairs = [fault for fault in faults if fault.kind not in CUTS]
-        assert len(pairs) == 2 * PAIRS + (len(pairs) < len(faults))
+        unrolled = [f for f in faults if f.kind is not Kind.ENTRY_ROLLED]
+        pairs = [fault for fault in unrolled if fault.kind not in CUTS]
+        assert len(pairs) == 2 * PAIRS + (len(pairs) < len(unrolled))
 
 
 def test_registrations_lapse_before_the_leaders_fault_and_not_all_of_them():
@@ -129,6 +218,20 @@
     assert 20 < with_cuts < 40
 
 
+def test_planned_stops_are_of_all_entries_in_turn_or_of_several_at_once():
+    in_turn = at_once = 0
+    for seed in range(60):
+        faults = draw_faults(seed, 3, 3)
+        stops = [fault for fault in faults if fault.kind is Kind.ENTRY_ROLLED]
+        targets = {fault.target for fault in stops}
+        times = {fault.at_s for fault in stops}
+        assert len(targets) == len(stops) != 1
+        at_once += len(stops) > 1 and len(times) == 1
+        in_turn += len(stops) == len(times) == 3
+        assert len(times) in (0, 1, 3)
+    assert at_once > 5 and in_turn > 10 and at_once + in_turn < 50
+
+
 def test_a_kept_seed_keeps_its_pairs():
     faults = [fault.kind.name for fault in draw_faults(4, 3, 3)]
     assert faults[:3] == ["STORE_FORGETS", "INSTANCE_PAUSED", "STORE_LINK_SLOW"]
@@ -268,3 +371,110 @@
     late = factory.buildProtocol(None)
     late.makeConnection(StringTransport())
     assert late.transport.disconnected
+
+
+# Clients of open connections.
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+
+
+class Transport(StringTransport):
+    def setTcpNoDelay(self, enabled):  # noqa: N802
+        pass
+
+
+@define(eq=False)
+class Entry:
+    """An entry without a network, which open clients use."""
+
+    reactor: t.Any = field(factory=MemoryReactorClock)
+    jobs: list = field(factory=list)
+    clients: OpenClients = None
+
+    def start(self):
+        clock = ReactorClock(self.reactor, START)
+        rng = random.Random(1)
+        self.clients = OpenClients(
+            self.reactor, clock, {"e0": "127.0.0.1:80"}, rng, self.jobs
+        )
+        self.clients.start()
+        return self
+
+    def accept(self):
+        """Accept the connections asked for; return these with their transports."""
+        asked, self.reactor.tcpClients[:] = self.reactor.tcpClients[:], []
+        conns = [each[2].buildProtocol(None) for each in asked]
+        for conn in conns:
+            conn.makeConnection(Transport())
+        return conns
+
+
+@pytest.fixture
+def entry():
+    return Entry().start()
+
+
+def read_requests(conns):
+    return [conn.transport.value().split(b" ")[0].decode() for conn in conns]
+
+
+def test_each_open_client_sends_one_request_at_a_time(entry):
+    conns = entry.accept()
+    entry.reactor.advance(1)
+    assert read_requests(conns) == ["GET"] * 4 + ["POST", "DELETE"]
+    first = [conn.transport.value() for conn in conns]
+    entry.reactor.advance(1)
+    assert [conn.transport.value() for conn in conns] == first
+    for conn in conns:
+        conn.dataReceived(ANSWER)
+    entry.reactor.advance(1)
+    assert [conn.transport.value() for conn in conns] == first
+    for conn in conns:
+        conn.dataReceived(b"{}")
+        conn.transport.clear()
+    entry.reactor.advance(1)
+    assert read_requests(conns) == ["GET"] * 4 + ["POST", "DELETE"]
+    assert [exchange.status for exchange in entry.clients.exchanges] == [200] * 6
+    ages = [e.ended_s - e.sent_s for e in entry.clients.exchanges]
+    assert ages == pytest.approx([2.0] * 6)
+
+
+def test_a_connection_that_closes_within_an_answer_has_cut_the_request(entry):
+    conns = entry.accept()
+    entry.reactor.advance(1)
+    entry.reactor.advance(0.3)
+    conns[0].dataReceived(ANSWER + b"{")
+    conns[0].connectionLost(failure.Failure(ConnectionDone()))
+    (exchange,) = entry.clients.exchanges
+    assert exchange.status == 0
+    assert exchange.ended_s - exchange.sent_s == pytest.approx(0.3)
+
+
+def test_a_client_opens_a_connection_again_before_it_sends(entry):
+    conns = entry.accept()
+    entry.reactor.advance(1)
+    conns[4].dataReceived(
+        b"HTTP/1.1 503 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    )
+    assert conns[4].transport.disconnecting
+    assert entry.jobs[0].is_refused
+    (again,) = entry.accept()
+    assert read_requests([again]) == [""]
+    entry.reactor.advance(1)
+    assert read_requests([again]) == ["POST"]
+    assert [exchange.status for exchange in entry.clients.exchanges] == [503]
+
+
+def test_open_clients_end_once_all_requests_have_an_outcome(entry):
+    conns = entry.accept()
+    entry.reactor.advance(1)
+    done = Deferred.fromCoroutine(entry.clients.finish())
+    for conn in conns[:5]:
+        conn.dataReceived(ANSWER + b"{}")
+    entry.reactor.advance(1)
+    assert not done.called
+    # The last one is given up.
+    entry.reactor.advance(10)
+    entry.reactor.advance(1)
+    assert done.called
+    assert sorted(e.status for e in entry.clients.exchanges) == [0] + [200] * 5
