Let the soak wait for submissions that are under way

Cause: is_settled counted a job without an accepted submission as settled, also while a client still submitted it or was about to send a copy, so the soak stopped asking. A job accepted after that had no final state.

Now such a job is not settled; the wait keeps its bound (SETTLE).

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -71,6 +71,13 @@
         return JobSeen(job_id, steps, run_ms, time.time())
 
     async def _submit(self, job: JobSeen) -> None:
+        job.is_submitting = True
+        try:
+            await self._submit_until_accepted(job)
+        finally:
+            job.is_submitting = False
+
+    async def _submit_until_accepted(self, job: JobSeen) -> None:
         body = encode_job(job)
         for _ in range(MAX_ATTEMPTS):
             status = await self._submit_once(job, body)
--- a/soak/model.py
+++ b/soak/model.py
@@ -69,6 +69,7 @@
     :param cancelled_s: Unix time at which a cancellation was acknowledged.
     :param is_cancel_sent: Whether a cancellation was sent.
     :param final_state: State shown at the end; empty if no entry told it.
+    :param is_submitting: Whether a client still submits it, or may send a copy.
     """
 
     job_id: str
@@ -79,6 +80,7 @@
     cancelled_s: float | None = None
     is_cancel_sent: bool = False
     final_state: str = ""
+    is_submitting: bool = False
 
     @property
     def is_accepted(self) -> bool:
--- a/soak/player.py
+++ b/soak/player.py
@@ -328,6 +328,8 @@
 
 def is_settled(job: JobSeen) -> bool:
     """Whether a job has the state that it should have at the end."""
+    if job.is_submitting:
+        return False
     if not job.is_accepted or job.is_cancel_sent:
         return True
     return job.final_state == ("running" if job.lasts else "completed")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from attrs import define, evolve, field
 from soak import checks, report
 from soak.__main__ import read_seeds
+from soak.clients import Clients
 from soak.fleet import Fleet, find_free_ports
 from soak.model import (
     Exchange,
@@ -31,7 +32,8 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python import failure
 
-from fighead.clock import ReactorClock
+from fighead.clock import ReactorClock, sleep
+from fighead.http_client import HttpResponse
 
 CORES = 8
 START = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
@@ -478,3 +480,61 @@
     entry.reactor.advance(1)
     assert done.called
     assert sorted(e.status for e in entry.clients.exchanges) == [0] + [200] * 5
+
+
+# The end of a soak.
+
+
+@define(eq=False)
+class Pool:
+    """Answers the requests of a soak's clients, those of the first job late.
+
+    :param statuses: Answers to the submissions of the first job, in turn; ``None`` if
+        these never end.
+    """
+
+    clock: ReactorClock
+    jobs: list
+    statuses: list
+
+    async def request(self, address, req, timeout):
+        job = next(job for job in self.jobs if req.target.endswith(job.job_id))
+        if req.method == "POST" and job is self.jobs[0]:
+            if self.statuses is None:
+                await Deferred()
+            await sleep(self.clock, dt.timedelta(seconds=1))
+            return HttpResponse(self.statuses.pop(0) if self.statuses else 200, b"")
+        state = "running" if job.lasts else "completed"
+        return HttpResponse(200, b'{"State": "%s"}' % state.encode())
+
+
+@pytest.mark.parametrize("statuses", [[200], [503, 503, 504, 200], [503] * 5])
+@pytest.mark.parametrize("seed", range(5))
+def test_the_soak_waits_for_submissions_that_are_under_way(tmp_path, statuses, seed):
+    reactor = MemoryReactorClock()
+    clock = ReactorClock(reactor, START)
+    player = Player(reactor, clock, tmp_path, 1, 1, 1)
+    player.clients = Clients(None, clock, ["e0"], random.Random(seed))
+    player.clients.pool = Pool(clock, player.clients.jobs, [*statuses])
+    player.clients.send_random_job()
+    done = Deferred.fromCoroutine(player._settle())
+    while not done.called:
+        reactor.advance(0.05)
+    job = player.clients.jobs[0]
+    # Some seeds send a copy of the request after five refusals.
+    assert job.is_accepted or len(job.statuses) == 5
+    assert is_settled(job)
+    lost = checks.find_breaches([job], [], CORES) if not job.lasts else []
+    assert [breach.promise for breach in lost] == []
+
+
+def test_a_submission_without_an_end_does_not_hold_the_soak_up(tmp_path):
+    reactor = MemoryReactorClock()
+    clock = ReactorClock(reactor, START)
+    player = Player(reactor, clock, tmp_path, 1, 1, 1)
+    player.clients = Clients(None, clock, ["e0"], random.Random(1))
+    player.clients.pool = Pool(clock, player.clients.jobs, None)
+    player.clients.send_random_job()
+    done = Deferred.fromCoroutine(player._settle())
+    reactor.pump([0.05] * 20 * 60)
+    assert done.called and not is_settled(player.clients.jobs[0])
