--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -538,3 +538,103 @@
     done = Deferred.fromCoroutine(player._settle())
     reactor.pump([0.05] * 20 * 60)
     assert done.called and not is_settled(player.clients.jobs[0])
+
+
+# Planned stops.
+
+
+@define(eq=False)
+class Processes:
+    """A fleet of one entry, which ends when a test says so."""
+
+    calls: list = field(factory=list)
+    running: bool = True
+
+    def is_running(self, name):
+        return self.running
+
+    def kill(self, name):
+        self.calls.append("kill")
+        self.running = False
+
+    def start_entry(self, name):
+        self.calls.append("start")
+        self.running = True
+
+    def terminate(self, name):
+        self.calls.append("terminate")
+
+    def pause(self, name):
+        self.calls.append("pause")
+
+    def resume(self, name):
+        self.calls.append("resume")
+
+
+@pytest.fixture
+def player(tmp_path):
+    reactor = MemoryReactorClock()
+    player = Player(reactor, ReactorClock(reactor, START), tmp_path, 1, 1, 1)
+    player.fleet = Processes()
+    (tmp_path / "e0.log").write_text("earlier\n")
+    return player
+
+
+def stop_entry(player):
+    return Deferred.fromCoroutine(player._stop_entry("e0"))
+
+
+def advance(player, seconds):
+    player.reactor.pump([0.02] * round(seconds * 50))
+
+
+def test_a_planned_stop_is_told_with_its_times_and_its_log(player):
+    stop_entry(player)
+    advance(player, 2)
+    (player.folder / "e0.log").write_text("earlier\nlater\n")
+    player.fleet.running = False
+    advance(player, 0.1)
+    (stop,) = player.result.stops
+    assert player.fleet.calls == ["terminate", "start"]
+    assert stop.begin_s == START.timestamp()
+    assert stop.running_s - stop.begin_s == pytest.approx(2, abs=0.05)
+    assert 0 < stop.gone_s - stop.running_s < 0.05
+    assert stop.log == "later\n" and not stop.is_disturbed
+
+
+@pytest.mark.parametrize("is_killed", [True, False])
+def test_a_stop_whose_process_is_killed_or_paused_is_disturbed(player, is_killed):
+    stop_entry(player)
+    advance(player, 1)
+    fault = (
+        player._restart_entries(["e0"])
+        if is_killed
+        else player._pause("e0", dt.timedelta(seconds=1))
+    )
+    Deferred.fromCoroutine(fault)
+    advance(player, 2)
+    assert player.result.stops[0].is_disturbed
+    player.fleet.running = False
+    advance(player, 0.1)
+    player.fleet.running = True
+    # A later stop of the same entry is one of its own.
+    stop_entry(player)
+    assert len(player.result.stops) == 2 and not player.result.stops[1].is_disturbed
+
+
+def test_a_second_stop_does_not_wait_for_the_process_that_the_first_starts(player):
+    first = stop_entry(player)
+    advance(player, 1)
+    second = stop_entry(player)
+    player.fleet.running = False
+    advance(player, 0.1)
+    assert first.called and second.called and player.fleet.running
+    assert len(player.result.stops) == 1
+
+
+def test_a_process_that_does_not_end_is_killed_and_found(player):
+    stop_entry(player)
+    advance(player, 8.1)
+    assert player.fleet.calls == ["terminate", "kill", "start"]
+    breaches = checks.find_stop_breaches(player.result.stops, [], [])
+    assert [breach.promise for breach in breaches] == ["answer"]
