--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,5 +1,6 @@
 """Planned stops of real processes while clients go on using open connections."""
 
+import contextlib
 import itertools
 import json
 import random
@@ -60,6 +61,25 @@
         cluster.stop()
 
 
+@pytest.fixture(autouse=True)
+def restored_cluster(cluster):
+    """Let each test begin with a healthy store and all entries serving."""
+    yield cluster
+    set_store_faults(cluster)
+    for name in cluster.entries():
+        if name not in cluster.processes or not is_serving(cluster, name):
+            if name in cluster.processes:
+                cluster.kill(name)
+            cluster.start_entry(name)
+    wait_until(lambda: serves_all(cluster))
+
+
+def is_serving(cluster, name):
+    with contextlib.suppress(OSError):
+        return cluster.is_ready(name)
+    return False
+
+
 def draw_exchanges(seed, first_s, last_s, count=120, cancelled=()):
     """Return requests of all kinds, sent at random times.
 
