Close idle connections at one point of a stop only

The mark that let the next answer be the last had no effect that a test could show: 0.1 s later all idle connections are closed anyway.

--- a/src/fighead/fronts/site.py
+++ b/src/fighead/fronts/site.py
@@ -103,10 +103,6 @@
         """Whether no request is being received or served."""
         return not self.requests
 
-    def close_after_answer(self) -> None:
-        """Let the next answer be the last, unless a further request has been read."""
-        self._is_closing = True
-
     def close_when_idle(self) -> None:
         """Close the connection, after the answer to a request that has arrived.
 
--- a/src/fighead/tasks/listener.py
+++ b/src/fighead/tasks/listener.py
@@ -70,7 +70,6 @@
     _accepted: int = 0
     _answered: int = 0
     _refused: int = 0
-    _is_closing: bool = False
     _emptied: Deferred[None] | None = None
 
     def start(self) -> None:
@@ -98,8 +97,6 @@
     def _add_channel(self, channel: FrontChannel) -> None:
         self._channels.add(channel)
         self._accepted += 1
-        if self._is_closing:
-            channel.close_after_answer()
 
     def _count_answer(self, _: FrontChannel) -> None:
         self._answered += 1
@@ -116,11 +113,9 @@
     async def _close(
         self, refuse_at: dt.datetime, close_at: dt.datetime
     ) -> ConnectionsClosed:
-        earlier, self._is_closing = self._answered, True
+        earlier = self._answered
         await self._accept_what_has_arrived(refuse_at)
         self._port.stopListening()
-        for channel in tuple(self._channels):
-            channel.close_after_answer()
         await self._wait_until_closed(min(self.clock.now() + LAST_READ_TIME, refuse_at))
         await self._read_what_has_arrived()
         for channel in tuple(self._channels):
