--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -6,12 +6,12 @@
 
 from attrs import define, field
 from klein import Klein
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, ensureDeferred
 
 from . import job_message as m
 from . import message
 from .clock import Clock, sleep, with_timeout
-from .decisions import admission, config_request, election
+from .decisions import admission, config_request, election, planned_stop
 from .decisions.admission import QueuedStarts
 from .decisions.config_request import ConfigRequest
 from .decisions.election import Leader
@@ -19,7 +19,6 @@
 from .decisions.schedule_state import Schedule
 from .exceptions import MailboxFullError, PeerUnreachableError
 from .fronts.job import JobCodec, JobFront
-from .fronts.site import make_site
 from .job import JobConfig
 from .job_front_context import JobFrontContext
 from .job_metric import JobMetrics, make_metrics_app
@@ -32,8 +31,9 @@
 from .tasks import leadership
 from .tasks.call import call
 from .tasks.leadership import ControlView, LeadershipTask
+from .tasks.listener import CloseConnections, ConnectionsClosed, ListenerTask
 from .tasks.load import LoadTask
-from .tasks.peer import CurveKeys, PeerTask
+from .tasks.peer import CurveKeys, FinishAnswers, PeerTask
 from .tasks.relay import RelayingStore, execute_for_peer
 from .tasks.scheduler import PlatformAdapter, Reelected, SchedulerTask
 from .tasks.watch import Changes, Snapshot, StoreContact, WatchTask
@@ -48,15 +48,11 @@
 CONFIRMATION_DELAY = 3 * AUTHORITY_TIMEOUT
 #: Maximum wait for an answer from the scheduler, here or on a peer.
 SCHEDULER_TIMEOUT = dt.timedelta(milliseconds=800)
-#: Time until the load balancer stops sending requests to an entry that is not
-#: ready: it checks once a second and acts on the second failed check.
-BALANCER_REACTION_TIME = dt.timedelta(milliseconds=2300)
-#: Part of the grace period that is reserved for the end of a planned stop.
-STOP_RESERVE = dt.timedelta(milliseconds=700)
-DRAIN_POLL_INTERVAL = dt.timedelta(milliseconds=50)
 NOT_READY_STATUS = 503
 #: Largest request body that is read, in bytes, whatever the configuration allows.
 MAX_BODY_BYTES = 1 << 20
+#: Maximum number of connections that wait to be accepted.
+MAX_WAITING_CONNECTIONS = 500
 
 
 @define(eq=False)
@@ -93,7 +89,7 @@
     _backlog: tuple[QueuedStarts, ...] = ()
     _backlog_at: dt.datetime = field(init=False)
     _started_at: dt.datetime = field(init=False)
-    _ports: list[t.Any] = field(factory=list)
+    _listeners: list[ListenerTask] = field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         cfg = self.cfg
@@ -160,9 +156,17 @@
         log_event(Event.ENTRY_STARTED, availability_zone=self.cfg.zone)
 
     def _listen(self, address: ListenAddress, resource: t.Any) -> None:
-        site = make_site(resource, MAX_BODY_BYTES)
-        port = self.reactor.listenTCP(address.port, site, 500, address.host)
-        self._ports.append(port)
+        listener = ListenerTask(
+            self.clock,
+            lambda site: self.reactor.listenTCP(
+                address.port, site, MAX_WAITING_CONNECTIONS, address.host
+            ),
+            resource,
+            MAX_BODY_BYTES,
+        )
+        listener.start()
+        spawn(listener.run())
+        self._listeners.append(listener)
 
     def _make_ready_app(self) -> Klein:
         app = Klein()
@@ -200,18 +204,52 @@
         spawn(self._drain())
 
     async def _drain(self) -> None:
-        deadline = self.clock.now() + self.cfg.grace - STOP_RESERVE
-        await sleep(self.clock, BALANCER_REACTION_TIME)
-        for port in self._ports:
-            port.stopListening()
-        while self.front_context.in_flight and self.clock.now() < deadline:
-            await sleep(self.clock, DRAIN_POLL_INTERVAL)
+        """Serve until the balancer has reacted, then answer all, leave and end.
+
+        What the requests need stays until the last answer is written out.
+        """
+        started_at = self.clock.now()
+        times = planned_stop.plan_stop(started_at, self.cfg.grace)
+        closed = ConnectionsClosed()
         try:
-            await call(self.leadership.mailbox, leadership.Leave())
+            await sleep(self.clock, times.accept_until - started_at)
+            closed = await self._limit(self._close_listeners(times), times.leave_by)
+            # Peers drop the answers of an entry that is no member.
+            answered = call(self.peer.mailbox, FinishAnswers())
+            await self._limit(answered, times.leave_by)
+            left = call(self.leadership.mailbox, leadership.Leave())
+            await self._limit(left, times.leave_by)
+            answered = call(self.peer.mailbox, FinishAnswers())
+            await self._limit(answered, times.leave_by)
+        except TimeoutError as exc:
+            log_event(Event.STOP_CUT_SHORT, reason=str(exc))
         finally:
-            log_event(Event.ENTRY_STOPPED)
-            self.peer.stop()
-            self.on_end()
+            log_event(
+                Event.ENTRY_STOPPED,
+                after_s=round((self.clock.now() - started_at).total_seconds(), 3),
+                answered=closed.answered,
+                refused=closed.refused,
+                cut=closed.cut,
+            )
+            try:
+                self.peer.stop()
+            finally:
+                self.on_end()
+
+    async def _close_listeners(
+        self, times: planned_stop.StopTimes
+    ) -> ConnectionsClosed:
+        """Close all listeners at once; return what became of the clients' requests."""
+        msg = CloseConnections(times.refuse_at, times.close_at)
+        replies = [call(listener.mailbox, msg) for listener in self._listeners]
+        closed = [await reply for reply in replies]
+        return closed[0] if closed else ConnectionsClosed()
+
+    def _limit(self, awaitable: t.Any, deadline: dt.datetime) -> Deferred[t.Any]:
+        """Return a deferred with the result; it fails at the deadline without one."""
+        deferred: Deferred[t.Any] = ensureDeferred(awaitable)
+        time_left = max(deadline - self.clock.now(), dt.timedelta())
+        return with_timeout(self.clock, deferred, time_left)
 
     # Configuration.
 
