--- a/src/fighead/decisions/waiting.py
+++ b/src/fighead/decisions/waiting.py
@@ -9,7 +9,7 @@
 from attrs import asdict, define, field, frozen
 
 from ..log import Event
-from . import instance_tracking, placement
+from . import instance_tracking, placement, room
 from .authority import Authority
 from .placement import Obstacle
 from .schedule_state import (
@@ -386,9 +386,17 @@
         "lasting": lasting_count,
         "jobs": len(job_ids),
         "longest_ms": _to_ms(now - min(starts)),
+        "since_election_ms": schedule.ms_since_election(now),
         "by_reason": dict(reasons),
         "obstacles": dict(obstacle_counts),
         "examined": min(len(waits), MAX_EXAMINED_STAGES) if status.may_act else 0,
+        "first": _describe_first(schedule, waits[0], now) if waits else None,
+        "room": {
+            upstream: room.describe_upstream(schedule.instances.values(), upstream, now)
+            for upstream in sorted(
+                {wait.job.queue.upstream for wait in waits[:MAX_EXAMINED_STAGES]}
+            )
+        },
         "start_limit": round(schedule.start_window.limit, 1),
         "starts_in_flight": len(schedule.start_window.sent_at),
         "sole_age_ms": _describe_age(schedule.sole_at, now),
@@ -401,6 +409,23 @@
     return LogNote(Event.TASKS_WAITING, fields)
 
 
+def _describe_first(
+    schedule: Schedule, wait: _StageWait, now: dt.datetime
+) -> dict[str, t.Any]:
+    """Describe the task that has waited longest, and the room for it."""
+    spec = wait.stage.spec
+    states = schedule.instances.values()
+    return {
+        "task": str(wait.stage.tasks[next(iter(wait.since))].key),
+        "filler": spec.is_filler,
+        "cpu": spec.cpu,
+        "memory_mb": spec.memory_mb,
+        "gpu": spec.gpu,
+        "runs_of_job": sum(1 for _ in wait.job.runs()),
+        **asdict(room.count_room(states, wait.job, wait.stage, now)),
+    }
+
+
 def _find_reason(
     schedule: Schedule,
     wait: _StageWait,
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -362,6 +362,44 @@
     assert describe_after_wait(schedule) is None
 
 
+# Room as placement counts it.
+
+
+def test_the_room_with_and_without_obstacles_is_told():
+    schedule = make_schedule(("i1", "i2"))
+    other = add_instance(schedule, "other")
+    other.instance = evolve(other.instance, upstream="other")
+    OBSTACLES["unregistered"](schedule.instances["i1"])
+    drain(schedule.instances["i2"])
+    job = add_job(schedule, Stage(2, 1000, 100, is_lasting=True))
+    line = describe_after_wait(schedule)
+    assert list(line["room"]) == [job.queue.upstream]
+    sums = line["room"][job.queue.upstream]
+    capacity = schedule.instances["i1"].instance.capacity
+    counts = {name: part["instances"] for name, part in sums.items()}
+    assert counts == {"known": 2, "registered": 1, "usable": 0}
+    assert sums["known"]["cpu"] == 2 * sums["registered"]["cpu"] == 2 * capacity.cpu
+    assert sums["registered"]["cpu_used"] == 0
+    assert sums["registered"]["cpu_unused"] == capacity.cpu
+    names = ("suitable", "fit", "roomy", "usable")
+    assert [line["first"][name] for name in names] == [2, 2, 2, 0]
+    assert line["first"]["task"] == f"{job.job_id}.0.0.0"
+
+
+def test_a_filler_that_lacks_unused_processors_is_told_from_one_that_does_not_fit():
+    schedule = make_schedule(("i1",))
+    capacity = schedule.instances["i1"].instance.capacity
+    filler = Stage(1, capacity.cpu, 100, is_filler=True, image="f")
+    add_job(schedule, evolve(filler, image="g"), job_id=JOB_ID)
+    assert placement.place_waiting_tasks(schedule, at_seconds(0))
+    add_job(schedule, filler, job_id=NEW_JOB_ID)
+    line = describe_after_wait(schedule)
+    assert line["by_reason"] == {"no_room": 1}
+    names = ("suitable", "fit", "roomy", "usable")
+    assert [line["first"][name] for name in names] == [1, 1, 0, 0]
+    assert line["room"]["mill"]["known"]["cpu_used"] == 0
+
+
 # Cost.
 
 
