Read each idle connection once more right before it is closed at a stop

Callers saw a connection closed without an answer when their request met the moment at which a stopping entry closes its idle connections.

Cause: the listener marked all idle connections to be closed, which ended reading on them; the reactor closed the sockets one by one when it next handled them. What arrived in between was never read.

Now each connection in its turn is read once more and, if it is still idle and has nothing left to write, closed in the same step. Between the last read and the close of a socket nothing else runs. A stop takes no longer. A connection that its client has closed in the meantime is left alone; the flag that tells so was never reset before.

A request that has not reached the entry's socket is still not read, and its client sees the connection closed.

--- a/src/fighead/fronts/site.py
+++ b/src/fighead/fronts/site.py
@@ -3,8 +3,11 @@
 import datetime as dt
 import typing as t
 
+from twisted.internet.interfaces import IReadWriteDescriptor
 from twisted.internet.protocol import connectionDone
 from twisted.protocols.tls import TLSMemoryBIOProtocol
+from twisted.python import log
+from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
@@ -116,11 +119,39 @@
         self._refuses_parts = True
         self._close_or_refuse()
 
+    @property
+    def _socket_transport(self) -> t.Any:
+        """The transport that owns the socket, below TLS."""
+        if isinstance(self.transport, TLSMemoryBIOProtocol):
+            return self.transport.transport
+        return self.transport
+
+    def _read_what_has_arrived(self) -> None:
+        """Handle what the socket has received and the reactor has not read yet."""
+        transport = self._socket_transport
+        if not IReadWriteDescriptor.providedBy(transport):
+            return
+        try:
+            transport.doRead()
+        except Exception:
+            # The reactor, too, ends a connection whose protocol fails.
+            log.err()
+            transport.abortConnection()
+
     def _lose_at_once(self) -> None:
-        """Close the connection once all is written; don't wait for a TLS client."""
+        """Close the connection once all is written; don't wait for a TLS client.
+
+        Without anything left to write it is closed now. The reactor would close it
+        when it next handles sockets, and what arrives until then is never read.
+        """
+        transport = self._socket_transport
         self.loseConnection()
-        if isinstance(self.transport, TLSMemoryBIOProtocol):
-            self.transport.transport.loseConnection()
+        if transport is not self.transport:
+            transport.loseConnection()
+        if IReadWriteDescriptor.providedBy(transport):
+            reason = transport.doWrite()
+            if reason is not None:
+                transport.connectionLost(Failure(reason))
 
     def refuse_all(self) -> None:
         """End the work on the request that is being served, and on those after it."""
@@ -136,6 +167,10 @@
             request.on_refusal()
 
     def _close_or_refuse(self) -> None:
+        if not self.connected or self.transport.disconnecting:
+            return
+        if self.is_idle:
+            self._read_what_has_arrived()
         if not self.connected or self.transport.disconnecting:
             return
         if self.is_idle:
@@ -148,6 +183,7 @@
     def connectionLost(self, reason: t.Any = connectionDone) -> None:  # noqa: N802
         """Report the end of the connection."""
         super().connectionLost(reason)
+        self.connected = 0
         self._on_close(self)
 
 
