Test requests at two rolling restarts that overlap

Planned stops of several entries in a row were tested only with all entries gone in the end, and never with new processes that are stopped in their turn.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,5 +1,6 @@
 """Planned stops of real processes while clients go on using open connections."""
 
+import concurrent.futures
 import contextlib
 import itertools
 import json
@@ -395,6 +396,42 @@
     check_stops(cluster, [(0, pick(cluster, False)), (0.3, pick(cluster, True))], 57)
 
 
+def stop_in_turn(cluster, name, rows_by_stop, starts_at):
+    """Stop an entry and start it again, once for each list of exchanges.
+
+    :param starts_at: When each stop begins.
+    """
+    for exchanges, at_s in zip(rows_by_stop, starts_at, strict=True):
+        wait_until(lambda: is_serving(cluster, name))
+        time.sleep(max(0, at_s - time.monotonic()))
+        stop_beside(cluster, name, exchanges)
+        cluster.start_entry(name)
+
+
+def test_requests_at_two_rolling_restarts_that_overlap_are_answered(cluster):
+    names = cluster.entries()
+    earlier = {n: len(read_events(cluster, n, REQUEST_CUT)) for n in names}
+    rows = {
+        name: [draw_exchanges(68 + 3 * turn + n, 1.5, 2.6, 40) for turn in range(2)]
+        for n, name in enumerate(names)
+    }
+    begins_at = time.monotonic() + 0.2
+    with concurrent.futures.ThreadPoolExecutor(len(names)) as pool:
+        turns = [
+            pool.submit(stop_in_turn, cluster, name, rows[name], [at_s, at_s + 4])
+            for name, at_s in zip(names, itertools.count(begins_at, 1.1), strict=False)
+        ]
+    for turn in turns:
+        turn.result()
+    wait_until(lambda: serves_all(cluster))
+    exchanges = [e for name in names for part in rows[name] for e in part]
+    cuts = {n: len(read_events(cluster, n, REQUEST_CUT)) for n in names}
+    assert cuts == earlier
+    assert find_cut(exchanges) == []
+    assert len([e for e in exchanges if e.is_answered]) > 20 * len(names)
+    check_answers(cluster, exchanges)
+
+
 def test_requests_at_stops_of_a_leader_and_its_successor_are_answered(cluster):
     leader = pick(cluster, True)
     exchanges = draw_exchanges(60, 1.5, 3.2, 60)
