Close the port in the step in which the last connections are accepted

Cause: a port is closed in the reactor's next turn. Until then it accepts nothing, while the reactor reads all sockets that are ready and serves what they have sent. Connections that arrive meanwhile are complete for their clients, wait to be accepted, and are reset with the port.

Real sockets in a test: 8 connections that arrive after the last look at the port were all reset.

Now the listener accepts what waits until nothing does, and closes the port in the same step.

Failed before: tests/test_listener_sockets.py:: test_a_connection_that_arrives_just_before_the_port_is_closed_is_served (0 of 8 answered; now 8 of 8).

--- a/src/fighead/tasks/listener.py
+++ b/src/fighead/tasks/listener.py
@@ -5,6 +5,9 @@
 
 from attrs import define, field, frozen
 from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReadWriteDescriptor
+from twisted.internet.main import CONNECTION_DONE
+from twisted.python.failure import Failure
 from twisted.web.server import Site
 
 from ..clock import Clock, sleep, with_timeout
@@ -115,7 +118,7 @@
     ) -> ConnectionsClosed:
         earlier = self._answered
         await self._accept_what_has_arrived(refuse_at)
-        self._port.stopListening()
+        self._close_port()
         await self._wait_until_closed(min(self.clock.now() + LAST_READ_TIME, refuse_at))
         await self._read_what_has_arrived()
         for channel in tuple(self._channels):
@@ -146,6 +149,20 @@
             if self.clock.now() >= deadline:
                 return
 
+    def _close_port(self) -> None:
+        """Close the port right after the connections that wait have been accepted.
+
+        The reactor would close it in its next turn, and reset those that came by then.
+        """
+        if not IReadWriteDescriptor.providedBy(self._port):
+            self._port.stopListening()
+            return
+        accepted = -1
+        while accepted != self._accepted:
+            accepted = self._accepted
+            self._port.doRead()
+        self._port.connectionLost(Failure(CONNECTION_DONE))
+
     async def _read_what_has_arrived(self) -> None:
         """Wait until the reactor has handled the sockets that are ready now."""
         await sleep(self.clock, dt.timedelta())
--- a/tests/test_listener_sockets.py
+++ b/tests/test_listener_sockets.py
@@ -27,6 +27,12 @@
 
     ended: list = field(factory=list)
     on_end: object = None
+    on_accepted: object = None
+
+    async def _accept_what_has_arrived(self, deadline):
+        await super()._accept_what_has_arrived(deadline)
+        if self.on_accepted is not None:
+            self.on_accepted()
 
     def _remove_channel(self, channel):
         super()._remove_channel(channel)
@@ -70,12 +76,13 @@
         )
         self.listener.start()
         spawn(self.listener.run())
-        self.clients = [Client(self.port.getHost().port) for _ in range(CLIENT_COUNT)]
+        self.clients = [Client(self.port_number) for _ in range(CLIENT_COUNT)]
         self.closed = []
 
     def listen(self, site):
         site.reactor = self.reactor
         self.port = self.reactor.listenTCP(0, site, interface="127.0.0.1")
+        self.port_number = self.port.getHost().port
         return self.port
 
     def close(self):
@@ -163,3 +170,19 @@
     world.run_until(lambda: world.closed and all(c.is_closed for c in world.clients))
     answered = [client for client in world.clients if b"served" in client.received]
     assert len(answered) == CLIENT_COUNT - 1
+
+
+def test_a_connection_that_arrives_just_before_the_port_is_closed_is_served(world):
+    def connect():
+        world.clients += [Client(world.port_number) for _ in range(CLIENT_COUNT)]
+        for client in world.clients[CLIENT_COUNT:]:
+            client.send()
+
+    world.listener.on_accepted = connect
+    world.close()
+    world.run_until(lambda: world.closed and all(c.is_closed for c in world.clients))
+    late = world.clients[CLIENT_COUNT:]
+    answered = [client for client in late if b"served" in client.received]
+    assert len(answered) == CLIENT_COUNT
+    with pytest.raises(ConnectionRefusedError):
+        Client(world.port_number)
