Show what an entry told when a cluster of tests does not converge

The failure has now the last statuses of the live entries, and the last error of a request. What is waited for is unchanged.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -57,16 +57,19 @@
 
     An :class:`OSError`, such as a refused connection, counts as a false value.
     """
+    error = None
     deadline = time.monotonic() + timeout_s
     while time.monotonic() < deadline:
+        error = None
         try:
             result = condition()
-        except OSError:
-            result = None
+        except OSError as exc:
+            result, error = None, exc
         if result:
             return result
         time.sleep(0.05)
-    raise AssertionError(f"Condition not met within {timeout_s} s: {condition}")
+    reason = f"; last error: {error!r}" if error is not None else ""
+    raise AssertionError(f"Condition not met within {timeout_s} s: {condition}{reason}")
 
 
 @define(eq=False)
@@ -171,6 +174,7 @@
     :param curve_keys: Public and secret CURVE key of the peer links. With keys,
         the fronts use TLS with ``cert.pem`` and ``key.pem`` of the folder.
     :param relays: Relays to the store by name of the entry.
+    :param statuses: The last answers of the live entries to :meth:`has_converged`.
     """
 
     folder: pathlib.Path
@@ -188,6 +192,7 @@
     store_url: str = ""
     curve_keys: list = field(factory=list)
     relays: dict = field(factory=dict)
+    statuses: dict = field(factory=dict)
     _ports: object = None
 
     def start(self):
@@ -313,13 +318,15 @@
 
         A resource that no entry has claimed makes it false.
         """
-        statuses = [self.status(name) for name in self.live_entries()]
+        self.statuses = {}
+        for name in self.live_entries():
+            self.statuses[name] = self.status(name)
         return all(
             status["in_force"]
             and status["revision"] > 0
             and not status["unclaimed"]
             and all(line["loaded"] for line in status["lines"])
-            for status in statuses
+            for status in self.statuses.values()
         )
 
     def set_store_faults(self, **faults):
