Log serving tasks that miss their target, and the pace before

Callers of serving tasks saw a target missed beside fillers that went on (HARM). A log had the orders on pace alone: no instance, no tail and no pace before, so that an order that was never sent, one that failed, a late listing and fillers that weren't to blame looked alike.

5210 names, with each listing, the task of an instance that is late for longest, its tail, load and limit, and the fillers beside it with pace, use and learned effect. 5208 has the instance and the earlier pace. No logic changes.

tests/test_pacing.py: both tests fail without the fields.

--- a/src/fighead/decisions/filler_control.py
+++ b/src/fighead/decisions/filler_control.py
@@ -252,6 +252,50 @@
         )
 
 
+def describe_misses(
+    schedule: Schedule, state: InstanceState, now: dt.datetime
+) -> list[Effect]:
+    """Return a log note on the serving task of an instance that is late for longest.
+
+    It tells which fillers run beside the task, at which pace in percent, and how many
+    millicores they used at the last listing.
+    """
+    late = [
+        (run.over_target_since, run)
+        for run in serving_runs(state)
+        if run.over_target_since is not None
+    ]
+    if not late:
+        return []
+    since, run = min(late, key=lambda pair: pair[0])
+    learned = schedule.interference
+    limit = interference.pressure_limit_of(
+        learned, run.stage.image, run.stage.target_ms
+    )
+    load = interference.load_of(learned, run.stage_id, now).level
+    fields: dict[str, t.Any] = {"instance": state.instance.instance_id}
+    fields |= {"task": str(run.key), "run": run.number, "late_tasks": len(late)}
+    fields |= {"tail_ms": run.usage, "target_ms": run.stage.target_ms}
+    fields["late_ms"] = int((now - since) / dt.timedelta(milliseconds=1))
+    fields |= {"load": round(load, 3), "limit": round(limit, 3)}
+    fields["fillers"] = [
+        {
+            "task": str(filler.key),
+            "phase": filler.phase.value,
+            "percent": filler.pace_percent,
+            "usage": filler.usage,
+            "effect": round(
+                interference.mean_effect_of(
+                    learned, run.stage.image, filler.stage.image
+                ),
+                3,
+            ),
+        }
+        for filler in filler_runs(state)
+    ]
+    return [LogNote(Event.TARGET_MISSED, fields)]
+
+
 def pace_fillers(
     schedule: Schedule, state: InstanceState, now: dt.datetime
 ) -> list[Effect]:
@@ -344,8 +388,10 @@
         run.low_pace_since = now
     elif percent > LOW_PACE_PERCENT:
         run.low_pace_since = None
+    fields: dict[str, t.Any] = {"task": str(run.key), "run": run.number}
+    fields |= {"instance": run.instance_id, "percent": percent}
+    fields["earlier_percent"] = run.pace_percent if run.is_pace_known else None
     run.pace_percent, run.is_pace_known = percent, True
-    fields = {"task": str(run.key), "run": run.number, "percent": percent}
     return [
         LogNote(Event.RUN_PACED, fields),
         Order(run.instance_id, PaceRun(run.key, run.number, percent)),
--- a/src/fighead/decisions/run_updates.py
+++ b/src/fighead/decisions/run_updates.py
@@ -85,6 +85,7 @@
         effects += _requeue_missing_runs(schedule, state, listing, sent_at, now)
         state.is_listed = True
     filler_control.learn_from_listing(schedule, state, now)
+    effects += filler_control.describe_misses(schedule, state, now)
     effects += instance_health.update_suspicion(schedule, state, now)
     return effects + filler_control.pace_fillers(schedule, state, now)
 
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -118,6 +118,7 @@
         "A filler's speed is adapted to the serving tasks beside it.",
     )
     RUN_MOVED = (5209, "info", "A run is stopped to go on elsewhere.")
+    TARGET_MISSED = (5210, "info", "A serving task exceeds its target latency.")
     INSTANCE_FOUND = (5301, "info", "An instance has registered.")
     INSTANCE_UNREGISTERED = (5302, "warning", "A registration is gone.")
     INSTANCE_DRAINING = (
--- /dev/null
+++ b/tests/test_pacing.py
@@ -0,0 +1,67 @@
+"""Pacing of fillers beside serving tasks that miss their targets."""
+
+from fighead.decisions.schedule_state import LogNote
+from fighead.job import Stage
+from fighead.log import Event
+from job_builders import (
+    JOB_ID,
+    add_job,
+    listed_run,
+    make_schedule,
+    receive_listing,
+    task_key,
+)
+
+SERVING_JOB_ID = "0000000000000001"
+SERVING = Stage(cpu=13000, memory_mb=1, is_lasting=True, image="s", target_ms=24)
+FILLER = Stage(cpu=7000, memory_mb=1, estimate_ms=3000, image="f", is_filler=True)
+TARGET_MS = 24
+FAST_MS = 6
+
+
+def make_paced_schedule(filler=FILLER):
+    """Return a schedule with a serving task and a filler, both running on i1."""
+    schedule = make_schedule(("i1",))
+    add_job(schedule, SERVING, job_id=SERVING_JOB_ID)
+    add_job(schedule, filler)
+    list_tails(schedule, [FAST_MS], at=1)
+    return schedule
+
+
+def list_tails(schedule, tails, at, filler_use=7000, sent=None):
+    """Apply a listing with the tail of the serving task, and the use of the filler."""
+    serving = task_key(job_id=SERVING_JOB_ID)
+    rows = [listed_run(serving, 1, 100, tail) for tail in tails]
+    rows.append(listed_run(task_key(), 1, 50, filler_use))
+    return receive_listing(schedule, "i1", running=rows, at=at, sent=sent)
+
+
+def notes_in(effects, event):
+    return [
+        effect.fields
+        for effect in effects
+        if isinstance(effect, LogNote) and effect.event is event
+    ]
+
+
+def test_a_missed_target_is_logged_with_the_fillers_beside_it():
+    schedule = make_paced_schedule()
+    (note,) = notes_in(list_tails(schedule, [40], at=2), Event.TARGET_MISSED)
+    assert note["task"] == f"{SERVING_JOB_ID}.0.0.0"
+    assert (note["tail_ms"], note["target_ms"], note["late_ms"]) == (40, TARGET_MS, 0)
+    (filler,) = note["fillers"]
+    assert filler["task"] == f"{JOB_ID}.0.0.0"
+    assert (filler["percent"], filler["usage"]) == (100, 7000)
+    (note,) = notes_in(list_tails(schedule, [40], at=3), Event.TARGET_MISSED)
+    assert note["late_ms"] == 1000
+    assert not notes_in(list_tails(schedule, [FAST_MS], at=4), Event.TARGET_MISSED)
+
+
+def test_an_order_on_pace_is_logged_with_the_earlier_pace():
+    schedule = make_paced_schedule()
+    found = []
+    for at in (2, 3, 4, 5):
+        found += notes_in(list_tails(schedule, [300], at=at), Event.RUN_PACED)
+    assert found[0]["instance"] == "i1"
+    assert [note["percent"] for note in found][-1] == 0
+    assert found[-1]["earlier_percent"] > 0
