Raise no pace while a serving task misses its target

The pace was computed anew with each listing from the forecast, whatever the last tail was. While a serving task of an instance misses its target, paces now only fall; the task has to recover first. The forecast may raise them again then.

--- a/src/fighead/decisions/filler_control.py
+++ b/src/fighead/decisions/filler_control.py
@@ -321,13 +321,21 @@
     fillers: list[RunState],
     now: dt.datetime,
 ) -> dict[t.Hashable, int]:
-    """Return the pace of each filler in percent, by task key and run number."""
-    shares = {(run.key, run.number): 1.0 for run in fillers}
+    """Return the pace of each filler in percent, by task key and run number.
+
+    While a serving task misses its target, no filler is set to a higher pace, even if
+    the task's load is forecast to fall.
+    """
+    is_late = any(_late_since(run) is not None for run in serving_runs(state))
+    shares = {
+        (run.key, run.number): run.pace_percent / 100 if is_late else 1.0
+        for run in fillers
+    }
     capacity = state.instance.capacity.cpu
     for serving in serving_runs(state):
         if serving.phase is RunPhase.STOPPING:
             continue
-        late_for = now - (serving.over_target_since or now)
+        late_for = now - (_late_since(serving) or now)
         load = peak_load(learned, serving.stage_id, now, PACE_HORIZONS)
         slack = free_pressure(learned, serving, load) - PACE_MARGIN
         _reduce_shares(
@@ -336,6 +344,11 @@
     return {identity: round(100 * share) for identity, share in shares.items()}
 
 
+def _late_since(run: RunState) -> dt.datetime | None:
+    """Return since when a serving run has missed its target, unless it is stopping."""
+    return None if run.phase is RunPhase.STOPPING else run.over_target_since
+
+
 def _reduce_shares(
     learned: Interference,
     image: str,
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -1,5 +1,6 @@
 """Pacing of fillers beside serving tasks that miss their targets."""
 
+from fighead.decisions import interference as learning
 from fighead.decisions.schedule_state import LogNote
 from fighead.job import Stage
 from fighead.log import Event
@@ -65,3 +66,22 @@
     assert found[0]["instance"] == "i1"
     assert [note["percent"] for note in found][-1] == 0
     assert found[-1]["earlier_percent"] > 0
+
+
+def set_known_effect(schedule, effect):
+    row = learning.LearnedEffect("s", "f", effect, 1e-4)
+    learning.import_effects(schedule.interference, learning.Learned((row,)))
+
+
+# Failure: as its forecast load falls, a late task gets its fillers back and stays late.
+def test_no_pace_is_raised_beside_a_task_that_misses_its_target():
+    schedule = make_paced_schedule()
+    set_known_effect(schedule, 0.4)
+    paces = []
+    for step, tail in enumerate((20, 60, 30, 25, 25)):
+        found = list_tails(schedule, [tail], at=1.5 + step / 2)
+        paces += [note["percent"] for note in notes_in(found, Event.RUN_PACED)]
+    assert len(paces) > 1
+    assert paces == sorted(paces, reverse=True)
+    found = list_tails(schedule, [FAST_MS], at=4)
+    assert notes_in(found, Event.RUN_PACED)[0]["percent"] > paces[-1]
