Pause fillers beside a late task without waiting for a listing

Callers of serving tasks may see a target missed beside fillers for longer than these may cause (HARM, 4 s).

Paces were set only with a listing, and listings come once a second, so that pauses due after 1.2 and 2.2 s came after 2.0 and 3.0 s. The first listing that shows a miss comes up to 1.5 s after it, as tails are those of the last half second: together over 4 s. The scheduler now looks at late tasks ten times a second, and pauses the harmless fillers after 1.8 s, which leaves time for the order itself.

test_fillers_are_paused_before_a_late_task_counts_as_harmed fails before for three of five times of the first miss (paused after 4.0 to 4.4 s), test_a_pause_does_not_wait_for_the_next_listing after 2.14 s instead of 1.86.

--- a/src/fighead/decisions/filler_control.py
+++ b/src/fighead/decisions/filler_control.py
@@ -49,7 +49,7 @@
 HARMLESS_EFFECT = interference.TOLERABLE_EFFECT
 #: A serving task that has missed its target for this long has all fillers on its
 #: instance paused, harmless ones included.
-PAUSE_ALL_AFTER = dt.timedelta(milliseconds=2200)
+PAUSE_ALL_AFTER = dt.timedelta(milliseconds=1800)
 #: A late serving task has recovered once its tail is at most this share of its
 #: target. Below 1 because listed tails are imprecise.
 RECOVERED_SHARE = 0.85
@@ -315,6 +315,26 @@
     return effects
 
 
+def pace_between_listings(schedule: Schedule, now: dt.datetime) -> list[Effect]:
+    """Pace the fillers beside serving tasks that have been late for too long.
+
+    Listings come about once a second, so that a pause that waited for the next one
+    would come up to a second late.
+    """
+    effects: list[Effect] = []
+    for state in schedule.instances.values():
+        if state.is_reachable and _is_pause_due(state, now):
+            effects += pace_fillers(schedule, state, now)
+    return effects
+
+
+def _is_pause_due(state: InstanceState, now: dt.datetime) -> bool:
+    late_since = (_late_since(run) for run in state.serving.values())
+    return any(
+        at is not None and now - at >= PAUSE_HARMFUL_AFTER for at in late_since
+    ) and any(run.pace_percent > 0 for run in filler_runs(state))
+
+
 def _required_paces(
     learned: Interference,
     state: InstanceState,
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -11,6 +11,7 @@
 from ..codec import from_json, to_json
 from ..decisions import (
     admission,
+    filler_control,
     handover,
     instance_tracking,
     interference,
@@ -926,6 +927,9 @@
                 now,
             )
             self._apply_effects(effects)
+            self._apply_effects(
+                filler_control.pace_between_listings(self.schedule, now)
+            )
         self._apply_effects(self._describe_waits(now))
         for instance_id in sorted(self.agents.keys() - self.schedule.instances.keys()):
             self._remove_agent(instance_id)
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -1,23 +1,34 @@
 """Pacing of fillers beside serving tasks that miss their targets."""
 
+import datetime as dt
+import math
+
+import pytest
+from attrs import evolve
+
+from fighead.decisions import filler_control
 from fighead.decisions import interference as learning
 from fighead.decisions.schedule_state import LogNote
-from fighead.job import Stage
+from fighead.job import JobSpec, Stage
 from fighead.log import Event
+from fighead.standins.simulated_job_instance import SimulatedJobInstance
 from job_builders import (
     JOB_ID,
     add_job,
+    at_seconds,
     listed_run,
     make_schedule,
     receive_listing,
     task_key,
 )
+from job_cluster import JobCluster
 
 SERVING_JOB_ID = "0000000000000001"
 SERVING = Stage(cpu=13000, memory_mb=1, is_lasting=True, image="s", target_ms=24)
 FILLER = Stage(cpu=7000, memory_mb=1, estimate_ms=3000, image="f", is_filler=True)
 TARGET_MS = 24
 FAST_MS = 6
+HARM_TIME_S = 4
 
 
 def make_paced_schedule(filler=FILLER):
@@ -33,7 +44,7 @@
     """Apply a listing with the tail of the serving task, and the use of the filler."""
     serving = task_key(job_id=SERVING_JOB_ID)
     rows = [listed_run(serving, 1, 100, tail) for tail in tails]
-    rows.append(listed_run(task_key(), 1, 50, filler_use))
+    rows.append(listed_run(task_key(), 1, 5 * int(at), filler_use))
     return receive_listing(schedule, "i1", running=rows, at=at, sent=sent)
 
 
@@ -68,8 +79,8 @@
     assert found[-1]["earlier_percent"] > 0
 
 
-def set_known_effect(schedule, effect):
-    row = learning.LearnedEffect("s", "f", effect, 1e-4)
+def set_known_effect(schedule, effect, variance=1e-4):
+    row = learning.LearnedEffect("s", "f", effect, variance)
     learning.import_effects(schedule.interference, learning.Learned((row,)))
 
 
@@ -85,3 +96,58 @@
     assert paces == sorted(paces, reverse=True)
     found = list_tails(schedule, [FAST_MS], at=4)
     assert notes_in(found, Event.RUN_PACED)[0]["percent"] > paces[-1]
+
+
+def pause_delay(first_miss_s):
+    """Return after how many seconds a late task's filler is paused.
+
+    Listings come once a second, and show a miss half a second later; the checks
+    between them come ten times a second.
+    """
+    schedule = make_schedule(("i1",))
+    set_known_effect(schedule, 0.01, variance=1e-9)
+    add_job(schedule, SERVING, job_id=SERVING_JOB_ID)
+    add_job(schedule, FILLER)
+    for tick in range(10, 100):
+        at = tick / 10
+        tail = 30 if at >= first_miss_s + 0.5 else FAST_MS
+        found = list_tails(schedule, [tail], at=at) if tick % 10 == 0 else []
+        found += filler_control.pace_between_listings(schedule, at_seconds(at))
+        if any(note["percent"] == 0 for note in notes_in(found, Event.RUN_PACED)):
+            return at - first_miss_s
+    return math.inf
+
+
+# Failure: listings a second apart show for how long a task is late, a second late.
+@pytest.mark.parametrize("first_miss_s", [1.0, 1.3, 1.5, 1.6, 1.9])
+def test_fillers_are_paused_before_a_late_task_counts_as_harmed(first_miss_s):
+    assert pause_delay(first_miss_s) <= HARM_TIME_S - 0.3
+
+
+def test_a_pause_does_not_wait_for_the_next_listing(monkeypatch):
+    cluster = JobCluster(instance_count=1)
+    cluster.advance(2)
+    scheduler = cluster.entries[cluster.leader()].entry.scheduler
+    set_known_effect(scheduler.schedule, 0.01, variance=1e-9)
+    serving, filler = evolve(SERVING, cpu=2000), evolve(FILLER, cpu=1000)
+    cluster.submit(SERVING_JOB_ID, JobSpec("x", (serving,)))
+    cluster.submit(JOB_ID, JobSpec("x", (evolve(filler, estimate_ms=30_000),)))
+    cluster.advance(3)
+    paces = []
+
+    def make_late_run(instance, run):
+        listed = make_listed_run(instance, run)
+        return evolve(listed, usage=30) if run.stage.target_ms else listed
+
+    def set_pace(instance, order, fence):
+        paces.append((cluster.clock.now(), order.percent))
+
+    make_listed_run = SimulatedJobInstance._make_listed_run
+    monkeypatch.setattr(SimulatedJobInstance, "_make_listed_run", make_late_run)
+    monkeypatch.setattr(SimulatedJobInstance, "set_pace", set_pace)
+    cluster.advance(4)
+    (run,) = scheduler.schedule.instances["i0"].serving.values()
+    ((paced_at, percent),) = paces
+    assert percent == 0
+    delay = paced_at - run.over_target_since
+    assert delay < filler_control.PAUSE_ALL_AFTER + dt.timedelta(seconds=0.2)
