Repeat orders on pace that got no answer

Callers of serving tasks may see a target missed beside a filler that goes on at full speed (HARM): an order to slow it down that is lost, or that an unhealthy instance turns away, was sent once, while the scheduler noted the new pace as set and sent it no more. Listings don't tell the pace, so that nothing showed the difference.

The agent now repeats an order on pace, as it does with stops, until it is answered, refused for good, or followed by a later one for the same run.

test_an_order_on_pace_is_repeated_until_it_is_answered fails before: sent once instead of three times.

--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -223,6 +223,8 @@
     _is_answering: bool = False
     #: Stops without an answer, which are repeated.
     _stops: set[StopRun] = field(factory=set)
+    #: The latest order on pace without an answer, by task and number of the run.
+    _paces: dict[tuple[TaskKey, int], PaceRun] = field(factory=dict)
     _is_stopped: bool = False
     #: Wait of the listing under way, its number, and the instance's clock in ms in the
     #: answer that has overtaken it.
@@ -480,9 +482,31 @@
             return
 
     async def _send_pace(self, order: PaceRun) -> None:
-        fence = self.fence
-        try:
-            await self.client.set_pace(order, fence, CALL_TIMEOUT)
-        except WorkerError as exc:
-            # Not retried: the next listing shows whether the pace must be set again.
-            self._report_error(exc, fence)
+        """Repeat an order on pace until it is answered or a later one follows.
+
+        Listings don't tell the pace, so that nothing else would show the loss.
+        """
+        identity = (order.task, order.number)
+        self._paces[identity] = order
+        while not self._is_stopped and self._paces.get(identity) is order:
+            if not self.may_act():
+                await sleep(self.clock, RETRY_PAUSE * 2)
+                continue
+            fence = self.fence
+            try:
+                await self.client.set_pace(order, fence, CALL_TIMEOUT)
+            except WorkerError as exc:
+                self._report_error(exc, fence)
+                if _may_succeed_later(exc) or fence != self.fence:
+                    await sleep(self.clock, RETRY_PAUSE * 2)
+                    continue
+            break
+        if self._paces.get(identity) is order:
+            del self._paces[identity]
+
+
+def _may_succeed_later(exc: WorkerError) -> bool:
+    """Whether a call that failed so is worth a repetition to the same incarnation."""
+    if isinstance(exc, WorkerRefusedError):
+        return exc.reason == RefusalReason.UNHEALTHY.value
+    return isinstance(exc, WorkerUnreachableError)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -17,6 +17,7 @@
 from fighead.run import (
     EndKind,
     Listing,
+    PaceRun,
     RefusalReason,
     RegisteredInstance,
     RunEnd,
@@ -47,8 +48,10 @@
 class ScriptedInstance:
     """Answers starts with the results of a script, and listings when told to."""
 
-    def __init__(self, start_results=()):
+    def __init__(self, start_results=(), pace_results=()):
         self.instance = RegisteredInstance("i-1", "1", "10.0.0.1:80", "u")
+        self.pace_results = list(pace_results)
+        self.paces = []
         self.start_results = list(start_results)
         self.listing_calls = []
         self.listing_waits = []
@@ -61,6 +64,14 @@
             raise result
         return result
 
+    async def set_pace(self, order, fence, timeout):
+        self.paces.append(order.percent)
+        result = self.pace_results.pop(0) if self.pace_results else None
+        if isinstance(result, Deferred):
+            await result
+        if isinstance(result, Exception):
+            raise result
+
     async def renew_and_list(self, fence, acknowledged, lease_until_ms, wait, timeout):
         answer = Deferred()
         self.listing_waits.append(wait)
@@ -276,3 +287,52 @@
     permitted[0] = False
     agent.mailbox.offer(AnswerWanted())
     assert len(instance.listing_calls) == 2
+
+
+# Failure: a filler whose order to slow down is lost goes on at full speed.
+@pytest.mark.parametrize("failure", [LOST, NOT_SENT, refused(RefusalReason.UNHEALTHY)])
+def test_an_order_on_pace_is_repeated_until_it_is_answered(timer, failure):
+    instance = ScriptedInstance(pace_results=[failure, failure])
+    agent, _ = start_agent(timer, instance)
+    agent.mailbox.offer(PaceRun(TASK, 1, 0))
+    timer.pump([0.1] * 30)
+    assert instance.paces == [0, 0, 0]
+
+
+def test_only_the_latest_order_on_the_pace_of_a_run_is_repeated(timer):
+    unanswered = Deferred()
+    instance = ScriptedInstance(pace_results=[unanswered])
+    agent, _ = start_agent(timer, instance)
+    agent.mailbox.offer(PaceRun(TASK, 1, 100))
+    agent.mailbox.offer(PaceRun(TASK, 1, 0))
+    unanswered.errback(LOST)
+    timer.pump([0.1] * 30)
+    assert instance.paces == [100, 0]
+
+
+@pytest.mark.parametrize("reason", [RefusalReason.FENCED, RefusalReason.INVALID])
+def test_an_order_on_pace_that_is_refused_for_good_is_not_repeated(timer, reason):
+    instance = ScriptedInstance(pace_results=[refused(reason)])
+    agent, _ = start_agent(timer, instance)
+    agent.mailbox.offer(PaceRun(TASK, 1, 0))
+    timer.pump([0.1] * 30)
+    assert instance.paces == [0]
+
+
+def test_an_order_on_pace_is_not_repeated_without_permission_or_once_stopped(timer):
+    instance, permitted = ScriptedInstance(pace_results=[LOST, LOST]), [True]
+    clock = ReactorClock(timer, START_TIME)
+    agent = AgentTask(
+        instance, clock, LEASE, 1, lambda: permitted[0], lambda report: None
+    )
+    agent.start()
+    agent.mailbox.offer(PaceRun(TASK, 1, 0))
+    permitted[0] = False
+    timer.pump([0.1] * 10)
+    assert instance.paces == [0]
+    permitted[0] = True
+    timer.advance(1)
+    assert instance.paces == [0, 0]
+    agent.stop()
+    timer.advance(5)
+    assert instance.paces == [0, 0]
