Pause fillers of an earlier leader beside a late task

Callers of serving tasks may see a target missed for longer than fillers may cause (HARM) around a change of the leader: the new one doesn't know the paces that the one before had set, counted each as full speed, and ordered the pace that the forecast allows with the first listing, though that showed the target missed. A filler that had been paused worked again, and the time for which the task had been late began anew. Found by reading; no play has shown it.

Beside a late task a filler whose pace is not known is now paused, and gets its pace once the task has recovered.

test_a_filler_of_an_earlier_leader_is_not_sped_up_beside_a_late_task fails before: 100 instead of 0 %.

--- a/src/fighead/decisions/filler_control.py
+++ b/src/fighead/decisions/filler_control.py
@@ -344,11 +344,11 @@
     """Return the pace of each filler in percent, by task key and run number.
 
     While a serving task misses its target, no filler is set to a higher pace, even if
-    the task's load is forecast to fall.
+    the task's load is forecast to fall. One whose pace is not known is paused then.
     """
     is_late = any(_late_since(run) is not None for run in serving_runs(state))
     shares = {
-        (run.key, run.number): run.pace_percent / 100 if is_late else 1.0
+        (run.key, run.number): _share_beside_late(run) if is_late else 1.0
         for run in fillers
     }
     capacity = state.instance.capacity.cpu
@@ -364,6 +364,11 @@
     return {identity: round(100 * share) for identity, share in shares.items()}
 
 
+def _share_beside_late(run: RunState) -> float:
+    """Return the highest share of full speed for a filler beside a late task."""
+    return run.pace_percent / 100 if run.is_pace_known else 0.0
+
+
 def _late_since(run: RunState) -> dt.datetime | None:
     """Return since when a serving run has missed its target, unless it is stopping."""
     return None if run.phase is RunPhase.STOPPING else run.over_target_since
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -151,3 +151,15 @@
     assert percent == 0
     delay = paced_at - run.over_target_since
     assert delay < filler_control.PAUSE_ALL_AFTER + dt.timedelta(seconds=0.2)
+
+
+# Failure: a new leader sets fillers to full speed that the one before had paused.
+def test_a_filler_of_an_earlier_leader_is_not_sped_up_beside_a_late_task():
+    schedule = make_schedule(("i1",))
+    set_known_effect(schedule, 0.01)
+    add_job(schedule, SERVING, job_id=SERVING_JOB_ID)
+    add_job(schedule, FILLER)
+    (note,) = notes_in(list_tails(schedule, [30], at=1), Event.RUN_PACED)
+    assert (note["percent"], note["earlier_percent"]) == (0, None)
+    (note,) = notes_in(list_tails(schedule, [FAST_MS], at=2), Event.RUN_PACED)
+    assert note["percent"] == 100
