Report a failed order on pace once

Each failure of a call counts as silence of the instance until its next listing, and nothing is placed there meanwhile. Only the first failure of an order is reported now, as before the repetitions.

test_an_order_on_pace_is_repeated_until_it_is_answered now also counts the reports; it fails before, with three.

--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -488,6 +488,7 @@
         """
         identity = (order.task, order.number)
         self._paces[identity] = order
+        is_repetition = False
         while not self._is_stopped and self._paces.get(identity) is order:
             if not self.may_act():
                 await sleep(self.clock, RETRY_PAUSE * 2)
@@ -496,8 +497,11 @@
             try:
                 await self.client.set_pace(order, fence, CALL_TIMEOUT)
             except WorkerError as exc:
-                self._report_error(exc, fence)
-                if _may_succeed_later(exc) or fence != self.fence:
+                may_succeed_later = _may_succeed_later(exc)
+                if not (is_repetition and may_succeed_later):
+                    self._report_error(exc, fence)
+                if may_succeed_later or fence != self.fence:
+                    is_repetition = True
                     await sleep(self.clock, RETRY_PAUSE * 2)
                     continue
             break
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -28,6 +28,7 @@
     Acknowledge,
     AgentTask,
     AnswerWanted,
+    CallFailed,
     InstanceRestarted,
     ListingReceived,
     StartAnswered,
@@ -293,10 +294,12 @@
 @pytest.mark.parametrize("failure", [LOST, NOT_SENT, refused(RefusalReason.UNHEALTHY)])
 def test_an_order_on_pace_is_repeated_until_it_is_answered(timer, failure):
     instance = ScriptedInstance(pace_results=[failure, failure])
-    agent, _ = start_agent(timer, instance)
+    agent, reports = start_agent(timer, instance)
     agent.mailbox.offer(PaceRun(TASK, 1, 0))
     timer.pump([0.1] * 30)
     assert instance.paces == [0, 0, 0]
+    # A failure stands for silence until the next listing, so repetitions report none.
+    assert len([each for each in reports if isinstance(each, CallFailed)]) == 1
 
 
 def test_only_the_latest_order_on_the_pace_of_a_run_is_repeated(timer):
