--- a/src/fighead/decisions/filler_control.py
+++ b/src/fighead/decisions/filler_control.py
@@ -49,7 +49,7 @@
 HARMLESS_EFFECT = interference.TOLERABLE_EFFECT
 #: A serving task that has missed its target for this long has all fillers on its
 #: instance paused, harmless ones included.
-PAUSE_ALL_AFTER = dt.timedelta(milliseconds=2200)
+PAUSE_ALL_AFTER = dt.timedelta(milliseconds=1800)
 #: A late serving task has recovered once its tail is at most this share of its
 #: target. Below 1 because listed tails are imprecise.
 RECOVERED_SHARE = 0.85
@@ -252,6 +252,50 @@
         )
 
 
+def describe_misses(
+    schedule: Schedule, state: InstanceState, now: dt.datetime
+) -> list[Effect]:
+    """Return a log note on the serving task of an instance that is late for longest.
+
+    It tells which fillers run beside the task, at which pace in percent, and how many
+    millicores they used at the last listing.
+    """
+    late = [
+        (run.over_target_since, run)
+        for run in serving_runs(state)
+        if run.over_target_since is not None
+    ]
+    if not late:
+        return []
+    since, run = min(late, key=lambda pair: pair[0])
+    learned = schedule.interference
+    limit = interference.pressure_limit_of(
+        learned, run.stage.image, run.stage.target_ms
+    )
+    load = interference.load_of(learned, run.stage_id, now).level
+    fields: dict[str, t.Any] = {"instance": state.instance.instance_id}
+    fields |= {"task": str(run.key), "run": run.number, "late_tasks": len(late)}
+    fields |= {"tail_ms": run.usage, "target_ms": run.stage.target_ms}
+    fields["late_ms"] = int((now - since) / dt.timedelta(milliseconds=1))
+    fields |= {"load": round(load, 3), "limit": round(limit, 3)}
+    fields["fillers"] = [
+        {
+            "task": str(filler.key),
+            "phase": filler.phase.value,
+            "percent": filler.pace_percent,
+            "usage": filler.usage,
+            "effect": round(
+                interference.mean_effect_of(
+                    learned, run.stage.image, filler.stage.image
+                ),
+                3,
+            ),
+        }
+        for filler in filler_runs(state)
+    ]
+    return [LogNote(Event.TARGET_MISSED, fields)]
+
+
 def pace_fillers(
     schedule: Schedule, state: InstanceState, now: dt.datetime
 ) -> list[Effect]:
@@ -271,19 +315,47 @@
     return effects
 
 
+def pace_between_listings(schedule: Schedule, now: dt.datetime) -> list[Effect]:
+    """Pace the fillers beside serving tasks that have been late for too long.
+
+    Listings come about once a second, so that a pause that waited for the next one
+    would come up to a second late.
+    """
+    effects: list[Effect] = []
+    for state in schedule.instances.values():
+        if state.is_reachable and _is_pause_due(state, now):
+            effects += pace_fillers(schedule, state, now)
+    return effects
+
+
+def _is_pause_due(state: InstanceState, now: dt.datetime) -> bool:
+    late_since = (_late_since(run) for run in state.serving.values())
+    return any(
+        at is not None and now - at >= PAUSE_HARMFUL_AFTER for at in late_since
+    ) and any(run.pace_percent > 0 for run in filler_runs(state))
+
+
 def _required_paces(
     learned: Interference,
     state: InstanceState,
     fillers: list[RunState],
     now: dt.datetime,
 ) -> dict[t.Hashable, int]:
-    """Return the pace of each filler in percent, by task key and run number."""
-    shares = {(run.key, run.number): 1.0 for run in fillers}
+    """Return the pace of each filler in percent, by task key and run number.
+
+    While a serving task misses its target, no filler is set to a higher pace, even if
+    the task's load is forecast to fall. One whose pace is not known is paused then.
+    """
+    is_late = any(_late_since(run) is not None for run in serving_runs(state))
+    shares = {
+        (run.key, run.number): _share_beside_late(run) if is_late else 1.0
+        for run in fillers
+    }
     capacity = state.instance.capacity.cpu
     for serving in serving_runs(state):
         if serving.phase is RunPhase.STOPPING:
             continue
-        late_for = now - (serving.over_target_since or now)
+        late_for = now - (_late_since(serving) or now)
         load = peak_load(learned, serving.stage_id, now, PACE_HORIZONS)
         slack = free_pressure(learned, serving, load) - PACE_MARGIN
         _reduce_shares(
@@ -292,6 +364,16 @@
     return {identity: round(100 * share) for identity, share in shares.items()}
 
 
+def _share_beside_late(run: RunState) -> float:
+    """Return the highest share of full speed for a filler beside a late task."""
+    return run.pace_percent / 100 if run.is_pace_known else 0.0
+
+
+def _late_since(run: RunState) -> dt.datetime | None:
+    """Return since when a serving run has missed its target, unless it is stopping."""
+    return None if run.phase is RunPhase.STOPPING else run.over_target_since
+
+
 def _reduce_shares(
     learned: Interference,
     image: str,
@@ -344,8 +426,10 @@
         run.low_pace_since = now
     elif percent > LOW_PACE_PERCENT:
         run.low_pace_since = None
+    fields: dict[str, t.Any] = {"task": str(run.key), "run": run.number}
+    fields |= {"instance": run.instance_id, "percent": percent}
+    fields["earlier_percent"] = run.pace_percent if run.is_pace_known else None
     run.pace_percent, run.is_pace_known = percent, True
-    fields = {"task": str(run.key), "run": run.number, "percent": percent}
     return [
         LogNote(Event.RUN_PACED, fields),
         Order(run.instance_id, PaceRun(run.key, run.number, percent)),
