Hold back the serving tasks of a stage at the same time

Cause: the wait of a serving task began when a round of placement first tried it, and a round went through the tasks of a stage by index and stopped at the first that found no instance. A task that was held back from the reserved instances for 3 s kept the others from being tried, so that each was held back after the one before, and one that had waited long waited again behind any of a lower index that had just ended.

All serving tasks that may start are now noted as waiting at the start of a round, also those that a full window of starts leaves out, and of a stage those that have waited longest are tried first. While the longest wait is too short, all others are.

Both tests failed before: one start of three after 3 s; no start at 20 s of a task that waited from 0 s on. The plain reference in test_placement_cost.py follows the same order; it is as strict as before.

--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -99,7 +99,9 @@
     if max_starts == 0:
         return effects
     round_ = PlacementRound(schedule, now, max_starts)
-    for job, stage in _waiting_stages(schedule, now):
+    waiting = _waiting_stages(schedule, now)
+    _note_waits_of_serving_tasks(schedule, waiting, now)
+    for job, stage in waiting:
         if round_.is_full():
             break
         if stage.spec.is_gang:
@@ -319,6 +321,34 @@
     return found
 
 
+def _note_waits_of_serving_tasks(
+    schedule: Schedule,
+    waiting: t.Iterable[tuple[JobState, StageState]],
+    now: dt.datetime,
+) -> None:
+    """Note since when serving tasks wait, also of those that a round doesn't reach."""
+    for job, stage in waiting:
+        if stage.spec.target_ms:
+            for index in schedule.find_startable(job, stage):
+                task = stage.tasks[index]
+                task.waiting_since = task.waiting_since or now
+
+
+def _find_tasks_to_place(
+    round_: PlacementRound, job: JobState, stage: StageState
+) -> list[TaskState]:
+    """Return the tasks of a stage that may start, those to be placed first first.
+
+    Of serving tasks that is the one that has waited longest: while it is held back, so
+    are the others.
+    """
+    indexes = sorted(round_.schedule.find_startable(job, stage))
+    tasks = [stage.tasks[index] for index in indexes]
+    if stage.spec.target_ms:
+        tasks.sort(key=lambda task: task.waiting_since or round_.now)
+    return tasks
+
+
 def _urgency(job: JobState, stage: StageState, now: dt.datetime) -> tuple[t.Any, ...]:
     """Return a sort key: priority, then timeliness, then value per remaining work.
 
@@ -342,8 +372,7 @@
         if not _is_starved(round_, job, stage):
             return []
     effects: list[Effect] = []
-    for index in sorted(round_.schedule.find_startable(job, stage)):
-        task = stage.tasks[index]
+    for task in _find_tasks_to_place(round_, job, stage):
         task.waiting_since = task.waiting_since or round_.now
         state = _choose_instance(round_, job, stage, task)
         if state is None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -464,3 +464,33 @@
         state.is_registered = state.is_reachable = False
     add_job(schedule, SENSITIVE)
     assert orders_in(placement.place_waiting_tasks(schedule, at_seconds(0)))
+
+
+def make_schedule_with_few_instances_for_serving(count):
+    """Return a schedule whose only usable instances are reserved, for a while."""
+    schedule = make_schedule([f"i{number}" for number in range(10 * count)])
+    for name in list(schedule.instances)[count:]:
+        state = schedule.instances[name]
+        state.instance = evolve(state.instance, is_draining=True)
+    return schedule
+
+
+# Failure: each task of a stage is held back only after the one before has started.
+def test_serving_tasks_of_a_stage_are_held_back_at_the_same_time():
+    schedule = make_schedule_with_few_instances_for_serving(3)
+    add_job(schedule, evolve(SENSITIVE, count=3, max_per_instance=1))
+    assert not place_tasks(schedule, 0)
+    assert len(place_tasks(schedule, 3)) == 3
+
+
+# Failure: a task that has waited long waits for one of its stage that has just ended.
+def test_a_serving_task_is_not_held_back_with_one_that_waits_since_later():
+    schedule = make_schedule_with_few_instances_for_serving(2)
+    add_job(schedule, evolve(SENSITIVE, count=2, max_per_instance=1))
+    schedule.instances["i1"].is_reachable = False
+    place_tasks(schedule, 0)
+    ((name, first),) = place_tasks(schedule, 3)
+    failed = ended_run(1, first, 1, EndKind.FAILED)
+    receive_listing(schedule, name, ended=[failed], at=20)
+    schedule.instances["i1"].is_reachable = True
+    assert [task for _, task in place_tasks(schedule, 20)] == [task_key(1)]
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -130,7 +130,12 @@
 
     def place(self):
         effects = []
-        for job, stage in placement._waiting_stages(self.schedule, self.now):
+        waiting = placement._waiting_stages(self.schedule, self.now)
+        for _, stage in waiting:
+            for index in stage.waiting_indexes if stage.spec.target_ms else ():
+                task = stage.tasks[index]
+                task.waiting_since = task.waiting_since or self.now
+        for job, stage in waiting:
             if stage.spec.is_gang:
                 effects += self.place_gang(job, stage)
             else:
@@ -139,7 +144,10 @@
 
     def place_tasks(self, job, stage):
         spec, effects = stage.spec, []
-        for index in sorted(stage.waiting_indexes):
+        indexes = sorted(stage.waiting_indexes)
+        if spec.target_ms:
+            indexes.sort(key=lambda index: stage.tasks[index].waiting_since)
+        for index in indexes:
             task = stage.tasks[index]
             task.waiting_since = task.waiting_since or self.now
             state = self.choose(job, stage, task)
