Let a task go on waiting if its start is refused or unanswered

Cause: the wait of a task ended with the order of its start and began anew once the start was refused or, without an answer, stopped. A serving task that had been held back for 3 s was then held back for 3 s more, after each such start, whereas the users count from the end of its last run.

A run now remembers since when its task had been waiting, and gives it back if the run was never seen to start.

--- a/src/fighead/decisions/run_updates.py
+++ b/src/fighead/decisions/run_updates.py
@@ -204,7 +204,7 @@
 ) -> None:
     """Add a run to its instance, its stage and its task."""
     task.runs.append(run)
-    task.waiting_since = None
+    run.waiting_since, task.waiting_since = task.waiting_since, None
     task.is_accounted = True
     task.highest_run_number = max(task.highest_run_number, run.number)
     stage.waiting_indexes.discard(task.key.index)
@@ -342,6 +342,7 @@
     """Release a run that ended without reporting how.
 
     Its task is queued again unless it is done, has another run or its job has ended.
+    It goes on waiting if the run was never seen to start.
     """
     release_run(schedule, run)
     job = schedule.jobs.get(run.key.job_id)
@@ -351,6 +352,8 @@
     task = stage.tasks[run.key.index]
     if not task.is_done and not task.runs:
         stage.waiting_indexes.add(run.key.index)
+        if run.progressed_at is None:
+            task.waiting_since = run.waiting_since
 
 
 def _requeue_missing_runs(
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -47,6 +47,8 @@
     :param late_until: Until when its start, should it arrive late, can keep it running
         at a later incarnation; ``None`` if it can't arrive late.
     :param may_start_late: Whether an attempt to start it got no answer so far.
+    :param waiting_since: Since when its task had been waiting when the start was
+        ordered.
     :param progressed_at: When the run was started or ``percent`` last increased.
     :param percent: Completed share of the work.
     :param usage: Tail latency in ms for a serving task, otherwise millicores.
@@ -67,6 +69,7 @@
     confirmed_at: dt.datetime | None = None
     late_until: dt.datetime | None = None
     may_start_late: bool = True
+    waiting_since: dt.datetime | None = None
     progressed_at: dt.datetime | None = None
     percent: int = 0
     usage: int = 0
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -15,7 +15,7 @@
 from fighead.decisions import interference as learning
 from fighead.decisions.schedule_state import RecentEnd
 from fighead.job import Demand, JobPhase, JobProgress, Queue, Stage, StageProgress
-from fighead.run import EndKind, PaceRun, StartRun, StopRun
+from fighead.run import EndKind, PaceRun, RefusalReason, StartRun, StopRun
 from job_builders import (
     add_instance,
     add_job,
@@ -494,3 +494,26 @@
     receive_listing(schedule, name, ended=[failed], at=20)
     schedule.instances["i1"].is_reachable = True
     assert [task for _, task in place_tasks(schedule, 20)] == [task_key(1)]
+
+
+# Failure: a serving task is held back anew after each start that is refused.
+def test_a_serving_task_whose_start_is_refused_is_not_held_back_again():
+    schedule = make_schedule_of_reserved_instances()
+    add_job(schedule, SENSITIVE)
+    place_tasks(schedule, 0)
+    ((_, task),) = place_tasks(schedule, 3)
+    answer = run_updates.apply_start_result
+    answer(schedule, task, 1, RefusalReason.NO_ROOM, at_seconds(3.1))
+    assert place_tasks(schedule, 4)
+
+
+# Failure: a serving task is held back anew after each start without an answer.
+def test_a_serving_task_whose_start_gets_no_answer_is_not_held_back_again():
+    schedule = make_schedule_of_reserved_instances()
+    add_job(schedule, SENSITIVE)
+    place_tasks(schedule, 0)
+    ((name, task),) = place_tasks(schedule, 3)
+    run_updates.stop_unanswered_start(schedule, task, 1)
+    run_updates.record_stop_confirmation(schedule, task, 1, at_seconds(5))
+    receive_listing(schedule, name, at=5.2)
+    assert place_tasks(schedule, 5.2)
