Count the wait of a task from the silence of its instance

Cause: a serving task of an instance that crashed waits for the end of the leases, 6.3 s after the last call, and was then held back from the reserved instances for 3 s more: 9.3 s, where the users allow 9 s from the end of its last run, which is the crash.

The wait of a lost task is now counted from the silence of its instance, after which its run may have ended. The test failed before: no start at the end of the leases, 6 s after the silence.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -576,7 +576,7 @@
         fields = {"instance": state.instance.instance_id, "runs": len(lost)}
         effects.append(LogNote(Event.INSTANCE_LOST, fields))
     for run in lost:
-        requeue_lost_run(schedule, run)
+        requeue_lost_run(schedule, run, ended_at=state.silent_since)
     if not state.is_registered and not state.runs:
         instance_id = state.instance.instance_id
         schedule.restart_counts[instance_id] = state.restart_count + 1
--- a/src/fighead/decisions/run_updates.py
+++ b/src/fighead/decisions/run_updates.py
@@ -338,11 +338,15 @@
         state.remove(run)
 
 
-def requeue_lost_run(schedule: Schedule, run: RunState) -> None:
+def requeue_lost_run(
+    schedule: Schedule, run: RunState, ended_at: dt.datetime | None = None
+) -> None:
     """Release a run that ended without reporting how.
 
     Its task is queued again unless it is done, has another run or its job has ended.
     It goes on waiting if the run was never seen to start.
+
+    :param ended_at: When the run may have ended at the earliest; ``None`` for now.
     """
     release_run(schedule, run)
     job = schedule.jobs.get(run.key.job_id)
@@ -352,8 +356,9 @@
     task = stage.tasks[run.key.index]
     if not task.is_done and not task.runs:
         stage.waiting_indexes.add(run.key.index)
-        if run.progressed_at is None:
-            task.waiting_since = run.waiting_since
+        task.waiting_since = (
+            run.waiting_since if run.progressed_at is None else ended_at
+        )
 
 
 def _requeue_missing_runs(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,6 +8,7 @@
 from fighead.decisions import (
     filler_control,
     instance_health,
+    instance_tracking,
     job_value,
     placement,
     run_updates,
@@ -17,6 +18,7 @@
 from fighead.job import Demand, JobPhase, JobProgress, Queue, Stage, StageProgress
 from fighead.run import EndKind, PaceRun, RefusalReason, StartRun, StopRun
 from job_builders import (
+    LEASE,
     add_instance,
     add_job,
     at_seconds,
@@ -517,3 +519,20 @@
     run_updates.record_stop_confirmation(schedule, task, 1, at_seconds(5))
     receive_listing(schedule, name, at=5.2)
     assert place_tasks(schedule, 5.2)
+
+
+# Failure: a serving task is held back after the leases of its instance have ended,
+# although it has not run since the instance fell silent.
+def test_a_serving_task_of_a_lost_instance_is_not_held_back():
+    schedule = make_schedule_with_few_instances_for_serving(2)
+    add_job(schedule, SENSITIVE)
+    place_tasks(schedule, 0)
+    ((name, task),) = place_tasks(schedule, 3)
+    receive_listing(schedule, name, running=[listed_run(task, 1)], at=10)
+    state = schedule.instances[name]
+    instance_tracking.record_silence(state, at_seconds(11))
+    schedule.predecessors_end = at_seconds(0)
+    state.leases_end_at = at_seconds(16.5)
+    schedule.sole_at = at_seconds(17)
+    instance_tracking.update_instances(schedule, LEASE, at_seconds(17))
+    assert [task for _, task in place_tasks(schedule, 17)] == [task]
