Tell instances out of reach from calls lost at random

Cause: a peer that was turned away with 429 or 503 counted the instance as reached, although a leader can't list it either; and the leader's silence of a second was weighed against a single call of each peer, so that the luckiest peer seemed better placed.

An instance that turns callers away now counts as not reached. The leader calls the sample at the same time, and a peer must reach each instance that the leader does and gain a tenth, in two rounds.

--- a/src/fighead/decisions/reach.py
+++ b/src/fighead/decisions/reach.py
@@ -22,6 +22,9 @@
 #: of peers. Each call is billed.
 SAMPLE_SIZE = 8
 MAX_PEERS = 12
+#: Number of times that peers are asked before the leader hands over to one: calls may
+#: be lost at random.
+ROUNDS = 2
 #: Pause after a survey; it doubles with each that finds no successor.
 MIN_PAUSE = dt.timedelta(seconds=2)
 MAX_PAUSE = dt.timedelta(seconds=32)
@@ -82,13 +85,18 @@
     return tuple(states[n * len(states) // count].instance for n in range(count))
 
 
-def is_better_placed(survey: Survey, reached: t.Collection[str]) -> bool:
+def is_better_placed(
+    survey: Survey, own: t.Collection[str], reached: t.Collection[str]
+) -> bool:
     """Whether a peer should lead, by the IDs of the instances that it reaches.
 
-    It must reach each answering one, so that leaders don't take turns.
+    It must reach each that this entry does, so that leaders don't take turns.
+
+    :param own: IDs of those that this entry reaches when asked at the same time. Calls
+        may be lost at random, or an instance turn some of all callers away.
     """
-    if not all(each.instance_id in reached for each in survey.answering):
+    if not set(own) <= set(reached):
         return False
-    gained = sum(each.instance_id in reached for each in survey.silent)
-    share = gained / len(survey.silent)
-    return gained > 0 and share * survey.silent_share >= MIN_GAIN_SHARE
+    gained = {each.instance_id for each in survey.silent} & set(reached) - set(own)
+    share = len(gained) / len(survey.silent)
+    return bool(gained) and share * survey.silent_share >= MIN_GAIN_SHARE
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -406,27 +406,39 @@
 
     async def _survey_peers(self, fence: int, survey: Survey) -> None:
         peers = sorted(self.peer.peers())
-        asked = self._random.sample(peers, min(len(peers), reach.MAX_PEERS))
-        request = m.ReachAsked(survey.silent + survey.answering)
-        answers = await ask_peers(self.peer.ask, asked, request)
+        better = self._random.sample(peers, min(len(peers), reach.MAX_PEERS))
+        for _ in range(reach.ROUNDS):
+            better = await self._find_better_placed(survey, better)
+        if not better or not self.leadership.is_leading:
+            return
+        for name in peers:
+            if name not in better:
+                self.peer.send(name, m.YieldAsked())
+        self.leadership.mailbox.offer(leadership.PeerReachesMore(fence, better[0]))
+
+    async def _find_better_placed(self, survey: Survey, peers: list[str]) -> list[str]:
+        """Return those of some peers that reach more instances than this entry."""
+        if not peers:
+            return []
+        instances = survey.silent + survey.answering
+        asking = spawn(ask_peers(self.peer.ask, peers, m.ReachAsked(instances)))
+        own = await find_reached(self.adapter.make_client, instances)
+        answers = await asking
         better = [
             name
             for name, answer in sorted(answers.items())
-            if answer.can_lead and reach.is_better_placed(survey, answer.instances)
+            if answer.can_lead and reach.is_better_placed(survey, own, answer.instances)
         ]
         log_event(
             Event.REACH_SURVEYED,
             silent_share=round(survey.silent_share, 3),
-            asked=len(asked),
+            asked=len(peers),
             answered=len(answers),
+            called=len(instances),
+            reached=len(own),
             better=better,
         )
-        if not better or not self.leadership.is_leading:
-            return
-        for name in peers:
-            if name not in better:
-                self.peer.send(name, m.YieldAsked())
-        self.leadership.mailbox.offer(leadership.PeerReachesMore(fence, better[0]))
+        return better
 
     async def _find_reached(self, asked: m.ReachAsked) -> m.ReachIs:
         instances = await find_reached(self.adapter.make_client, asked.instances)
--- a/src/fighead/tasks/reach.py
+++ b/src/fighead/tasks/reach.py
@@ -12,7 +12,7 @@
     WorkerUnreachableError,
 )
 from ..job_message import ReachAsked, ReachIs
-from ..run import RegisteredInstance
+from ..run import RefusalReason, RegisteredInstance
 from .agent import CALL_TIMEOUT, InstanceClient
 
 #: Timeout of a peer's answer, which follows those of all its calls.
@@ -26,7 +26,10 @@
     make_client: t.Callable[[RegisteredInstance], InstanceClient],
     instances: t.Iterable[RegisteredInstance],
 ) -> tuple[str, ...]:
-    """Call instances, without any effect; return the IDs of those that answer."""
+    """Call instances, without any effect; return the IDs of those that are reached.
+
+    One that turns callers away could not be listed by a leader either.
+    """
     clients = [make_client(instance) for instance in instances]
     answers = await gatherResults(
         [Deferred.fromCoroutine(_answers(client)) for client in clients]
@@ -43,8 +46,10 @@
         await client.renew_and_list(NO_FENCE, 0, 0, dt.timedelta(), CALL_TIMEOUT)
     except WorkerUnreachableError:
         return False
-    except (WorkerRefusedError, WorkerRestartedError):
-        pass
+    except WorkerRefusedError as exc:
+        return exc.reason != RefusalReason.UNHEALTHY.value
+    except WorkerRestartedError:
+        return True
     return True
 
 
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -3,9 +3,18 @@
 import datetime as dt
 
 import pytest
+from attrs import define
+from twisted.internet.defer import Deferred
 
 from fighead.decisions import reach
+from fighead.exceptions import (
+    WorkerRefusedError,
+    WorkerRestartedError,
+    WorkerUnreachableError,
+)
 from fighead.job import JobSpec, Stage
+from fighead.run import RefusalReason, RegisteredInstance
+from fighead.tasks.reach import find_reached
 from job_builders import at_seconds, make_schedule
 from job_cluster import JobCluster
 
@@ -15,9 +24,10 @@
 LASTING = Stage(count=16, cpu=1500, memory_mb=1, is_lasting=True)
 
 
-def start_lasting_tasks(entries=5):
-    """Return a cluster with half of its capacity in use, and its leader."""
-    cluster = JobCluster(entry_names=tuple(f"e{n}" for n in range(entries)))
+def start_lasting_tasks(instances=4):
+    """Return a cluster with at most half of its capacity in use, and its leader."""
+    names = tuple(f"e{n}" for n in range(5))
+    cluster = JobCluster(entry_names=names, instance_count=instances)
     cluster.advance(3)
     cluster.submit(JOB_ID, JobSpec("x", (LASTING,)), "watches")
     cluster.advance(3)
@@ -122,14 +132,63 @@
 
 
 @pytest.mark.parametrize(
-    ("silent_reached", "answering_missed", "expected"),
-    [(8, 0, True), (8, 1, False), (2, 0, True), (1, 0, False), (0, 0, False)],
+    ("own_silent", "silent_reached", "answering_missed", "expected"),
+    [
+        (0, 8, 0, True),
+        (0, 8, 1, False),
+        (0, 2, 0, True),
+        (0, 1, 0, False),
+        (0, 0, 0, False),
+        (7, 8, 0, False),
+        (8, 8, 0, False),
+        (5, 8, 0, True),
+    ],
 )
 def test_a_peer_is_better_placed_if_it_gains_a_tenth_and_loses_none(
-    silent_reached, answering_missed, expected
+    own_silent, silent_reached, answering_missed, expected
 ):
     schedule = make_silent_schedule(8)
     survey = reach.plan_survey(reach.SurveyPlan(), schedule, at_seconds(9))
+    own = survey.silent[:own_silent] + survey.answering
     reached = survey.silent[:silent_reached] + survey.answering[answering_missed:]
-    names = {instance.instance_id for instance in reached}
-    assert reach.is_better_placed(survey, names) is expected
+    own, reached = ({each.instance_id for each in part} for part in (own, reached))
+    assert reach.is_better_placed(survey, own, reached) is expected
+
+
+@define
+class Client:
+    """A client of an instance that answers each listing in the same way."""
+
+    instance: RegisteredInstance
+    error: Exception | None
+
+    async def renew_and_list(self, *_):
+        if self.error is not None:
+            raise self.error
+
+
+# Failure: leaders take turns while instances turn away a share of all calls.
+def test_an_instance_that_turns_callers_away_is_not_reached():
+    errors = {
+        "answers": None,
+        "fenced": WorkerRefusedError("", "", RefusalReason.FENCED.value),
+        "restarted": WorkerRestartedError("", "", "2"),
+        "sheds": WorkerRefusedError("", "", RefusalReason.UNHEALTHY.value),
+        "silent": WorkerUnreachableError("", ""),
+    }
+    instances = [RegisteredInstance(name, "1", "", "mill") for name in errors]
+    found = Deferred.fromCoroutine(
+        find_reached(lambda each: Client(each, errors[each.instance_id]), instances)
+    )
+    assert found.result == ("answers", "fenced", "restarted")
+
+
+# Failure: leaders take turns while calls to instances are lost at random.
+@pytest.mark.parametrize("seed", range(5))
+def test_leaders_take_no_turns_while_calls_are_lost_at_random(seed):
+    cluster, leader = start_lasting_tasks(instances=12)
+    cluster.rng.seed(seed)
+    cluster.late_share = 0.4
+    cluster.advance(40)
+    assert cluster.leader() == leader
+    assert cluster.entries[leader].entry.scheduler.schedule.term == 1
