--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,6 +8,7 @@
 from fighead.decisions import (
     filler_control,
     instance_health,
+    instance_tracking,
     job_value,
     placement,
     run_updates,
@@ -15,8 +16,9 @@
 from fighead.decisions import interference as learning
 from fighead.decisions.schedule_state import RecentEnd
 from fighead.job import Demand, JobPhase, JobProgress, Queue, Stage, StageProgress
-from fighead.run import EndKind, PaceRun, StartRun, StopRun
+from fighead.run import EndKind, PaceRun, RefusalReason, StartRun, StopRun
 from job_builders import (
+    LEASE,
     add_instance,
     add_job,
     at_seconds,
@@ -464,3 +466,73 @@
         state.is_registered = state.is_reachable = False
     add_job(schedule, SENSITIVE)
     assert orders_in(placement.place_waiting_tasks(schedule, at_seconds(0)))
+
+
+def make_schedule_with_few_instances_for_serving(count):
+    """Return a schedule whose only usable instances are reserved, for a while."""
+    schedule = make_schedule([f"i{number}" for number in range(10 * count)])
+    for name in list(schedule.instances)[count:]:
+        state = schedule.instances[name]
+        state.instance = evolve(state.instance, is_draining=True)
+    return schedule
+
+
+# Failure: each task of a stage is held back only after the one before has started.
+def test_serving_tasks_of_a_stage_are_held_back_at_the_same_time():
+    schedule = make_schedule_with_few_instances_for_serving(3)
+    add_job(schedule, evolve(SENSITIVE, count=3, max_per_instance=1))
+    assert not place_tasks(schedule, 0)
+    assert len(place_tasks(schedule, 3)) == 3
+
+
+# Failure: a task that has waited long waits for one of its stage that has just ended.
+def test_a_serving_task_is_not_held_back_with_one_that_waits_since_later():
+    schedule = make_schedule_with_few_instances_for_serving(2)
+    add_job(schedule, evolve(SENSITIVE, count=2, max_per_instance=1))
+    schedule.instances["i1"].is_reachable = False
+    place_tasks(schedule, 0)
+    ((name, first),) = place_tasks(schedule, 3)
+    failed = ended_run(1, first, 1, EndKind.FAILED)
+    receive_listing(schedule, name, ended=[failed], at=20)
+    schedule.instances["i1"].is_reachable = True
+    assert [task for _, task in place_tasks(schedule, 20)] == [task_key(1)]
+
+
+# Failure: a serving task is held back anew after each start that is refused.
+def test_a_serving_task_whose_start_is_refused_is_not_held_back_again():
+    schedule = make_schedule_of_reserved_instances()
+    add_job(schedule, SENSITIVE)
+    place_tasks(schedule, 0)
+    ((_, task),) = place_tasks(schedule, 3)
+    answer = run_updates.apply_start_result
+    answer(schedule, task, 1, RefusalReason.NO_ROOM, at_seconds(3.1))
+    assert place_tasks(schedule, 4)
+
+
+# Failure: a serving task is held back anew after each start without an answer.
+def test_a_serving_task_whose_start_gets_no_answer_is_not_held_back_again():
+    schedule = make_schedule_of_reserved_instances()
+    add_job(schedule, SENSITIVE)
+    place_tasks(schedule, 0)
+    ((name, task),) = place_tasks(schedule, 3)
+    run_updates.stop_unanswered_start(schedule, task, 1)
+    run_updates.record_stop_confirmation(schedule, task, 1, at_seconds(5))
+    receive_listing(schedule, name, at=5.2)
+    assert place_tasks(schedule, 5.2)
+
+
+# Failure: a serving task is held back after the leases of its instance have ended,
+# although it has not run since the instance fell silent.
+def test_a_serving_task_of_a_lost_instance_is_not_held_back():
+    schedule = make_schedule_with_few_instances_for_serving(2)
+    add_job(schedule, SENSITIVE)
+    place_tasks(schedule, 0)
+    ((name, task),) = place_tasks(schedule, 3)
+    receive_listing(schedule, name, running=[listed_run(task, 1)], at=10)
+    state = schedule.instances[name]
+    instance_tracking.record_silence(state, at_seconds(11))
+    schedule.predecessors_end = at_seconds(0)
+    state.leases_end_at = at_seconds(16.5)
+    schedule.sole_at = at_seconds(17)
+    instance_tracking.update_instances(schedule, LEASE, at_seconds(17))
+    assert [task for _, task in place_tasks(schedule, 17)] == [task]
