Don't take runs that no longer go on for work of a starved job

Callers count a job as waiting once nothing of it runs. Placement let no filler of it in while any run of the job was held: one that is being stopped, which an instance may leave unconfirmed, or one at an instance that doesn't answer, whose lease has ended and whose end the store has yet to confirm. The other fillers of that job then waited for as long, though they are other tasks and can't run twice.

--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -512,12 +512,14 @@
     """Whether a filler has to start although no instance tolerates it.
 
     It may then have to share the processors of other fillers. That is so once its job
-    has waited too long, without a run, while the upstream is less than half used. The
-    filler is paced down to limit the harm.
+    has waited too long, without work under way, while the upstream is less than half
+    used. The filler is paced down to limit the harm.
     """
     since = (stage.tasks[index].waiting_since for index in stage.waiting_indexes)
     earliest = min((at for at in since if at is not None), default=round_.now)
-    if round_.now - earliest < STARVATION_TIME or any(True for _ in job.runs()):
+    if round_.now - earliest < STARVATION_TIME:
+        return False
+    if usage.has_work(round_.schedule.instances, job, round_.now):
         return False
     return round_.use_of(job.queue.upstream).is_below(LOW_USE_SHARE)
 
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -239,7 +239,13 @@
     def is_starved(self, job, stage):
         since = (stage.tasks[index].waiting_since for index in stage.waiting_indexes)
         earliest = min((at for at in since if at is not None), default=self.now)
-        if self.now - earliest < placement.STARVATION_TIME or list(job.runs()):
+        at_work = [
+            run
+            for run in job.runs()
+            if run.phase is not RunPhase.STOPPING
+            and self.has_leases(self.schedule.instances[run.instance_id])
+        ]
+        if self.now - earliest < placement.STARVATION_TIME or at_work:
             return False
         states = [
             state
@@ -247,14 +253,13 @@
             if state.instance.upstream == job.queue.upstream
             and (state.is_registered or state.is_reachable)
         ]
-        used = sum(
-            state.used.cpu
-            for state in states
-            if state.is_reachable or self.now < state.leases_end_at
-        )
+        used = sum(state.used.cpu for state in states if self.has_leases(state))
         capacity = sum(state.instance.capacity.cpu for state in states)
         return used < placement.LOW_USE_SHARE * capacity
 
+    def has_leases(self, state):
+        return state.is_reachable or self.now < state.leases_end_at
+
     def slack_of(self, state):
         """Return a list of image, slack and lateness of each serving task."""
         learned, capacity = self.schedule.interference, state.instance.capacity.cpu
--- a/tests/test_starved_fillers.py
+++ b/tests/test_starved_fillers.py
@@ -3,6 +3,7 @@
 from attrs import evolve
 
 from fighead.decisions import interference, placement
+from fighead.decisions.schedule_state import RunPhase
 from fighead.job import Demand, Stage
 from fighead.run import StartRun
 from job_builders import add_instance, add_job, at_seconds, make_schedule
@@ -134,6 +135,35 @@
     assert not place(schedule, 9)
 
 
+def start_one_of_two(schedule):
+    """Start one of the two fillers of a job; return its run."""
+    job = add_job(schedule, evolve(FILLER, count=2), job_id=make_job_id(3))
+    assert not place(schedule, 1)
+    assert len(place(schedule, 3.1)) == 1
+    (run,) = job.runs()
+    return run
+
+
+# Failure: a run that is being stopped counts as work under way of its job.
+def test_a_starved_filler_starts_though_another_of_its_job_is_being_stopped():
+    schedule = make_intolerant_schedule()
+    run = start_one_of_two(schedule)
+    run.phase = RunPhase.STOPPING
+    assert place(schedule, 5.2) == [("i1", run.key.job_id)]
+
+
+# Failure: a run whose lease has ended counts as work under way of its job.
+def test_a_starved_filler_starts_though_another_of_its_job_is_held_past_its_lease():
+    schedule = make_intolerant_schedule()
+    run = start_one_of_two(schedule)
+    silent = schedule.instances["i1"]
+    silent.is_reachable, silent.leases_end_at = False, at_seconds(6)
+    add_instance(schedule, "i2", CAPACITY)
+    add_job(schedule, evolve(SERVING, cpu=1000), job_id=make_job_id(5))
+    assert place(schedule, 5.9) == [("i2", make_job_id(5))]
+    assert place(schedule, 6.1) == [("i2", run.key.job_id)]
+
+
 # Failure: each leader lets a filler wait as long as the one before.
 def test_a_starved_filler_of_an_earlier_leader_does_not_wait_again():
     schedule = make_intolerant_schedule()
