Let a starved gang of fillers start

A gang of fillers that no serving task tolerates never started: placement notes since when a task waits only for tasks that are placed one by one, so a gang never counted as starved; and where some instances tolerated it, but not enough for all of it, the others were not considered.

Found by reading; no deployment at hand sends such gangs, and no play shows it. The wait of a gang is noted now, and a starved one takes all instances on which it fits if those that tolerate it are too few. "test_a_starved_gang_of_fillers_starts" failed before.

--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -452,15 +452,30 @@
     A filler gets those with unused processors where its impact is acceptable; if there
     are none and it is starved, it gets all that it fits on.
     """
-    kind = _kind_of(round_, job, stage)
-    evaluate = functools.partial(_evaluate, round_, job, stage)
-    found = round_.candidates_for(kind, evaluate)
-    if stage.spec.is_filler and not found and _is_starved(round_, job, stage):
-        evaluate = functools.partial(evaluate, accepts_harm=True)
-        return round_.candidates_for((*kind, "starved"), evaluate)
+    found = _evaluate_all(round_, job, stage)
+    if not found and _is_starved(round_, job, stage):
+        return _evaluate_all(round_, job, stage, accepts_harm=True)
     return found
 
 
+def _evaluate_all(
+    round_: PlacementRound,
+    job: JobState,
+    stage: StageState,
+    *,
+    accepts_harm: bool = False,
+) -> Candidates:
+    """Return the instances that a stage can use, those with the highest score first.
+
+    :param accepts_harm: See :func:`_evaluate`.
+    """
+    kind = _kind_of(round_, job, stage)
+    evaluate = functools.partial(
+        _evaluate, round_, job, stage, accepts_harm=accepts_harm
+    )
+    return round_.candidates_for((*kind, accepts_harm), evaluate)
+
+
 def _kind_of(round_: PlacementRound, job: JobState, stage: StageState) -> Kind:
     """Return a key that is equal for stages with equal candidates and scores.
 
@@ -515,6 +530,8 @@
     has waited too long, without work under way, while the upstream is less than half
     used. The filler is paced down to limit the harm.
     """
+    if not stage.spec.is_filler:
+        return False
     since = (stage.tasks[index].waiting_since for index in stage.waiting_indexes)
     earliest = min((at for at in since if at is not None), default=round_.now)
     if round_.now - earliest < STARVATION_TIME:
@@ -669,11 +686,18 @@
 def _place_gang(
     round_: PlacementRound, job: JobState, stage: StageState
 ) -> list[Effect]:
-    """Start all tasks of a gang with the same run number, or none of them."""
+    """Start all tasks of a gang with the same run number, or none of them.
+
+    A starved gang of fillers starts wherever all of it fits.
+    """
     if len(round_.schedule.find_startable(job, stage)) < len(stage.tasks):
         return []
-    usable = list(_find_candidates(round_, job, stage))
-    chosen = _choose_gang_instances(usable, stage)
+    for task in stage.tasks:
+        task.waiting_since = task.waiting_since or round_.now
+    chosen = _choose_gang_instances(list(_evaluate_all(round_, job, stage)), stage)
+    if chosen is None and _is_starved(round_, job, stage):
+        usable = list(_evaluate_all(round_, job, stage, accepts_harm=True))
+        chosen = _choose_gang_instances(usable, stage)
     if chosen is None:
         return []
     number = max(task.highest_run_number for task in stage.tasks) + 1
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -156,9 +156,11 @@
     def place_gang(self, job, stage):
         if len(stage.waiting_indexes) < len(stage.tasks):
             return []
-        usable = self.usable(job, stage)
-        usable.sort(key=lambda state: -self.score(state, stage))
-        chosen = placement._choose_gang_instances(usable, stage)
+        for task in stage.tasks:
+            task.waiting_since = task.waiting_since or self.now
+        chosen = self.choose_gang(self.usable(job, stage, False), stage)
+        if chosen is None and stage.spec.is_filler and self.is_starved(job, stage):
+            chosen = self.choose_gang(self.usable(job, stage, True), stage)
         if chosen is None:
             return []
         number = max(task.highest_run_number for task in stage.tasks) + 1
@@ -170,8 +172,14 @@
             effects += placement._start(job, stage, task, state, number, self.now)
         return effects
 
+    def choose_gang(self, usable, stage):
+        usable.sort(key=lambda state: -self.score(state, stage))
+        return placement._choose_gang_instances(usable, stage)
+
     def choose(self, job, stage, task):
-        usable = self.usable(job, stage)
+        usable = self.usable(job, stage, False)
+        if stage.spec.is_filler and not usable and self.is_starved(job, stage):
+            usable = self.usable(job, stage, True)
         if self.is_held_back(stage, task):
             usable = [s for s in usable if filler_control.serving_runs(s)]
         not_avoided = [
@@ -206,7 +214,7 @@
         )
         return tolerant > len(states) * placement.RESERVED_SHARE
 
-    def usable(self, job, stage):
+    def usable(self, job, stage, accepts_harm):
         spec = stage.spec
         fitting = [
             state
@@ -219,17 +227,14 @@
             and spec.demand.fits(state.free_capacity)
             and self.is_below_limit(state, stage)
         ]
-        if not spec.is_filler:
+        if not spec.is_filler or accepts_harm:
             return fitting
-        acceptable = [
+        return [
             state
             for state in fitting
             if placement.unused_cpu(state) >= spec.cpu * placement.MIN_UNUSED_SHARE
             and self.is_acceptable(state, spec)
         ]
-        if not acceptable and self.is_starved(job, stage):
-            return fitting
-        return acceptable
 
     def is_below_limit(self, state, stage):
         limit = stage.spec.max_per_instance
--- a/tests/test_starved_fillers.py
+++ b/tests/test_starved_fillers.py
@@ -164,6 +164,18 @@
     assert place(schedule, 6.1) == [("i2", run.key.job_id)]
 
 
+# Failure: a gang of fillers never counts as starved.
+def test_a_starved_gang_of_fillers_starts():
+    schedule = make_intolerant_schedule("i2")
+    schedule.instances["i2"].instance = evolve(
+        schedule.instances["i2"].instance, capacity=Demand(64_000, 1500, 0)
+    )
+    gang = evolve(FILLER, count=3, is_gang=True)
+    add_job(schedule, gang, job_id=make_job_id(3))
+    assert not place(schedule, 1) and not place(schedule, 2.9)
+    assert sorted(name for name, _ in place(schedule, 3.1)) == ["i1", "i1", "i2"]
+
+
 # Failure: each leader lets a filler wait as long as the one before.
 def test_a_starved_filler_of_an_earlier_leader_does_not_wait_again():
     schedule = make_intolerant_schedule()
