Keep starved fillers off instances with late serving tasks

A starved filler starts where it adds least pressure and most processors are unused; whether a serving task there misses its target already didn't count, so that one beside a late task could be chosen although another instance had none. Where a filler adds to a lateness that lasts, callers see HARM.

Found by reading. "test_a_starved_filler_keeps_off_instances_with_late_tasks" failed before. Fillers that are not starved never start beside a late task, so nothing changes for them.

--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -46,9 +46,11 @@
 MIN_UNUSED_SHARE = 0.75
 #: Costs in the score of an instance for a filler, in the unit of the score: a share
 #: of the instance's processors. PRESSURE_COST applies per pressure of 1 that the filler
-#: adds, and TOLERANCE_COST to an instance that tolerates all filler images.
+#: adds, TOLERANCE_COST to an instance that tolerates all filler images, and LATE_COST,
+#: which outweighs both, to one where a serving task misses its target.
 PRESSURE_COST = 16.0
 TOLERANCE_COST = 1.5
+LATE_COST = 100.0
 #: Scores of an instance for a serving task, by the images of the serving tasks on
 #: it. The gaps between them outweigh any difference in unused processors.
 #: SAME_STAGE_SCORE is added to SAME_IMAGE_SCORE, scaled by the share of those tasks
@@ -655,7 +657,7 @@
     Instances that tolerate many filler images score lower, which leaves them to
     fillers that are tolerated nowhere else.
     """
-    cost = TOLERANCE_COST * round_.tolerance_of(state)
+    cost = TOLERANCE_COST * round_.tolerance_of(state) + LATE_COST * impact.is_late
     lack = min(impact.remaining_slack, 0.0)
     return _room_score(state, spec) + (-cost - PRESSURE_COST * impact.pressure + lack)
 
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -329,6 +329,8 @@
             score -= 1.0
         if spec.is_filler:
             cost = placement.TOLERANCE_COST * self.tolerance_of(state)
+            if any(is_late for _, _, is_late in self.slack_of(state)):
+                cost += placement.LATE_COST
             if not self.slack_of(state):
                 return score + -cost
             pressure, left = self.impact(state, spec)
--- a/tests/test_starved_fillers.py
+++ b/tests/test_starved_fillers.py
@@ -176,6 +176,22 @@
     assert sorted(name for name, _ in place(schedule, 3.1)) == ["i1", "i1", "i2"]
 
 
+# Failure: a filler starts beside a task that is late although another is not.
+def test_a_starved_filler_keeps_off_instances_with_late_tasks():
+    schedule = make_intolerant_schedule()
+    add_instance(schedule, "i2", CAPACITY)
+    schedule.instances["i1"].is_listed = False
+    for number in (5, 6):
+        add_job(schedule, SERVING, job_id=make_job_id(number))
+    assert [name for name, _ in place(schedule, 0)] == ["i2", "i2"]
+    schedule.instances["i1"].is_listed = True
+    for run in schedule.instances["i1"].serving.values():
+        run.over_target_since = at_seconds(0)
+    job = add_job(schedule, FILLER, job_id=make_job_id(3))
+    assert not place(schedule, 1)
+    assert place(schedule, 3.1) == [("i2", job.job_id)]
+
+
 # Failure: each leader lets a filler wait as long as the one before.
 def test_a_starved_filler_of_an_earlier_leader_does_not_wait_again():
     schedule = make_intolerant_schedule()
