Log why a waiting filler is not let in whatever its impact is

It has now `no_unused_cpu`, the counts `fillers`, and `in_use`, which is what placement itself compares.

The test of a filler that lacks unused processors expected `no_room` and expects the new reason.

--- a/src/fighead/decisions/waiting.py
+++ b/src/fighead/decisions/waiting.py
@@ -9,7 +9,7 @@
 from attrs import asdict, define, field, frozen
 
 from ..log import Event
-from . import instance_tracking, placement, room
+from . import instance_tracking, placement, room, usage
 from .authority import Authority
 from .placement import Obstacle
 from .schedule_state import (
@@ -66,6 +66,8 @@
     #: Other tasks of its gang have runs.
     PART_OF_GANG = "part_of_gang"
     START_WINDOW = "start_window"
+    #: A filler fits, but others use the processors.
+    NO_UNUSED_CPU = "no_unused_cpu"
     #: A filler would slow down the serving tasks wherever there is room.
     INTERFERENCE = "interference"
     #: A serving task keeps off the last instances without serving tasks for a while.
@@ -80,6 +82,17 @@
     LATE_START = "late_start"
 
 
+class FillerWait(enum.Enum):
+    """Why a filler isn't let in whatever its impact is."""
+
+    #: Its job has work under way.
+    JOB_AT_WORK = "job_at_work"
+    #: Too much of its upstream is in use.
+    IN_USE = "in_use"
+    #: Neither, so that it starts once it has waited and fits.
+    STARVED = "starved"
+
+
 @frozen
 class LeaderStatus:
     """What is known of the leader beside its schedule.
@@ -348,6 +361,7 @@
 ) -> LogNote:
     """Describe waits, the longest of which come first in ``waits``."""
     reasons: collections.Counter[str] = collections.Counter()
+    fillers: collections.Counter[str] = collections.Counter()
     obstacles: dict[str, Obstacle] = {}
     tasks: list[str] = []
     lasting_count = 0
@@ -360,6 +374,8 @@
         else:
             reason = WaitReason.NOT_EXAMINED
         reasons[reason.value] += len(indexes)
+        if wait.stage.spec.is_filler and position < MAX_EXAMINED_STAGES:
+            fillers[_find_filler_wait(schedule, wait.job, now).value] += len(indexes)
         lasting_count += len(indexes) if wait.stage.spec.is_lasting else 0
         tasks += [
             str(wait.stage.tasks[index].key)
@@ -375,6 +391,9 @@
     bounds = [
         instance_tracking.lease_bound(schedule, state, status.lease) for state in held
     ]
+    upstreams = sorted(
+        {wait.job.queue.upstream for wait in waits[:MAX_EXAMINED_STAGES]}
+    )
     job_ids = {wait.job.job_id for wait in waits}
     job_ids.update(run.key.job_id for run in held_runs)
     starts = [wait.first_at for wait in waits[:1]]
@@ -393,10 +412,13 @@
         "first": _describe_first(schedule, waits[0], now) if waits else None,
         "room": {
             upstream: room.describe_upstream(schedule.instances.values(), upstream, now)
-            for upstream in sorted(
-                {wait.job.queue.upstream for wait in waits[:MAX_EXAMINED_STAGES]}
-            )
+            for upstream in upstreams
+        },
+        "in_use": {
+            upstream: asdict(usage.measure_use(schedule.instances, upstream, now))
+            for upstream in upstreams
         },
+        "fillers": dict(fillers),
         "start_limit": round(schedule.start_window.limit, 1),
         "starts_in_flight": len(schedule.start_window.sent_at),
         "sole_age_ms": _describe_age(schedule.sole_at, now),
@@ -446,7 +468,9 @@
     ]
     if not suitable:
         return WaitReason.NO_INSTANCE
-    roomy = [state for state in suitable if placement.has_room(state, stage)]
+    # A starved filler needs no unused processors.
+    has_room = placement.fits if stage.spec.is_filler else placement.has_room
+    roomy = [state for state in suitable if has_room(state, stage)]
     if not roomy:
         return WaitReason.NO_ROOM
     usable = []
@@ -468,7 +492,22 @@
         return WaitReason.START_WINDOW
     if _is_held_back(schedule, wait, usable, now):
         return WaitReason.HELD_BACK
-    return WaitReason.INTERFERENCE if stage.spec.is_filler else WaitReason.PLACEABLE
+    if not stage.spec.is_filler:
+        return WaitReason.PLACEABLE
+    if any(placement.has_room(state, stage) for state in usable):
+        return WaitReason.INTERFERENCE
+    return WaitReason.NO_UNUSED_CPU
+
+
+def _find_filler_wait(
+    schedule: Schedule, job: JobState, now: dt.datetime
+) -> FillerWait:
+    if usage.has_work(schedule.instances, job, now):
+        return FillerWait.JOB_AT_WORK
+    use = usage.measure_use(schedule.instances, job.queue.upstream, now)
+    if not use.is_below(placement.LOW_USE_SHARE):
+        return FillerWait.IN_USE
+    return FillerWait.STARVED
 
 
 def _is_held_back(
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -394,12 +394,28 @@
     assert placement.place_waiting_tasks(schedule, at_seconds(0))
     add_job(schedule, filler, job_id=NEW_JOB_ID)
     line = describe_after_wait(schedule)
-    assert line["by_reason"] == {"no_room": 1}
+    assert line["by_reason"] == {"no_unused_cpu": 1}
     names = ("suitable", "fit", "roomy", "usable")
     assert [line["first"][name] for name in names] == [1, 1, 0, 0]
     assert line["room"]["mill"]["known"]["cpu_used"] == 0
 
 
+@pytest.mark.parametrize("wait", [each.value for each in waiting.FillerWait])
+def test_why_a_filler_is_not_let_in_whatever_its_impact_is_told(wait):
+    schedule = make_schedule(("i1",))
+    capacity = schedule.instances["i1"].instance.capacity
+    job = add_job(schedule, Stage(2, 1000, 100, is_filler=True, image="f"))
+    if wait == "job_at_work":
+        placement.place_waiting_tasks(schedule, at_seconds(0))
+        job.stages[0, 0].waiting_indexes = {0}
+    if wait == "in_use":
+        schedule.instances["i1"].used = Demand(capacity.cpu // 2, 0, 0)
+    line = describe_after_wait(schedule)
+    assert list(line["fillers"]) == [wait]
+    used = schedule.instances["i1"].used.cpu
+    assert line["in_use"] == {"mill": {"cpu": capacity.cpu, "cpu_used": used}}
+
+
 # Cost.
 
 
