Pause fillers before a lateness can last for the harm time

Callers saw, as HARM: a serving task "is over its target for 4 s, by what works beside it". Fillers that disturb a task little are paused once it has been late for 2.2 s, counted from the listing that shows it first. Listings come once a second, so that the listing after 2.0 s pauses nothing and the next comes 3.0 s after the first; where the task got late right after an earlier listing, that is 4 s.

All fillers are paused after 1.8 s now, that is two listings after the first. "test_all_fillers_are_paused_before_a_task_is_late_for_the_harm_time" failed before: paused after 4.0 s, now after 3.0 s.

--- a/src/fighead/decisions/filler_control.py
+++ b/src/fighead/decisions/filler_control.py
@@ -48,8 +48,9 @@
 #: A filler whose effect at weight 1 is at most this counts as harmless.
 HARMLESS_EFFECT = interference.TOLERABLE_EFFECT
 #: A serving task that has missed its target for this long has all fillers on its
-#: instance paused, harmless ones included.
-PAUSE_ALL_AFTER = dt.timedelta(milliseconds=2200)
+#: instance paused, harmless ones included. Listings come once a second: almost a second
+#: passes before a missed target is seen, and another before the next chance to pause.
+PAUSE_ALL_AFTER = dt.timedelta(milliseconds=1800)
 #: A late serving task has recovered once its tail is at most this share of its
 #: target. Below 1 because listed tails are imprecise.
 RECOVERED_SHARE = 0.85
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,7 +3,7 @@
 import datetime as dt
 
 import pytest
-from attrs import evolve
+from attrs import evolve, fields
 
 from fighead.decisions import (
     filler_control,
@@ -15,6 +15,7 @@
 from fighead.decisions import interference as learning
 from fighead.decisions.schedule_state import RecentEnd
 from fighead.job import Demand, JobPhase, JobProgress, Queue, Stage, StageProgress
+from fighead.job_settings import JobSettings
 from fighead.run import EndKind, PaceRun, StartRun, StopRun
 from job_builders import (
     add_instance,
@@ -253,6 +254,28 @@
     assert paces and paces[-1] == 0
 
 
+# Failure: a serving task that gets late right after a listing is late for over 4 s.
+def test_all_fillers_are_paused_before_a_task_is_late_for_the_harm_time():
+    schedule, serving, task, number = make_serving_schedule()
+    schedule.instances.pop("i2" if serving == "i1" else "i1")
+    set_known_effects(schedule, "s", f=0.05)
+    add_job(schedule, FILLER)
+    ((_, filler),) = place_tasks(schedule, 3)
+    late_from = 4.0
+    paused_at = []
+    for second in range(4, 10):
+        tail = 300 if second > late_from else 20
+        rows = [
+            listed_run(task, number, 100, tail),
+            listed_run(filler, 1, 10 * second, 7000),
+        ]
+        found = orders_in(receive_listing(schedule, serving, running=rows, at=second))
+        if any(isinstance(o, PaceRun) and not o.percent for o in found):
+            paused_at.append(second)
+    harm_time = fields(JobSettings).harm_time.default
+    assert dt.timedelta(seconds=paused_at[0] - late_from) < harm_time
+
+
 # Failure: a filler that an earlier leader had slowed down keeps its pace for good.
 def test_a_filler_that_a_new_leader_finds_running_gets_its_pace_anew():
     schedule = make_schedule(("i1",))
