--- a/tests/test_starved_fillers.py
+++ b/tests/test_starved_fillers.py
@@ -135,6 +135,15 @@
     assert not place(schedule, 9)
 
 
+# Failure: a filler waits because another one of its image has found no instance.
+def test_each_starved_job_gets_a_filler():
+    schedule = make_intolerant_schedule()
+    for number in (3, 4, 5):
+        add_job(schedule, FILLER, job_id=make_job_id(number))
+    assert not place(schedule, 1)
+    assert len(place(schedule, 3.1)) == 3
+
+
 def start_one_of_two(schedule):
     """Start one of the two fillers of a job; return its run."""
     job = add_job(schedule, evolve(FILLER, count=2), job_id=make_job_id(3))
