--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -15,7 +15,14 @@
 from ..job import Stage, TaskKey
 from ..log import Event
 from ..run import StartRun
-from . import filler_control, instance_health, interference, job_value, start_window
+from . import (
+    filler_control,
+    instance_health,
+    interference,
+    job_value,
+    start_window,
+    usage,
+)
 from .candidates import Candidates, Evaluate
 from .filler_control import FillerImpact, InstanceSlack
 from .run_updates import add_run
@@ -39,9 +46,11 @@
 MIN_UNUSED_SHARE = 0.75
 #: Costs in the score of an instance for a filler, in the unit of the score: a share
 #: of the instance's processors. PRESSURE_COST applies per pressure of 1 that the filler
-#: adds, and TOLERANCE_COST to an instance that tolerates all filler images.
+#: adds, TOLERANCE_COST to an instance that tolerates all filler images, and LATE_COST,
+#: which outweighs both, to one where a serving task misses its target.
 PRESSURE_COST = 16.0
 TOLERANCE_COST = 1.5
+LATE_COST = 100.0
 #: Scores of an instance for a serving task, by the images of the serving tasks on
 #: it. The gaps between them outweigh any difference in unused processors.
 #: SAME_STAGE_SCORE is added to SAME_IMAGE_SCORE, scaled by the share of those tasks
@@ -55,7 +64,7 @@
 #: How long a serving task is kept off the reserved instances: half of the 6 s after
 #: which a serving task that could run counts as lost.
 HOLD_BACK_TIME = dt.timedelta(seconds=3)
-#: While the instances are less than half used, a filler waits this long for an
+#: While its upstream is less than half used, a filler waits this long for an
 #: instance where it does no harm. A job that waits for 3 s although it could run
 #: counts as lost.
 STARVATION_TIME = dt.timedelta(seconds=2)
@@ -131,7 +140,7 @@
     :param states: All instances, in the order of the schedule.
     :param positions: Position in ``states``, by instance ID.
     :param registered_count: Number of instances that have not left.
-    :param used_cpu: Processor demand of all runs on them in millicores.
+    :param uses: How much is in use, by upstream.
     :param changes: Position of the instance of each start in this round.
     :param candidates: Instances evaluated for a kind of task.
     :param slacks: Slack of the serving tasks on an instance, by instance ID.
@@ -140,7 +149,7 @@
     :param tolerant_images: Whether a serving image tolerates most filler images.
     :param similar_images: Whether two serving images are similarly sensitive.
     :param unplaceable: Fillers for which no instance was found in this round, by
-        upstream and image.
+        upstream and image; the image is ``None`` if any impact was accepted.
     """
 
     schedule: Schedule
@@ -149,7 +158,7 @@
     states: list[InstanceState] = field(init=False)
     positions: dict[str, int] = field(init=False)
     registered_count: int = field(init=False)
-    used_cpu: int = field(init=False)
+    uses: dict[str, usage.UpstreamUse] = field(factory=dict)
     changes: list[int] = field(factory=list)
     candidates: dict[Kind, Candidates] = field(factory=dict)
     slacks: dict[str, InstanceSlack] = field(factory=dict)
@@ -157,15 +166,12 @@
     tolerances: dict[frozenset[str], float] = field(factory=dict)
     tolerant_images: dict[str, bool] = field(factory=dict)
     similar_images: dict[tuple[str, str], bool] = field(factory=dict)
-    unplaceable: dict[tuple[str, str], list[Stage]] = field(factory=dict)
+    unplaceable: dict[tuple[str, str | None], list[Stage]] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.states = list(self.schedule.instances.values())
         self.positions = {name: n for n, name in enumerate(self.schedule.instances)}
         self.registered_count = sum(state.is_registered for state in self.states)
-        self.used_cpu = sum(
-            state.used.cpu for state in self.states if state.is_registered
-        )
 
     def candidates_for(self, kind: Kind, evaluate: Evaluate) -> Candidates:
         """Return the instances for a kind of task, evaluated as far as necessary."""
@@ -190,14 +196,17 @@
         """
         start_window.note_start(self.schedule.start_window, run, self.now)
         self.changes.append(self.positions[state.instance.instance_id])
-        self.used_cpu += stage.spec.demand.cpu
-
-    def is_little_used(self) -> bool:
-        """Whether the instances that have not left are less than half used."""
-        capacity = sum(
-            state.instance.capacity.cpu for state in self.states if state.is_registered
-        )
-        return self.used_cpu < LOW_USE_SHARE * capacity
+        use = self.uses.get(state.instance.upstream)
+        if use is not None:
+            use.cpu_used += stage.spec.demand.cpu
+
+    def use_of(self, upstream: str) -> usage.UpstreamUse:
+        """Return how much of an upstream is in use, with the starts of this round."""
+        if upstream not in self.uses:
+            self.uses[upstream] = usage.measure_use(
+                self.schedule.instances, upstream, self.now
+            )
+        return self.uses[upstream]
 
     def has_spare_instances(self) -> bool:
         """Whether more instances than are reserved tolerate nearly all fillers."""
@@ -210,20 +219,31 @@
         tolerance = self.tolerance_of(state)
         return tolerance if tolerance >= interference.TOLERANT_SHARE else None
 
-    def is_unplaceable(self, upstream: str, spec: Stage) -> bool:
-        """Whether a filler that needs no more than this one has found no instance."""
+    def is_unplaceable(
+        self, upstream: str, spec: Stage, accepts_harm: bool = False
+    ) -> bool:
+        """Whether a filler that needs no more than this one has found no instance.
+
+        :param accepts_harm: Whether it was to start whatever its impact is.
+        """
+        image = None if accepts_harm else spec.image
         return any(
             _needs_no_more(failed, spec)
-            for failed in self.unplaceable.get((upstream, spec.image), ())
+            for failed in self.unplaceable.get((upstream, image), ())
         )
 
-    def note_unplaceable(self, upstream: str, spec: Stage) -> None:
+    def note_unplaceable(
+        self, upstream: str, spec: Stage, accepts_harm: bool = False
+    ) -> None:
         """Remember a filler that has found no instance.
 
         One with a limit per instance may have failed by that alone.
+
+        :param accepts_harm: Whether it was to start whatever its impact is.
         """
         if not spec.max_per_instance:
-            self.unplaceable.setdefault((upstream, spec.image), []).append(spec)
+            image = None if accepts_harm else spec.image
+            self.unplaceable.setdefault((upstream, image), []).append(spec)
 
     def slack_of(self, state: InstanceState) -> InstanceSlack:
         """Return the slack of an instance, less what this round has reserved."""
@@ -369,6 +389,8 @@
     if spec.is_filler and round_.is_unplaceable(upstream, spec):
         first = stage.tasks[min(stage.waiting_indexes)]
         first.waiting_since = first.waiting_since or round_.now
+        if round_.is_unplaceable(upstream, spec, accepts_harm=True):
+            return []
         if not _is_starved(round_, job, stage):
             return []
     effects: list[Effect] = []
@@ -378,6 +400,8 @@
         if state is None:
             if spec.is_filler:
                 round_.note_unplaceable(upstream, spec)
+                if _is_starved(round_, job, stage):
+                    round_.note_unplaceable(upstream, spec, accepts_harm=True)
             break
         if spec.is_filler:
             filler_control.reserve_slack(
@@ -456,18 +480,33 @@
 ) -> Candidates:
     """Return the usable instances for a stage, those with the highest score first.
 
-    A filler gets those where its impact is acceptable; if there are none and it is
-    starved, it gets all.
+    A filler gets those with unused processors where its impact is acceptable; if there
+    are none and it is starved, it gets all that it fits on.
     """
-    kind = _kind_of(round_, job, stage)
-    evaluate = functools.partial(_evaluate, round_, job, stage)
-    found = round_.candidates_for(kind, evaluate)
-    if stage.spec.is_filler and not found and _is_starved(round_, job, stage):
-        evaluate = functools.partial(evaluate, accepts_harm=True)
-        return round_.candidates_for((*kind, "starved"), evaluate)
+    found = _evaluate_all(round_, job, stage)
+    if not found and _is_starved(round_, job, stage):
+        return _evaluate_all(round_, job, stage, accepts_harm=True)
     return found
 
 
+def _evaluate_all(
+    round_: PlacementRound,
+    job: JobState,
+    stage: StageState,
+    *,
+    accepts_harm: bool = False,
+) -> Candidates:
+    """Return the instances that a stage can use, those with the highest score first.
+
+    :param accepts_harm: See :func:`_evaluate`.
+    """
+    kind = _kind_of(round_, job, stage)
+    evaluate = functools.partial(
+        _evaluate, round_, job, stage, accepts_harm=accepts_harm
+    )
+    return round_.candidates_for((*kind, accepts_harm), evaluate)
+
+
 def _kind_of(round_: PlacementRound, job: JobState, stage: StageState) -> Kind:
     """Return a key that is equal for stages with equal candidates and scores.
 
@@ -500,9 +539,10 @@
 ) -> float | None:
     """Return the score of an instance for a stage, or ``None`` if it can't be used.
 
-    :param accepts_harm: Whether a filler may start whatever its impact is.
+    :param accepts_harm: Whether a filler may start whatever its impact is, and without
+        unused processors.
     """
-    if not is_usable(state, job, stage, round_.now):
+    if not is_usable(state, job, stage, round_.now, needs_unused_cpu=not accepts_harm):
         return None
     if not stage.spec.is_filler:
         return _score(round_, state, stage.spec)
@@ -517,40 +557,58 @@
 def _is_starved(round_: PlacementRound, job: JobState, stage: StageState) -> bool:
     """Whether a filler has to start although no instance tolerates it.
 
-    That is so once its job has waited too long, without a run, while the instances
-    are less than half used. The filler is then paced down to limit the harm.
+    It may then have to share the processors of other fillers. That is so once its job
+    has waited too long, without work under way, while the upstream is less than half
+    used. The filler is paced down to limit the harm.
     """
+    if not stage.spec.is_filler:
+        return False
     since = (stage.tasks[index].waiting_since for index in stage.waiting_indexes)
     earliest = min((at for at in since if at is not None), default=round_.now)
-    if round_.now - earliest < STARVATION_TIME or any(True for _ in job.runs()):
+    if round_.now - earliest < STARVATION_TIME:
         return False
-    return round_.is_little_used()
+    if usage.has_work(round_.schedule.instances, job, round_.now):
+        return False
+    return round_.use_of(job.queue.upstream).is_below(LOW_USE_SHARE)
 
 
 def is_usable(
-    state: InstanceState, job: JobState, stage: StageState, now: dt.datetime
+    state: InstanceState,
+    job: JobState,
+    stage: StageState,
+    now: dt.datetime,
+    *,
+    needs_unused_cpu: bool = True,
 ) -> bool:
     """Whether an instance meets all hard constraints of a task of a stage now.
 
     The interference that a filler would cause isn't considered.
+
+    :param needs_unused_cpu: Whether a filler needs unused processors.
     """
     return (
-        has_room(state, stage)
+        (has_room if needs_unused_cpu else fits)(state, stage)
         and is_suitable(state, job, stage)
         and accepts_runs(state, now)
     )
 
 
 def has_room(state: InstanceState, stage: StageState) -> bool:
-    """Whether an instance has room for one more task of a stage."""
+    """Whether an instance has room for one more task of a stage.
+
+    A filler also needs unused processors.
+    """
     spec = stage.spec
-    return (
-        state.has_room_for(spec.demand)
-        and (not spec.is_filler or unused_cpu(state) >= spec.cpu * MIN_UNUSED_SHARE)
-        and _is_below_limit(state, stage)
+    return fits(state, stage) and (
+        not spec.is_filler or unused_cpu(state) >= spec.cpu * MIN_UNUSED_SHARE
     )
 
 
+def fits(state: InstanceState, stage: StageState) -> bool:
+    """Whether one more task of a stage exceeds neither a capacity nor its limit."""
+    return state.has_room_for(stage.spec.demand) and _is_below_limit(state, stage)
+
+
 def is_suitable(state: InstanceState, job: JobState, stage: StageState) -> bool:
     """Whether an instance is of the upstream and has the label that a stage needs."""
     instance, label = state.instance, stage.spec.required_label
@@ -628,7 +686,7 @@
     Instances that tolerate many filler images score lower, which leaves them to
     fillers that are tolerated nowhere else.
     """
-    cost = TOLERANCE_COST * round_.tolerance_of(state)
+    cost = TOLERANCE_COST * round_.tolerance_of(state) + LATE_COST * impact.is_late
     lack = min(impact.remaining_slack, 0.0)
     return _room_score(state, spec) + (-cost - PRESSURE_COST * impact.pressure + lack)
 
@@ -659,11 +717,18 @@
 def _place_gang(
     round_: PlacementRound, job: JobState, stage: StageState
 ) -> list[Effect]:
-    """Start all tasks of a gang with the same run number, or none of them."""
+    """Start all tasks of a gang with the same run number, or none of them.
+
+    A starved gang of fillers starts wherever all of it fits.
+    """
     if len(round_.schedule.find_startable(job, stage)) < len(stage.tasks):
         return []
-    usable = list(_find_candidates(round_, job, stage))
-    chosen = _choose_gang_instances(usable, stage)
+    for task in stage.tasks:
+        task.waiting_since = task.waiting_since or round_.now
+    chosen = _choose_gang_instances(list(_evaluate_all(round_, job, stage)), stage)
+    if chosen is None and _is_starved(round_, job, stage):
+        usable = list(_evaluate_all(round_, job, stage, accepts_harm=True))
+        chosen = _choose_gang_instances(usable, stage)
     if chosen is None:
         return []
     number = max(task.highest_run_number for task in stage.tasks) + 1
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -164,9 +164,11 @@
     def place_gang(self, job, stage):
         if len(stage.waiting_indexes) < len(stage.tasks):
             return []
-        usable = self.usable(job, stage)
-        usable.sort(key=lambda state: -self.score(state, stage))
-        chosen = placement._choose_gang_instances(usable, stage)
+        for task in stage.tasks:
+            task.waiting_since = task.waiting_since or self.now
+        chosen = self.choose_gang(self.usable(job, stage, False), stage)
+        if chosen is None and stage.spec.is_filler and self.is_starved(job, stage):
+            chosen = self.choose_gang(self.usable(job, stage, True), stage)
         if chosen is None:
             return []
         number = max(task.highest_run_number for task in stage.tasks) + 1
@@ -178,8 +180,14 @@
             effects += placement._start(job, stage, task, state, number, self.now)
         return effects
 
+    def choose_gang(self, usable, stage):
+        usable.sort(key=lambda state: -self.score(state, stage))
+        return placement._choose_gang_instances(usable, stage)
+
     def choose(self, job, stage, task):
-        usable = self.usable(job, stage)
+        usable = self.usable(job, stage, False)
+        if stage.spec.is_filler and not usable and self.is_starved(job, stage):
+            usable = self.usable(job, stage, True)
         if self.is_held_back(stage, task):
             usable = [s for s in usable if filler_control.serving_runs(s)]
         not_avoided = [
@@ -214,9 +222,9 @@
         )
         return tolerant > len(states) * placement.RESERVED_SHARE
 
-    def usable(self, job, stage):
+    def usable(self, job, stage, accepts_harm):
         spec = stage.spec
-        usable = [
+        fitting = [
             state
             for state in self.schedule.instances.values()
             if placement.accepts_runs(state, self.now)
@@ -226,17 +234,15 @@
             )
             and spec.demand.fits(state.free_capacity)
             and self.is_below_limit(state, stage)
-            and (
-                not spec.is_filler
-                or placement.unused_cpu(state) >= spec.cpu * placement.MIN_UNUSED_SHARE
-            )
         ]
-        if not spec.is_filler:
-            return usable
-        acceptable = [s for s in usable if self.is_acceptable(s, spec)]
-        if not acceptable and self.is_starved(job, stage):
-            return usable
-        return acceptable
+        if not spec.is_filler or accepts_harm:
+            return fitting
+        return [
+            state
+            for state in fitting
+            if placement.unused_cpu(state) >= spec.cpu * placement.MIN_UNUSED_SHARE
+            and self.is_acceptable(state, spec)
+        ]
 
     def is_below_limit(self, state, stage):
         limit = stage.spec.max_per_instance
@@ -246,13 +252,27 @@
     def is_starved(self, job, stage):
         since = (stage.tasks[index].waiting_since for index in stage.waiting_indexes)
         earliest = min((at for at in since if at is not None), default=self.now)
-        if self.now - earliest < placement.STARVATION_TIME or list(job.runs()):
+        at_work = [
+            run
+            for run in job.runs()
+            if run.phase is not RunPhase.STOPPING
+            and self.has_leases(self.schedule.instances[run.instance_id])
+        ]
+        if self.now - earliest < placement.STARVATION_TIME or at_work:
             return False
-        states = self.schedule.instances.values()
-        used = sum(state.used.cpu for state in states)
+        states = [
+            state
+            for state in self.schedule.instances.values()
+            if state.instance.upstream == job.queue.upstream
+            and (state.is_registered or state.is_reachable)
+        ]
+        used = sum(state.used.cpu for state in states if self.has_leases(state))
         capacity = sum(state.instance.capacity.cpu for state in states)
         return used < placement.LOW_USE_SHARE * capacity
 
+    def has_leases(self, state):
+        return state.is_reachable or self.now < state.leases_end_at
+
     def slack_of(self, state):
         """Return a list of image, slack and lateness of each serving task."""
         learned, capacity = self.schedule.interference, state.instance.capacity.cpu
@@ -317,6 +337,8 @@
             score -= 1.0
         if spec.is_filler:
             cost = placement.TOLERANCE_COST * self.tolerance_of(state)
+            if any(is_late for _, _, is_late in self.slack_of(state)):
+                cost += placement.LATE_COST
             if not self.slack_of(state):
                 return score + -cost
             pressure, left = self.impact(state, spec)
