Write the member record of an entry one write at a time

Operators saw a revision that never came into force: the status of all entries listed one as lagging that had applied it.

Cause: each change of the member record was written by a task of its own. An entry that starts writes it with the lease and, milliseconds later, with the revision that it applies, in two calls on two connections; if the store does the earlier one last, the record stays at revision 0.

That the writes were done in the other order is inferred: the stand-in keeps no log of them.

Writes wait for each other now, and one whose record has changed by its turn is left out. An earlier write whose call has timed out may still be done late, as before.

--- a/src/fighead/tasks/member.py
+++ b/src/fighead/tasks/member.py
@@ -8,7 +8,7 @@
 import treq
 from attrs import define, field, frozen
 from pyrsistent import PMap, pmap
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import Deferred, DeferredLock, ensureDeferred
 from twisted.internet.protocol import Protocol
 from twisted.web.client import Agent, ResponseDone
 
@@ -94,6 +94,8 @@
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("member", 4096))
     _children: list[Deferred] = field(factory=list)
     _was_ready: bool = False
+    #: Held while the member record is written: the store may reorder calls.
+    _record_lock: DeferredLock = field(factory=DeferredLock)
 
     async def run(self) -> None:
         """Hold a lease, watch the control data and handle messages until cancelled."""
@@ -181,6 +183,14 @@
         self._handle(member_state.StoreReachability(reachable))
 
     async def _write_member(self, member: Member, lease: int) -> None:
+        """Write the member record, unless it has changed until its turn has come."""
+        await self._record_lock.acquire()
+        try:
+            await self._write_member_with_retries(member, lease)
+        finally:
+            self._record_lock.release()
+
+    async def _write_member_with_retries(self, member: Member, lease: int) -> None:
         put = Put(MEMBERS_PREFIX + member.name, to_json(member), lease)
         while self.state.me == member and self.state.lease == lease:
             try:
