--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -137,7 +137,7 @@
     name: str
     args: list
     log_path: pathlib.Path
-    env: dict
+    env: dict = field(repr=False)
     popen: subprocess.Popen = None
 
     def start(self):
