Log requests that could not be served

A GET or DELETE that was answered with 503 or 504 left no trace: only submissions had events (5102, 5103). So the log of an entry that is cut off did not tell from a job's ID that it was asked, how long it took and why it did not answer. 4005 has the method, the path with the ID, the status, the time, the known leader and the reason; fighead.job.unserved counts them.

Before, the new test failed: no line with the job was found. It passes now.

--- a/src/fighead/fronts/job.py
+++ b/src/fighead/fronts/job.py
@@ -68,6 +68,7 @@
 
     @functools.wraps(handler)
     async def handle(self: "JobFront", request: IRequest) -> bytes:
+        started_at = self.context.clock.now()
         request.setHeader("Content-Type", "application/json")
         refuse = functools.partial(self._refuse, request)
         try:
@@ -75,6 +76,7 @@
         except FigheadError as exc:
             if exc.status >= UNAVAILABLE:
                 request.setHeader("Retry-After", "1")
+                self._log_unserved(request, exc.status, exc.message, started_at)
             return self._send_error(request, exc.status, str(exc))
         except CancelledError:
             # The client closed the connection, so there is nobody to answer.
@@ -151,9 +153,15 @@
         return self._send_outcome(request, outcome)
 
     async def _cancel(self, request: IRequest, job_id: str) -> bytes:
+        started_at = self.context.clock.now()
         outcome = await commands.cancel_job(
             self.context, job_id, self._get_deadline(request)
         )
+        match outcome:
+            case commands.NotAccepted(reason):
+                self._log_unserved(request, UNAVAILABLE, reason, started_at)
+            case commands.Uncertain(reason):
+                self._log_unserved(request, UNKNOWN_OUTCOME, reason, started_at)
         return self._send_outcome(request, outcome)
 
     async def _find_phase(self, request: IRequest, job_id: str) -> bytes:
@@ -184,6 +192,23 @@
                 return self._send_error(request, UNKNOWN_OUTCOME, reason)
         raise TypeError(f"Unexpected outcome type {type(outcome).__name__}.")
 
+    def _log_unserved(
+        self, request: IRequest, status: int, reason: str, started_at: dt.datetime
+    ) -> None:
+        """Log why a request is not served; submissions have events of their own."""
+        method = request.method.decode("ascii", "replace")
+        leader = self.context.view.leader
+        log_event(
+            Event.REQUEST_UNSERVED,
+            method=method,
+            path=request.path.decode("utf-8", "replace")[:80],
+            status=status,
+            took_ms=int((self.context.clock.now() - started_at).total_seconds() * 1000),
+            leader=leader.name if leader is not None else "",
+            reason=reason,
+        )
+        self.context.metrics.count_unserved(method, status)
+
     def _send_error(self, request: IRequest, status: int, reason: str) -> bytes:
         request.setResponseCode(status)
         return self._codec.encode_error(reason)
--- a/src/fighead/job_metric.py
+++ b/src/fighead/job_metric.py
@@ -33,6 +33,9 @@
         self._requests = meter.create_counter(
             "fighead.job.requests", "1", "Submissions by queue and outcome."
         )
+        self._unserved = meter.create_counter(
+            "fighead.job.unserved", "1", "Answers 503 and 504, by method and status."
+        )
         self._accept_durations = meter.create_histogram(
             "fighead.job.accept.duration", "s", "Time until a submission is answered."
         )
@@ -133,6 +136,10 @@
         self._requests.add(1, {"queue": queue, "outcome": outcome})
         self._accept_durations.record(took.total_seconds(), {"queue": queue})
 
+    def count_unserved(self, method: str, status: int) -> None:
+        """Count a request that was answered with ``status``, 503 or above."""
+        self._unserved.add(1, {"method": method, "status": status})
+
     def count_end(self, queue: str, phase: str, took: dt.timedelta) -> None:
         """Count a job whose end is stored, ``took`` after it was accepted."""
         self._jobs.add(1, {"queue": queue, "phase": phase})
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -168,6 +168,7 @@
         "error",
         "The entry ends and owes a request its answer.",
     )
+    REQUEST_UNSERVED = (4005, "warning", "A client's request could not be served.")
 
     @property
     def number(self) -> int:
