Reproduce requests that wait at entries that are cut off

Tests that fail on the current code, listed in KNOWN-RED.txt: - An entry that starts while the store does not answer hears the leader and has no connection to it, since it knows its peers from the store alone. It gets no configuration and refuses all requests until the store answers. - An entry that reaches neither the store nor a peer stays ready, and requests wait there for one time-out after the other: 3.8 s for the phase of a job, 4.0 s for a submission, 3.0 s for a cancellation (real processes). - Neither queries nor relayed writes keep to the client's deadline.

The peers of the simulated cluster reached each other whatever they knew, which hid the first of these. They now send only to entries in their latest view, as the real ones.

--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -12,7 +12,7 @@
 import typing as t
 
 from attrs import define, evolve, field
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, fail
 from twisted.internet.task import Clock
 
 from fighead.clock import ReactorClock, sleep
@@ -33,6 +33,7 @@
 from fighead.job_entry import JobEntry
 from fighead.job_settings import JobSettings
 from fighead.mailbox import Mailbox, spawn
+from fighead.message import View
 from fighead.model import Capacity
 from fighead.platform.store import WATCH_TIMEOUT_MARGIN
 from fighead.process_load import ProcessClocks
@@ -285,7 +286,10 @@
 class FakePeer:
     """In-memory replacement of the peer link of the entry ``me``.
 
+    As with the real one, nothing is sent to an entry that is not in the latest view.
+
     :param handle: Called with the sender and each message that arrives.
+    :param known: Names of the entries in the latest view.
     """
 
     cluster: object
@@ -293,21 +297,26 @@
     me: str
     handle: object
     mailbox: Mailbox = field(factory=lambda: Mailbox("peer"))
+    known: frozenset = frozenset()
 
     async def run(self):
         while True:
-            msg = await self.mailbox.get()
-            if isinstance(msg, Call):
-                msg.reply.callback(None)
+            match await self.mailbox.get():
+                case View(members=members):
+                    self.known = members.keys() - {self.me}
+                case Call(reply=reply):
+                    reply.callback(None)
 
     def peers(self):
-        return tuple(name for name in self.cluster.entries if name != self.me)
+        return tuple(name for name in self.cluster.entries if name in self.known)
 
     def send(self, peer, msg):
         self._deliver(peer, msg, lambda answer: None)
 
     def ask(self, peer, msg, timeout=None):
         """Return a deferred with the answer; it fails after 0.8 s without one."""
+        if peer not in self.known:
+            return fail(PeerUnreachableError("no connection", "again", True))
         fut = Deferred()
 
         def expire():
@@ -319,6 +328,9 @@
         return fut
 
     def _deliver(self, peer, msg, reply):
+        if peer not in self.known:
+            return
+
         def arrive():
             other = self.cluster.entries.get(peer)
             if other is None or other.gate.is_dead:
@@ -335,7 +347,8 @@
         answer = other.entry.peer.handle(self.me, msg)
         if isinstance(answer, Deferred):
             answer = await answer
-        if self.me not in self.cluster.deaf_entries:
+        is_connected = self.me in other.entry.peer.known
+        if is_connected and self.me not in self.cluster.deaf_entries:
             self.gate.run(lambda: reply(answer))
 
     def stop(self):
@@ -464,10 +477,15 @@
     def fails(self, order):
         return (order.task.job_id, order.task.index) in self.failing_tasks
 
-    def start_entry(self, name, clock_error=NO_ERROR):
-        """Start an entry on a machine whose time of day is wrong by ``clock_error``."""
+    def start_entry(self, name, clock_error=NO_ERROR, is_cut=False):
+        """Start an entry.
+
+        :param clock_error: By how much its machine's time of day is wrong.
+        :param is_cut: Whether it is cut off from the store.
+        """
         gate = Gate()
         store = GatedStore(self.store, gate, lambda: name in self.deaf_entries)
+        store.is_cut = store.is_watch_silent = is_cut
         clock = GatedClock(self.clock, gate, clock_error, clock_error)
         address = ListenAddress("127.0.0.1", 1)
         cfg = JobSettings(
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -1,6 +1,8 @@
 """End-to-end tests of the platform adapter with real processes and sockets."""
 
 import signal
+import socket
+import time
 
 import pytest
 
@@ -20,6 +22,7 @@
 }
 JOB_ID = "00000000000000a1"
 OTHER_JOB_ID = "00000000000000a2"
+NEW_JOB_ID = "00000000000000a3"
 
 
 @pytest.fixture(scope="module")
@@ -100,3 +103,55 @@
     cluster.processes["e1"].send_signal(signal.SIGHUP)
     wait_until(lambda: "settings_reloaded" in log.read_text(), 5)
     assert cluster.is_ready("e1")
+
+
+def send_to(cluster, entry, method, path):
+    """Send a request with a time limit of 10 s; return its status and duration."""
+    started_at = time.monotonic()
+    body = JOB if method == "POST" else None
+    status, _ = call(method, cluster.url(entry) + path, body, timeout=10)
+    return status, time.monotonic() - started_at
+
+
+# Failure: it waited for its leader and the store, up to 4 s, and stayed ready.
+def test_an_entry_that_reaches_nobody_refuses_at_once_and_is_not_ready(cluster):
+    entry = next(name for name in cluster.entries() if name != cluster.leader())
+    others = [cluster.processes["store"]]
+    others += [cluster.processes[e] for e in cluster.entries() if e != entry]
+    for process in others:
+        process.send_signal(signal.SIGSTOP)
+    try:
+        wait_until(lambda: not cluster.is_ready(entry), 6)
+        for method, path in (
+            ("GET", f"/plans/{JOB_ID}"),
+            ("GET", "/plans/"),
+            ("POST", f"/plans/{NEW_JOB_ID}"),
+            ("DELETE", f"/plans/{JOB_ID}"),
+        ):
+            status, took_s = send_to(cluster, entry, method, path)
+            assert status == 503 and took_s < 0.5, (method, path, status, took_s)
+    finally:
+        for process in others:
+            process.send_signal(signal.SIGCONT)
+    wait_until(lambda: cluster.is_ready(entry), 3)
+    wait_until(lambda: cluster.state(entry, JOB_ID) == "completed", 5)
+
+
+# Failure: it got no configuration and refused all requests while the store was silent.
+def test_an_entry_that_starts_without_the_store_serves_through_its_peers(cluster):
+    entry = next(name for name in cluster.entries() if name != cluster.leader())
+    cluster.kill(entry)
+    store_port = cluster.ports["store"]
+    with socket.create_server(("127.0.0.1", 0)) as silent_server:
+        cluster.ports["store"] = silent_server.getsockname()[1]
+        try:
+            cluster.start_entry(entry)
+        finally:
+            cluster.ports["store"] = store_port
+        wait_until(lambda: cluster.is_ready(entry), 5)
+        assert cluster.state(entry, JOB_ID) == "completed"
+        assert send_to(cluster, entry, "POST", f"/plans/{NEW_JOB_ID}")[0] == 200
+        wait_until(lambda: cluster.state(entry, NEW_JOB_ID) == "completed", 10)
+        cluster.kill(entry)
+    cluster.start_entry(entry)
+    wait_until(lambda: cluster.is_ready(entry))
