Let an entry that starts without the store connect to the leader

Callers saw: an entry that was restarted while the store did not answer it answered 503 to every request and was not ready until the store answered.

Cause: entries know each other from the store alone. Such an entry hears the leader (5003 0.08 s after 1001) and has no connection to it. So its request for the configuration, its answers to announcements and relayed store calls were all dropped.

Fix: announcements carry the sender's address. An entry that does not reach the store adds the sender to its members; the next list of members from the store replaces what it has learned so.

--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -364,6 +364,7 @@
             self.clock.now(),
             answered.sent_at if answered is not None else None,
             self.clock.now() - self._started_at >= CONFIRMATION_DELAY,
+            self.cfg.peer_address,
         )
 
     def _can_lead(self) -> bool:
@@ -391,6 +392,10 @@
 
     def _handle_announcement(self, sender: str, msg: m.LeaderIs) -> None:
         leader = msg.leader
+        if msg.address and not self._is_store_reached:
+            self.leadership.mailbox.offer(
+                leadership.PeerIntroduced(sender, msg.address)
+            )
         own_version = (
             self.front_context.config.version if self.front_context.config else 0
         )
--- a/src/fighead/job_message.py
+++ b/src/fighead/job_message.py
@@ -24,6 +24,8 @@
     :param answered_at: ``sent_at`` of the announcement that this one answers.
     :param may_confirm: Whether the answer may confirm the leader. An entry that has
         just started may have confirmed a later one before.
+    :param address: Where peers reach the sender. A peer that knows no members, since
+        the store does not answer it, can thus connect to the leader.
     """
 
     sender: str
@@ -34,6 +36,7 @@
     sent_at: dt.datetime | None = None
     answered_at: dt.datetime | None = None
     may_confirm: bool = True
+    address: str = ""
 
 
 @frozen
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -92,6 +92,14 @@
     leader: Leader
 
 
+@frozen
+class PeerIntroduced:
+    """A peer told where it is reached, while the store does not answer this entry."""
+
+    name: str
+    address: str
+
+
 @frozen
 class LeadershipConfirmed:
     """A peer knows of no later leader.
@@ -404,6 +412,8 @@
                     self._apply_key(kv)
             case LeaderAnnounced(leader):
                 self._update_leader(leader)
+            case PeerIntroduced():
+                self._add_peer(msg)
             case LeadershipConfirmed(peer, can_lead):
                 self._handle_confirmation(msg)
                 self._handle_report(peer, can_lead)
@@ -527,6 +537,13 @@
                 log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=exc.message)
         self._publish(evolve(self.view, members=members))
 
+    def _add_peer(self, peer: PeerIntroduced) -> None:
+        """Add a peer to the members until the store tells who they are."""
+        if peer.name not in self.view.members:
+            member = JobMember(peer.name, "", peer.address)
+            members = {**self.view.members, peer.name: member}
+            self._publish(evolve(self.view, members=members))
+
     def _apply_leader_key(self, kv: KeyValue) -> None:
         self._leader_kv = kv
         if not kv.mod_revision:
