Refuse at once, and be not ready, where neither store nor leader is reached

Callers saw: at an entry that was cut off from the store and its peers a GET of a job took 3.8 s to its 503, a submission 4.0 s to a 504, a cancellation 3.0 s, a GET of the pending count 0.8 s, on open and on new connections; the entry was ready all the while, so that the balancer went on sending clients (real processes, the store and the other entries stopped by SIGSTOP).

Cause: each request tried all ways anew, one time-out after the other: the leader, a relay by a peer, the store, a relay again. What one learned, the others didn't know, and readiness didn't depend on it.

Fix: a task of its own keeps what the entry reaches. Once a watch fails it probes the store and asks peers whether they reach it, or schedule. 1 s later calls that would reach nobody are refused before anything is sent, relays go to peers that reach the store, and an entry that can't serve is not ready if a peer is silent, since others may serve then. In an outage that all share, and with a single entry, it stays ready. Refusals of the store (429, 503) count as reached, since they cost no time.

--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -30,6 +30,7 @@
 from .settings import ListenAddress
 from .tasks import leadership
 from .tasks.call import call
+from .tasks.connectivity import ConnectivityTask, StoreSeen
 from .tasks.leadership import ControlView, LeadershipTask
 from .tasks.listener import CloseConnections, ConnectionsClosed, ListenerTask
 from .tasks.load import LoadTask
@@ -80,6 +81,7 @@
     front_context: JobFrontContext = field(init=False)
     peer: PeerTask = field(init=False)
     leadership: LeadershipTask = field(init=False)
+    connectivity: ConnectivityTask = field(init=False)
     scheduler: SchedulerTask | None = None
     _random: random.Random = field(init=False)
     _relaying_store: RelayingStore = field(init=False)
@@ -96,7 +98,10 @@
         self._random = random.Random(cfg.seed or None)
         self._backlog_at = self._started_at = self.clock.now()
         self._relaying_store = RelayingStore(
-            self.adapter.store, self.clock, self._call_store_via_peer
+            self.adapter.store,
+            self.clock,
+            self._call_store_via_peer,
+            lambda: self.connectivity.is_store_out_of_reach(),
         )
         self.metrics = JobMetrics(cfg.name)
         self.front_context = JobFrontContext(
@@ -127,6 +132,18 @@
             cfg.capacity,
             self._describe_handover,
         )
+        self.connectivity = ConnectivityTask(
+            cfg.peer_address,
+            self.adapter.store,
+            self.clock,
+            self._random,
+            self.peer.peers,
+            self._find_leader_name,
+            self.peer.ask,
+            self._may_schedule,
+            lambda: self._relaying_store.set_store_reached(True),
+            self.metrics.set_cut_off,
+        )
 
     def start(self) -> None:
         """Listen on all addresses and start the tasks."""
@@ -145,7 +162,7 @@
             self._take_scheduler_load,
             self.metrics,
         )
-        for task in (self.peer, self.leadership, config, load):
+        for task in (self.peer, self.leadership, self.connectivity, config, load):
             spawn(task.run())
         spawn(self._announce_periodically())
         front = JobFront(self.front_context, self.codec)
@@ -181,8 +198,12 @@
         return app
 
     def is_ready(self) -> bool:
-        """Whether the entry has a configuration and is not stopping."""
-        return self.front_context.config is not None and not self._is_stopping
+        """Whether the entry has a configuration, can serve and is not stopping."""
+        return (
+            self.front_context.config is not None
+            and not self._is_stopping
+            and self.connectivity.is_ready()
+        )
 
     def reload(self, cfg: JobSettings) -> None:
         """Apply the time limits of ``cfg``; changed addresses need a restart."""
@@ -256,6 +277,7 @@
     def _handle_config_watch(self, msg: Snapshot | Changes | StoreContact) -> None:
         if isinstance(msg, StoreContact):
             self._relaying_store.set_store_reached(msg.is_reached)
+            self.connectivity.mailbox.offer(StoreSeen(msg.is_reached or msg.is_refused))
             if msg.is_reached != self._is_store_reached:
                 self._record_store_contact(msg.is_reached)
             return
@@ -367,6 +389,14 @@
             self.cfg.peer_address,
         )
 
+    def _find_leader_name(self) -> str | None:
+        leader = self.front_context.view.leader
+        return leader.name if leader is not None else None
+
+    def _may_schedule(self) -> bool:
+        """Whether this entry is the leader and may act as such."""
+        return self.scheduler is not None and self.leadership.may_act()
+
     def _can_lead(self) -> bool:
         return self.is_ready() and self._is_store_reached and self.leadership.can_lead()
 
@@ -388,14 +418,19 @@
                 return self._ask_local_scheduler(msg)
             case m.StoreAsked():
                 return Deferred.fromCoroutine(execute_for_peer(self.adapter.store, msg))
+            case m.ReachAsked(address):
+                self._note_address(sender, address)
+                return m.Reach(self._is_store_reached, self._may_schedule())
         return None
 
+    def _note_address(self, peer: str, address: str) -> None:
+        """Connect to a peer that the store can't tell about."""
+        if address and not self._is_store_reached:
+            self.leadership.mailbox.offer(leadership.PeerIntroduced(peer, address))
+
     def _handle_announcement(self, sender: str, msg: m.LeaderIs) -> None:
         leader = msg.leader
-        if msg.address and not self._is_store_reached:
-            self.leadership.mailbox.offer(
-                leadership.PeerIntroduced(sender, msg.address)
-            )
+        self._note_address(sender, msg.address)
         own_version = (
             self.front_context.config.version if self.front_context.config else 0
         )
@@ -438,13 +473,21 @@
                 "No entry schedules jobs at present.",
                 "Retry in a few seconds, after the election of a scheduler.",
             )
+        if self.connectivity.is_silent(leader.name):
+            raise PeerUnreachableError(
+                f"Entry {leader.name}, which schedules, does not answer this entry.",
+                "Retry at another entry, or after a second.",
+            )
         return self.peer.ask(leader.name, msg, SCHEDULER_TIMEOUT)
 
     def _call_store_via_peer(
         self, request: m.StoreAsked, timeout: dt.timedelta
     ) -> Deferred[m.StoreAnswer]:
-        """Have the leader, or a random peer if it is unknown, call the store."""
-        peers = sorted(self.peer.peers())
+        """Have the leader, or a random peer if it is unknown, call the store.
+
+        Those that are known to reach the store go first.
+        """
+        peers = sorted(self.connectivity.find_relays() or self.peer.peers())
         if not peers:
             raise PeerUnreachableError(
                 "There is no peer to call the store.",
--- a/src/fighead/job_message.py
+++ b/src/fighead/job_message.py
@@ -117,6 +117,28 @@
     is_uncertain: bool = False
 
 
+@frozen
+class ReachAsked:
+    """Asks a peer what it reaches.
+
+    :param address: Where peers reach the sender, as in :class:`LeaderIs`.
+    """
+
+    address: str = ""
+
+
+@frozen
+class Reach:
+    """Answer to :class:`ReachAsked`.
+
+    :param reaches_store: Whether the store answers the sender.
+    :param schedules: Whether the sender is the leader and may act as such.
+    """
+
+    reaches_store: bool
+    schedules: bool
+
+
 JOB_MESSAGES: dict[str, type] = {
     cls.__name__: cls
     for cls in (
@@ -132,5 +154,7 @@
         NotScheduler,
         StoreAsked,
         StoreAnswer,
+        ReachAsked,
+        Reach,
     )
 }
--- a/src/fighead/job_metric.py
+++ b/src/fighead/job_metric.py
@@ -57,6 +57,9 @@
         self._leading_gauge = meter.create_gauge(
             "fighead.leading", "1", "1 while this entry schedules."
         )
+        self._cut_off_gauge = meter.create_gauge(
+            "fighead.cutoff", "1", "1 while this entry can't serve, nor by a peer."
+        )
         self._version_gauge = meter.create_gauge(
             "fighead.config.version", "1", "Version of the configuration in force."
         )
@@ -162,6 +165,10 @@
         """Record whether this entry schedules."""
         self._leading_gauge.set(int(is_leading))
 
+    def set_cut_off(self, is_cut_off: bool) -> None:
+        """Record whether this entry reaches nobody that could serve clients."""
+        self._cut_off_gauge.set(int(is_cut_off))
+
     def set_config_version(self, version: int) -> None:
         """Record the version of the configuration in force."""
         self._version_gauge.set(version)
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -46,6 +46,12 @@
     LEASE_LOST = (2002, "warning", "The lease expired; claims are made again.")
     STORE_AWAY = (2003, "warning", "The store is unreachable.")
     STORE_BACK = (2004, "info", "The store is reachable again.")
+    ENTRY_CUT_OFF = (
+        2005,
+        "warning",
+        "Neither the store nor a peer that could serve clients is reached.",
+    )
+    ENTRY_CONNECTED = (2006, "info", "The entry can serve clients again.")
     CLAIM_WON = (2101, "info", "A claim was won.")
     CLAIM_LOST = (2102, "warning", "A claim was lost to another entry.")
     CLAIM_RELEASED = (2103, "info", "A claim was handed over.")
--- a/src/fighead/tasks/relay.py
+++ b/src/fighead/tasks/relay.py
@@ -32,11 +32,13 @@
 
     :param ask_peer: Sends a request to the peer that is most likely to reach the
         store; raises :exc:`.PeerUnreachableError`.
+    :param is_out_of_reach: Whether it is known that no call would reach the store.
     """
 
     store: StoreClient
     clock: Clock
     ask_peer: t.Callable[[StoreAsked, dt.timedelta], Deferred[StoreAnswer]]
+    is_out_of_reach: t.Callable[[], bool] = lambda: False
     _failed_at: dt.datetime | None = None
 
     def set_store_reached(self, is_reached: bool) -> None:
@@ -51,6 +53,11 @@
         :raises StoreOutcomeUnknownError: If a write may have taken effect.
         :raises StoreError: Otherwise, as the store raises it.
         """
+        if self.is_out_of_reach():
+            raise StoreUnavailableError(
+                "Neither this entry nor a peer reaches the key-value service.",
+                "Retry at another entry, or after a second.",
+            )
         if not self._prefers_relay():
             return await self._call_store_first(req, timeout)
         try:
--- a/src/fighead/tasks/watch.py
+++ b/src/fighead/tasks/watch.py
@@ -9,7 +9,7 @@
 from twisted.python import log
 
 from ..clock import Clock, sleep
-from ..exceptions import HistoryLostError, StoreError
+from ..exceptions import HistoryLostError, StoreError, StoreRejectedError
 from ..store import KeyValue, Range, RangeResult, WatchBatch, WatchEvent
 
 #: Timeout of a call to the store; see :meth:`StoreClient.call`.
@@ -67,10 +67,14 @@
 
 @frozen
 class StoreContact:
-    """Whether the last call of a watch reached the store."""
+    """Whether the last call of a watch reached the store.
+
+    :param is_refused: Whether the store answered, and refused the call.
+    """
 
     prefix: str
     is_reached: bool
+    is_refused: bool = False
 
 
 async def raise_failure(exc: StoreError) -> None:
@@ -176,6 +180,7 @@
                 self.deliver(Changes(self.prefix, batch.revision, batch.events))
                 await sleep(self.clock, self.pause)
 
-    async def _handle_failure(self, _exc: StoreError) -> None:
-        self.deliver(StoreContact(self.prefix, False))
+    async def _handle_failure(self, exc: StoreError) -> None:
+        is_refused = isinstance(exc, StoreRejectedError)
+        self.deliver(StoreContact(self.prefix, False, is_refused))
         await sleep(self.clock, RETRY_PAUSE * (0.5 + self.random.random()))
