Answer queries and commands within the client's deadline

Callers saw: in the seconds before an entry knows that it is cut off, the phase of a job took 2.8 s to its 503, whatever the deadline in the request, and a submission with 1.5 s of time was answered after 3.3 s; 3.98 s with the default of 3 s (real processes).

Cause: queries took no deadline. Commands checked it between store calls, and a call that is relayed adds the time-outs of the relay to its own.

Fix: queries end after 1.8 s, or at the deadline if that is sooner; each store call of a command ends at the deadline. A write that is given up then may have been sent, so its outcome is unknown (504).

--- a/src/fighead/commands/job.py
+++ b/src/fighead/commands/job.py
@@ -1,13 +1,15 @@
 """Commands of clients that submit and cancel jobs."""
 
 import datetime as dt
+import typing as t
 
 from attrs import frozen
+from twisted.internet.defer import Deferred
 
 from .. import job_message as m
-from ..clock import sleep
+from ..clock import sleep, with_timeout
 from ..codec import to_json
-from ..exceptions import StoreError, StoreOutcomeUnknownError
+from ..exceptions import StoreError, StoreOutcomeUnknownError, StoreUnavailableError
 from ..job import JobRecord, JobSpec, Queue
 from ..job_front_context import JobFrontContext
 from ..log import Event, log_event
@@ -78,7 +80,9 @@
     outcome: Accepted | NotAccepted | Uncertain | None = None
     retry_after = context.find_retry_after(queue.priority)
     if retry_after is not None:
-        outcome = await _refuse_unknown_job(context, queue, job_id, retry_after)
+        outcome = await _refuse_unknown_job(
+            context, queue, job_id, retry_after, deadline
+        )
     if outcome is None:
         outcome = await _store_job(context, queue, job_id, spec, deadline)
     duration = context.clock.now() - started_at
@@ -87,7 +91,11 @@
 
 
 async def _refuse_unknown_job(
-    context: JobFrontContext, queue: Queue, job_id: str, retry_after: dt.timedelta
+    context: JobFrontContext,
+    queue: Queue,
+    job_id: str,
+    retry_after: dt.timedelta,
+    deadline: dt.datetime,
 ) -> NotAccepted | None:
     """Refuse a job that is not stored; return ``None`` if it is.
 
@@ -95,7 +103,7 @@
     """
     reason = "More tasks are accepted than can be started in time."
     try:
-        if await _find_any_record(context, job_id) is not None:
+        if await _find_any_record(context, job_id, deadline) is not None:
             return None
     except StoreError as exc:
         reason = exc.message
@@ -109,9 +117,11 @@
     return NotAccepted(reason, retry_after)
 
 
-async def _find_any_record(context: JobFrontContext, job_id: str) -> KeyValue | None:
-    record = await _read_key(context, JOBS_PREFIX + job_id)
-    return record or await _read_key(context, JOB_ENDINGS_PREFIX + job_id)
+async def _find_any_record(
+    context: JobFrontContext, job_id: str, deadline: dt.datetime
+) -> KeyValue | None:
+    record = await _read_key(context, JOBS_PREFIX + job_id, deadline)
+    return record or await _read_key(context, JOB_ENDINGS_PREFIX + job_id, deadline)
 
 
 async def _store_job(
@@ -140,9 +150,8 @@
     )
     is_certain, reason = True, "The client waits no longer."
     while context.clock.now() < deadline:
-        timeout = min(STORE_TIMEOUT, deadline - context.clock.now())
         try:
-            result: TxnResult = await context.store.call(txn, timeout)
+            result: TxnResult = await _call_store(context, txn, deadline)
         except StoreOutcomeUnknownError as exc:
             is_certain, reason = False, exc.message
             await sleep(context.clock, WRITE_RETRY_PAUSE)
@@ -170,20 +179,20 @@
 
     A job that has already ended stays unchanged and is reported as accepted.
 
-    :param deadline: When to stop retrying; an attempt in progress may outlast it.
+    :param deadline: When to stop waiting for the store.
     """
     is_certain, reason = True, ""
     while context.clock.now() < deadline:
         try:
-            record = await _read_key(context, JOBS_PREFIX + job_id)
+            record = await _read_key(context, JOBS_PREFIX + job_id, deadline)
             if record is None:
-                ending = await _read_key(context, JOB_ENDINGS_PREFIX + job_id)
+                ending = await _read_key(context, JOB_ENDINGS_PREFIX + job_id, deadline)
                 return Accepted() if ending else NoSuchJob()
             txn = Txn(
                 (Compare(JOBS_PREFIX + job_id, record.mod_revision),),
                 (Put(JOBS_PREFIX + job_id + CANCEL_MARK_SUFFIX, "{}"),),
             )
-            result: TxnResult = await context.store.call(txn, STORE_TIMEOUT)
+            result: TxnResult = await _call_store(context, txn, deadline)
         except StoreOutcomeUnknownError as exc:
             is_certain, reason = False, exc.message
             await sleep(context.clock, WRITE_RETRY_PAUSE)
@@ -198,6 +207,33 @@
     return NotAccepted(reason) if is_certain else Uncertain(reason)
 
 
-async def _read_key(context: JobFrontContext, key: str) -> KeyValue | None:
-    result = await context.store.call(Range(key), STORE_TIMEOUT)
+async def _read_key(
+    context: JobFrontContext, key: str, deadline: dt.datetime
+) -> KeyValue | None:
+    result = await _call_store(context, Range(key), deadline)
     return next(iter(result.kvs), None)
+
+
+async def _call_store(
+    context: JobFrontContext, req: Txn | Range, deadline: dt.datetime
+) -> t.Any:
+    """Call the store, and give up at the deadline.
+
+    The call may go to a peer as well, so it can take longer than its time-out.
+    """
+    time_left = max(deadline - context.clock.now(), dt.timedelta())
+    call = context.store.call(req, min(STORE_TIMEOUT, time_left))
+    try:
+        return await with_timeout(
+            context.clock, Deferred.fromCoroutine(call), time_left
+        )
+    except TimeoutError as exc:
+        if isinstance(req, Txn):
+            raise StoreOutcomeUnknownError(
+                "The client waits no longer, and the write was sent.",
+                "Ask for the job, or repeat the request.",
+            ) from exc
+        raise StoreUnavailableError(
+            "The store has not answered before the client's deadline.",
+            "Retry at another entry, or after a second.",
+        ) from exc
--- a/src/fighead/fronts/job.py
+++ b/src/fighead/fronts/job.py
@@ -7,9 +7,10 @@
 
 from attrs import frozen
 from klein import Klein
-from twisted.internet.defer import CancelledError
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.web.iweb import IRequest
 
+from ..clock import with_timeout
 from ..commands import job as commands
 from ..exceptions import (
     BodyTooLargeError,
@@ -36,6 +37,11 @@
 MAX_TIME_LIMIT = dt.timedelta(hours=1)
 #: Time reserved for the answer to reach the client.
 ANSWER_MARGIN = dt.timedelta(milliseconds=150)
+#: Longest time until a query is answered, enough for the scheduler and then one store
+#: call to time out. A client with the shortest time budget can then ask another entry.
+QUERY_TIMEOUT = dt.timedelta(milliseconds=1800)
+
+T = t.TypeVar("T")
 
 Handler = t.Callable[..., t.Coroutine[t.Any, t.Any, bytes]]
 
@@ -165,19 +171,34 @@
         return self._send_outcome(request, outcome)
 
     async def _find_phase(self, request: IRequest, job_id: str) -> bytes:
-        phase = await queries.find_phase(self.context, job_id)
+        phase = await self._limit(request, queries.find_phase(self.context, job_id))
         if phase is None:
             return self._send_error(request, GONE, "There is no such job.")
         return self._codec.encode_phase(phase)
 
     async def _count_pending(self, request: IRequest, queue: Queue) -> bytes:
-        count = await queries.count_pending(self.context, queue.name)
+        count = await self._limit(
+            request, queries.count_pending(self.context, queue.name)
+        )
         if count is None:
             raise NotRunError(
                 "The scheduler has not loaded all jobs yet.", "Retry after a second."
             )
         return self._codec.encode_pending(count)
 
+    async def _limit(self, request: IRequest, query: t.Coroutine[t.Any, t.Any, T]) -> T:
+        """Return the result of a query, or give up before the client does."""
+        clock = self.context.clock
+        time_left = self._get_deadline(request) - clock.now()
+        limit = min(max(time_left, dt.timedelta()), QUERY_TIMEOUT)
+        try:
+            return await with_timeout(clock, Deferred.fromCoroutine(query), limit)
+        except TimeoutError as exc:
+            raise NotRunError(
+                "Neither the scheduler nor the store has answered in time.",
+                "Retry at another entry, or after a second.",
+            ) from exc
+
     def _send_outcome(self, request: IRequest, outcome: t.Any) -> bytes:
         match outcome:
             case commands.Accepted():
