--- a/src/fighead/fronts/job.py
+++ b/src/fighead/fronts/job.py
@@ -7,9 +7,10 @@
 
 from attrs import frozen
 from klein import Klein
-from twisted.internet.defer import CancelledError
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.web.iweb import IRequest
 
+from ..clock import with_timeout
 from ..commands import job as commands
 from ..exceptions import (
     BodyTooLargeError,
@@ -36,6 +37,11 @@
 MAX_TIME_LIMIT = dt.timedelta(hours=1)
 #: Time reserved for the answer to reach the client.
 ANSWER_MARGIN = dt.timedelta(milliseconds=150)
+#: Longest time until a query is answered, enough for the scheduler and then one store
+#: call to time out. A client with the shortest time budget can then ask another entry.
+QUERY_TIMEOUT = dt.timedelta(milliseconds=1800)
+
+T = t.TypeVar("T")
 
 Handler = t.Callable[..., t.Coroutine[t.Any, t.Any, bytes]]
 
@@ -68,6 +74,7 @@
 
     @functools.wraps(handler)
     async def handle(self: "JobFront", request: IRequest) -> bytes:
+        started_at = self.context.clock.now()
         request.setHeader("Content-Type", "application/json")
         refuse = functools.partial(self._refuse, request)
         try:
@@ -75,6 +82,7 @@
         except FigheadError as exc:
             if exc.status >= UNAVAILABLE:
                 request.setHeader("Retry-After", "1")
+                self._log_unserved(request, exc.status, exc.message, started_at)
             return self._send_error(request, exc.status, str(exc))
         except CancelledError:
             # The client closed the connection, so there is nobody to answer.
@@ -151,25 +159,46 @@
         return self._send_outcome(request, outcome)
 
     async def _cancel(self, request: IRequest, job_id: str) -> bytes:
+        started_at = self.context.clock.now()
         outcome = await commands.cancel_job(
             self.context, job_id, self._get_deadline(request)
         )
+        match outcome:
+            case commands.NotAccepted(reason):
+                self._log_unserved(request, UNAVAILABLE, reason, started_at)
+            case commands.Uncertain(reason):
+                self._log_unserved(request, UNKNOWN_OUTCOME, reason, started_at)
         return self._send_outcome(request, outcome)
 
     async def _find_phase(self, request: IRequest, job_id: str) -> bytes:
-        phase = await queries.find_phase(self.context, job_id)
+        phase = await self._limit(request, queries.find_phase(self.context, job_id))
         if phase is None:
             return self._send_error(request, GONE, "There is no such job.")
         return self._codec.encode_phase(phase)
 
     async def _count_pending(self, request: IRequest, queue: Queue) -> bytes:
-        count = await queries.count_pending(self.context, queue.name)
+        count = await self._limit(
+            request, queries.count_pending(self.context, queue.name)
+        )
         if count is None:
             raise NotRunError(
                 "The scheduler has not loaded all jobs yet.", "Retry after a second."
             )
         return self._codec.encode_pending(count)
 
+    async def _limit(self, request: IRequest, query: t.Coroutine[t.Any, t.Any, T]) -> T:
+        """Return the result of a query, or give up before the client does."""
+        clock = self.context.clock
+        time_left = self._get_deadline(request) - clock.now()
+        limit = min(max(time_left, dt.timedelta()), QUERY_TIMEOUT)
+        try:
+            return await with_timeout(clock, Deferred.fromCoroutine(query), limit)
+        except TimeoutError as exc:
+            raise NotRunError(
+                "Neither the scheduler nor the store has answered in time.",
+                "Retry at another entry, or after a second.",
+            ) from exc
+
     def _send_outcome(self, request: IRequest, outcome: t.Any) -> bytes:
         match outcome:
             case commands.Accepted():
@@ -184,6 +213,23 @@
                 return self._send_error(request, UNKNOWN_OUTCOME, reason)
         raise TypeError(f"Unexpected outcome type {type(outcome).__name__}.")
 
+    def _log_unserved(
+        self, request: IRequest, status: int, reason: str, started_at: dt.datetime
+    ) -> None:
+        """Log why a request is not served; submissions have events of their own."""
+        method = request.method.decode("ascii", "replace")
+        leader = self.context.view.leader
+        log_event(
+            Event.REQUEST_UNSERVED,
+            method=method,
+            path=request.path.decode("utf-8", "replace")[:80],
+            status=status,
+            took_ms=int((self.context.clock.now() - started_at).total_seconds() * 1000),
+            leader=leader.name if leader is not None else "",
+            reason=reason,
+        )
+        self.context.metrics.count_unserved(method, status)
+
     def _send_error(self, request: IRequest, status: int, reason: str) -> bytes:
         request.setResponseCode(status)
         return self._codec.encode_error(reason)
--- a/src/fighead/job_message.py
+++ b/src/fighead/job_message.py
@@ -25,6 +25,8 @@
     :param answered_at: ``sent_at`` of the announcement that this one answers.
     :param may_confirm: Whether the answer may confirm the leader. An entry that has
         just started may have confirmed a later one before.
+    :param address: Where peers reach the sender. A peer that knows no members, since
+        the store does not answer it, can thus connect to the leader.
     """
 
     sender: str
@@ -35,6 +37,7 @@
     sent_at: dt.datetime | None = None
     answered_at: dt.datetime | None = None
     may_confirm: bool = True
+    address: str = ""
 
 
 @frozen
@@ -139,6 +142,28 @@
     """Asks a peer to let others stand first in the next election."""
 
 
+@frozen
+class ContactAsked:
+    """Asks a peer what it reaches.
+
+    :param address: Where peers reach the sender, as in :class:`LeaderIs`.
+    """
+
+    address: str = ""
+
+
+@frozen
+class ContactIs:
+    """Answer to :class:`ContactAsked`.
+
+    :param reaches_store: Whether the store answers the sender.
+    :param schedules: Whether the sender is the leader and may act as such.
+    """
+
+    reaches_store: bool
+    schedules: bool
+
+
 JOB_MESSAGES: dict[str, type] = {
     cls.__name__: cls
     for cls in (
@@ -157,5 +182,7 @@
         ReachAsked,
         ReachIs,
         YieldAsked,
+        ContactAsked,
+        ContactIs,
     )
 }
--- a/src/fighead/job_metric.py
+++ b/src/fighead/job_metric.py
@@ -33,6 +33,9 @@
         self._requests = meter.create_counter(
             "fighead.job.requests", "1", "Submissions by queue and outcome."
         )
+        self._unserved = meter.create_counter(
+            "fighead.job.unserved", "1", "Answers 503 and 504, by method and status."
+        )
         self._accept_durations = meter.create_histogram(
             "fighead.job.accept.duration", "s", "Time until a submission is answered."
         )
@@ -54,6 +57,9 @@
         self._leading_gauge = meter.create_gauge(
             "fighead.leading", "1", "1 while this entry schedules."
         )
+        self._cut_off_gauge = meter.create_gauge(
+            "fighead.cutoff", "1", "1 while this entry can't serve, nor by a peer."
+        )
         self._version_gauge = meter.create_gauge(
             "fighead.config.version", "1", "Version of the configuration in force."
         )
@@ -133,6 +139,10 @@
         self._requests.add(1, {"queue": queue, "outcome": outcome})
         self._accept_durations.record(took.total_seconds(), {"queue": queue})
 
+    def count_unserved(self, method: str, status: int) -> None:
+        """Count a request that was answered with ``status``, 503 or above."""
+        self._unserved.add(1, {"method": method, "status": status})
+
     def count_end(self, queue: str, phase: str, took: dt.timedelta) -> None:
         """Count a job whose end is stored, ``took`` after it was accepted."""
         self._jobs.add(1, {"queue": queue, "phase": phase})
@@ -155,6 +165,10 @@
         """Record whether this entry schedules."""
         self._leading_gauge.set(int(is_leading))
 
+    def set_cut_off(self, is_cut_off: bool) -> None:
+        """Record whether this entry reaches nobody that could serve clients."""
+        self._cut_off_gauge.set(int(is_cut_off))
+
     def set_config_version(self, version: int) -> None:
         """Record the version of the configuration in force."""
         self._version_gauge.set(version)
