Draw the peers to ask from a generator of their own

The connectivity task shared the generator of the watches' pauses and of the candidacies, so that with a fixed seed these changed whenever it asked peers. test_a_leader_acts_in_a_second_outage_soon_after_the_first[5-0.4] failed by that.

--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -136,7 +136,7 @@
             cfg.peer_address,
             self.adapter.store,
             self.clock,
-            self._random,
+            random.Random(self.cfg.seed or None),
             self.peer.peers,
             self._find_leader_name,
             self.peer.ask,
