Record the registrations of all instances of the fleet

Callers saw lasting tasks that waited, with the instances that ran them alive.

Cause: the record of the fleet held the registrations of those instances alone that had lost theirs while an entry led. One that lapses while nobody leads, as after all entries were killed beside a cut of instances from the store, was in the record by its ID only. The next leader had no address for it, let its runs lapse and then forgot it.

The record now holds the last registration of each instance, without what changes with its drain, and the next leader calls those that it doesn't find among the registrations, once it has read these. Records of earlier versions are read.

The test failed before: a task was started anew.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -476,12 +476,19 @@
     return not state.is_listed and _has_lapsed(schedule, state, lease)
 
 
-def find_unregistered(schedule: Schedule) -> list[RegisteredInstance]:
-    """Return the known instances that have lost their registrations."""
+def find_registrations(
+    schedule: Schedule, instance_ids: t.Container[str]
+) -> list[RegisteredInstance]:
+    """Return the last registrations of known instances, without what changes often.
+
+    :param instance_ids: IDs of the instances to include.
+    """
     return [
-        state.instance
-        for _, state in sorted(schedule.instances.items())
-        if not state.is_registered
+        evolve(state.instance, is_draining=False, remaining_ms=0)
+        if state.is_registered
+        else state.instance
+        for name, state in sorted(schedule.instances.items())
+        if name in instance_ids
     ]
 
 
--- a/src/fighead/tasks/fleet.py
+++ b/src/fighead/tasks/fleet.py
@@ -33,10 +33,13 @@
     """All instances on which a run may have been started.
 
     :param instances: Their IDs.
-    :param unregistered: Those without a registration, as they last registered.
+    :param registrations: Their last registrations, as far as they are known. One may be
+        gone by the time of the next scheduler.
+    :param unregistered: Those that have none now, in a record of an earlier version.
     """
 
     instances: tuple[str, ...]
+    registrations: tuple[RegisteredInstance, ...] = ()
     unregistered: tuple[RegisteredInstance, ...] = ()
 
 
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -235,6 +235,9 @@
     # By instance ID, those of upstreams that are not configured.
     _ignored_registrations: dict[str, KeyValue] = field(factory=dict)
     _fleet_read_revision: int = 0
+    # Those of the stored fleet that have yet to be listed.
+    _recorded_instances: tuple[RegisteredInstance, ...] = ()
+    _are_registrations_known: bool = False
     _requested_fleet: Fleet | None = None
     _requested_bounds: dict[str, dt.datetime] = field(factory=dict)
     _is_fleet_write_pending: bool = False
@@ -573,6 +576,8 @@
             self._apply_effects(
                 instance_tracking.unregister_instances(self.schedule, missing)
             )
+            self._are_registrations_known = True
+            self._list_recorded_instances()
 
     def _handle_job_key(self, kv: KeyValue, now: dt.datetime) -> None:
         if kv.key.endswith(CANCEL_MARK_SUFFIX):
@@ -695,10 +700,17 @@
         if fleet is None:
             return
         instance_tracking.set_inherited_fleet(self.schedule, fleet.instances)
-        for instance in fleet.unregistered:
-            self._list_unregistered(instance)
+        self._recorded_instances = (*fleet.registrations, *fleet.unregistered)
+        self._list_recorded_instances()
         self._reconsider_ignored_registrations()
 
+    def _list_recorded_instances(self) -> None:
+        """List the instances of the record, once it is known which are registered."""
+        if self._are_registrations_known:
+            for instance in self._recorded_instances:
+                self._list_unregistered(instance)
+            self._recorded_instances = ()
+
     def _handle_loaded_state(self, msg: StateLoaded, now: dt.datetime) -> None:
         progress = {
             kv.key.removeprefix(JOB_PROGRESS_PREFIX): kv for kv in msg.progress.kvs
@@ -966,11 +978,8 @@
         if not self._is_loaded or self._is_fleet_write_pending:
             return
         names = instance_tracking.fleet_to_store(self.schedule, self.lease)
-        unregistered = instance_tracking.find_unregistered(self.schedule)
-        fleet = Fleet(
-            tuple(sorted(names)),
-            tuple(each for each in unregistered if each.instance_id in names),
-        )
+        registrations = instance_tracking.find_registrations(self.schedule, names)
+        fleet = Fleet(tuple(sorted(names)), tuple(registrations))
         bounds = instance_tracking.find_bounds_to_store(self.schedule, self.lease, now)
         if (fleet, bounds) == (self._requested_fleet, self._requested_bounds):
             return
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -199,3 +199,19 @@
     cluster.advance(40)
     assert cluster.leader() == leader
     assert cluster.entries[leader].entry.scheduler.schedule.term == 1
+
+
+# Failure: a new leader doesn't reach instances whose registrations lapse while nobody
+# leads, so that their tasks end with their leases.
+def test_runs_go_on_whose_instances_lose_their_registrations_between_leaders():
+    cluster, leader = start_lasting_tasks()
+    running = [event.task for event in cluster.history if event.event == "started"]
+    cluster.kill_entries(*cluster.entries)
+    for name in ("i1", "i2", "i3"):
+        cluster.unregister_instance(name)
+    for name in list(cluster.entries):
+        cluster.start_entry(name)
+    cluster.advance(12)
+    assert cluster.leader() is not None
+    started = [event.task for event in cluster.history if event.event == "started"]
+    assert started == running and count_running(cluster) == LASTING.count
