Hand over by reach under the current fence

A leader that had been elected again without a break kept the lead for good, although it did not reach instances that other entries did: its tasks waited.

The callback that starts a survey of peers was bound to the fence of the first election, and the scheduler goes on when the entry is elected again. So PeerReachesMore carried a fence that the leadership task no longer had, and was dropped each time, after the other peers had been asked to yield. The survey now takes the fence from the schedule, and is dropped before anybody is asked to yield if that has changed.

--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -347,7 +347,7 @@
             lambda fence: self.leadership.mailbox.offer(
                 leadership.PredecessorsStopped(fence)
             ),
-            lambda survey: self._start_survey(leader.fence, survey),
+            self._start_survey,
         )
         self.metrics.set_leading(True)
         self.scheduler.start()
@@ -435,7 +435,10 @@
     # Instances that a peer reaches and the leader doesn't.
 
     def _start_survey(self, fence: int, survey: Survey) -> None:
-        """Ask peers which instances they reach, and hand over to one with more."""
+        """Ask peers which instances they reach, and hand over to one with more.
+
+        :param fence: Fence of this entry, which leads.
+        """
         spawn(self._survey_peers(fence, survey))
 
     async def _survey_peers(self, fence: int, survey: Survey) -> None:
@@ -443,7 +446,8 @@
         better = self._random.sample(peers, min(len(peers), reach.MAX_PEERS))
         for _ in range(reach.ROUNDS):
             better = await self._find_better_placed(survey, better)
-        if not better or not self.leadership.is_leading:
+        leads = self.scheduler is not None and self.scheduler.schedule.fence == fence
+        if not better or not leads:
             return
         for name in peers:
             if name not in better:
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -204,8 +204,8 @@
     :param find_lease_record_date: Returns when this entry first saw a revision of the
         stored ends of leases; ``None`` if it has not seen it.
     :param on_handed_over: Called with the fence if all earlier leaders have stopped.
-    :param request_survey: Called with instances, to find out whether a peer reaches
-        more of them.
+    :param request_survey: Called with the fence and with instances, to find out whether
+        a peer reaches more of them.
     :param agents: Agent of each instance, by instance ID.
     """
 
@@ -226,7 +226,7 @@
     on_load_failed: t.Callable[[int], None] = lambda _: None
     find_lease_record_date: t.Callable[[int], dt.datetime | None] = lambda _: None
     on_handed_over: t.Callable[[int], None] = lambda _: None
-    request_survey: t.Callable[[Survey], None] = lambda _: None
+    request_survey: t.Callable[[int, Survey], None] = lambda _fence, _survey: None
     mailbox: Mailbox[t.Any] = field(factory=lambda: Mailbox("scheduler", 65536))
     agents: dict[str, AgentTask] = field(factory=dict)
     _recorder: RecorderTask = field(init=False)
@@ -938,7 +938,7 @@
             )
             survey = reach.plan_survey(self._survey_plan, self.schedule, now)
             if survey is not None:
-                self.request_survey(survey)
+                self.request_survey(self.schedule.fence, survey)
         self._apply_effects(self._describe_waits(now))
         for instance_id in sorted(self.agents.keys() - self.schedule.instances.keys()):
             self._remove_agent(instance_id)
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -14,6 +14,7 @@
 )
 from fighead.job import JobSpec, Stage
 from fighead.run import RefusalReason, RegisteredInstance
+from fighead.store import JOB_LEADER_KEY
 from fighead.tasks.reach import find_reached
 from job_builders import at_seconds, make_schedule
 from job_cluster import JobCluster
@@ -74,6 +75,20 @@
     assert not cluster.find_breaches()
 
 
+# Failure: a leader that has been elected again under a new fence hands over no more.
+def test_a_reelected_leader_hands_over_to_an_entry_that_reaches_more_instances():
+    cluster, leader = start_lasting_tasks()
+    cluster.store.remove(JOB_LEADER_KEY)
+    cluster.advance(3)
+    assert cluster.leader() == leader
+    assert cluster.entries[leader].entry.front_context.view.leader.term == 2
+    cut_paths(cluster, [leader], ("i1", "i2", "i3"))
+    cluster.advance(MAX_GAP_S)
+    assert cluster.leader() != leader
+    assert count_running(cluster) == LASTING.count
+    assert not cluster.find_breaches()
+
+
 @pytest.mark.parametrize("lost_count", [1, 3])
 def test_a_leader_keeps_the_lead_if_no_entry_reaches_more(lost_count):
     cluster, leader = start_lasting_tasks()
