Ask peers about other instances before handing over by reach

Each hand-over lets all that waits for a settled schedule wait anew.

Both rounds of a survey asked about the same 8 answering instances. A peer that misses an eighth of the instances reaches 8 of them with a chance of a third, and one of several peers nearly always does, while it gains what the leader misses and loses as much. The second round now asks up to 24 others, and no more than 6 of the peers that passed the first, so that a hand-over takes no more calls.

FakePeer.ask answers within the time-out that it is given, as PeerTask.ask does; it used 0.8 s always, so that peers with a silent instance in the survey, whose answers take longer, hardly ever counted. The test of the sample's size now also expects that the rounds differ.

--- a/src/fighead/decisions/reach.py
+++ b/src/fighead/decisions/reach.py
@@ -18,13 +18,14 @@
 MIN_SILENCE = dt.timedelta(seconds=1)
 #: Share of the registered instances that a hand-over must gain.
 MIN_GAIN_SHARE = 0.1
-#: Number of silent instances, and of answering ones, that each peer calls, and number
-#: of peers. Each call is billed.
+#: Number of silent instances that each peer calls. Each call is billed.
 SAMPLE_SIZE = 8
-MAX_PEERS = 12
-#: Number of times that peers are asked before the leader hands over to one: calls may
-#: be lost at random.
-ROUNDS = 2
+#: Number of answering instances that each peer calls, by round. In the second round
+#: these are others: of many peers, some reach all of a few by chance, and lose more
+#: than they gain.
+ANSWERING_SIZES = (SAMPLE_SIZE, 3 * SAMPLE_SIZE)
+#: Number of peers that are asked, by round.
+MAX_PEERS = (12, 6)
 #: Pause after a survey; it doubles with each that finds no successor.
 MIN_PAUSE = dt.timedelta(seconds=2)
 MAX_PAUSE = dt.timedelta(seconds=32)
@@ -35,12 +36,12 @@
     """Instances that peers are to call.
 
     :param silent: A sample of those that don't answer the leader.
-    :param answering: A sample of those that do.
+    :param answering: Samples of those that do, by round.
     :param silent_share: Share of the registered instances that don't answer.
     """
 
     silent: tuple[RegisteredInstance, ...]
-    answering: tuple[RegisteredInstance, ...]
+    answering: tuple[tuple[RegisteredInstance, ...], ...]
     silent_share: float
 
 
@@ -68,9 +69,15 @@
         return None
     plan.next_at = now + plan.pause
     plan.pause = min(2 * plan.pause, MAX_PAUSE)
-    answering = [state for state in registered if state.is_reachable]
-    share = len(silent) / len(registered)
-    return Survey(_take_sample(silent), _take_sample(answering), share)
+    answering = [state.instance for state in registered if state.is_reachable]
+    first = _take_sample(answering, ANSWERING_SIZES[0])
+    others = [each for each in answering if each not in first]
+    second = _take_sample(others, ANSWERING_SIZES[1]) or first
+    return Survey(
+        _take_sample([state.instance for state in silent], SAMPLE_SIZE),
+        (first, second),
+        len(silent) / len(registered),
+    )
 
 
 def _is_silent(state: InstanceState, now: dt.datetime) -> bool:
@@ -79,10 +86,12 @@
     return now - state.silent_since >= MIN_SILENCE
 
 
-def _take_sample(states: t.Sequence[InstanceState]) -> tuple[RegisteredInstance, ...]:
+def _take_sample(
+    instances: t.Sequence[RegisteredInstance], size: int
+) -> tuple[RegisteredInstance, ...]:
     """Return instances at equal distances in the order of the schedule."""
-    count = min(len(states), SAMPLE_SIZE)
-    return tuple(states[n * len(states) // count].instance for n in range(count))
+    count = min(len(instances), size)
+    return tuple(instances[n * len(instances) // count] for n in range(count))
 
 
 def is_better_placed(
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -28,6 +28,7 @@
 from .mailbox import spawn
 from .model import Member
 from .process_load import ProcessClocks, SchedulerLoad
+from .run import RegisteredInstance
 from .settings import ListenAddress
 from .tasks import leadership
 from .tasks.call import call
@@ -443,9 +444,10 @@
 
     async def _survey_peers(self, fence: int, survey: Survey) -> None:
         peers = sorted(self.peer.peers())
-        better = self._random.sample(peers, min(len(peers), reach.MAX_PEERS))
-        for _ in range(reach.ROUNDS):
-            better = await self._find_better_placed(survey, better)
+        better = peers
+        for answering, count in zip(survey.answering, reach.MAX_PEERS, strict=True):
+            asked = self._random.sample(better, min(len(better), count))
+            better = await self._find_better_placed(survey, answering, asked)
         leads = self.scheduler is not None and self.scheduler.schedule.fence == fence
         if not better or not leads:
             return
@@ -454,11 +456,19 @@
                 self.peer.send(name, m.YieldAsked())
         self.leadership.mailbox.offer(leadership.PeerReachesMore(fence, better[0]))
 
-    async def _find_better_placed(self, survey: Survey, peers: list[str]) -> list[str]:
-        """Return those of some peers that reach more instances than this entry."""
+    async def _find_better_placed(
+        self,
+        survey: Survey,
+        answering: tuple[RegisteredInstance, ...],
+        peers: list[str],
+    ) -> list[str]:
+        """Return those of some peers that reach more instances than this entry.
+
+        :param answering: Instances that answer this entry, which peers are to call.
+        """
         if not peers:
             return []
-        instances = survey.silent + survey.answering
+        instances = survey.silent + answering
         asking = spawn(ask_peers(self.peer.ask, peers, m.ReachAsked(instances)))
         own = await find_reached(self.adapter.make_client, instances)
         answers = await asking
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -42,6 +42,7 @@
 from fighead.settings import ListenAddress
 from fighead.standins.simulated_job_instance import SimulatedJobInstance, restart
 from fighead.tasks.call import Call
+from fighead.tasks.peer import DEFAULT_ANSWER_TIMEOUT
 from fighead.tasks.scheduler import PlatformAdapter
 from memory_store import MemoryStore
 
@@ -314,7 +315,7 @@
         self._deliver(peer, msg, lambda answer: None)
 
     def ask(self, peer, msg, timeout=None):
-        """Return a deferred with the answer; it fails after 0.8 s without one."""
+        """Return a deferred with the answer; it fails without one in time."""
         if peer not in self.known:
             return fail(PeerUnreachableError("no connection", "again", True))
         fut = Deferred()
@@ -323,7 +324,7 @@
             if not fut.called:
                 fut.errback(PeerUnreachableError("no answer", "again"))
 
-        self.cluster.clock.call_later(dt.timedelta(seconds=0.8), expire)
+        self.cluster.clock.call_later(timeout or DEFAULT_ANSWER_TIMEOUT, expire)
         self._deliver(peer, msg, lambda answer: fut.called or fut.callback(answer))
         return fut
 
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -1,6 +1,7 @@
 """A leader that doesn't reach instances which other entries reach."""
 
 import datetime as dt
+import random
 
 import pytest
 from attrs import define
@@ -125,7 +126,9 @@
     assert reach.plan_survey(plan, schedule, at_seconds(0.9)) is None
     survey = reach.plan_survey(plan, schedule, at_seconds(1))
     assert len(survey.silent) == 2 and survey.silent_share == 0.1
-    assert len(survey.answering) == reach.SAMPLE_SIZE
+    first, second = survey.answering
+    assert len(first) == reach.SAMPLE_SIZE
+    assert len({each.instance_id for each in first + second}) == 18
 
 
 def test_surveys_become_rare_while_they_find_no_successor():
@@ -164,8 +167,9 @@
 ):
     schedule = make_silent_schedule(8)
     survey = reach.plan_survey(reach.SurveyPlan(), schedule, at_seconds(9))
-    own = survey.silent[:own_silent] + survey.answering
-    reached = survey.silent[:silent_reached] + survey.answering[answering_missed:]
+    answering = survey.answering[0]
+    own = survey.silent[:own_silent] + answering
+    reached = survey.silent[:silent_reached] + answering[answering_missed:]
     own, reached = ({each.instance_id for each in part} for part in (own, reached))
     assert reach.is_better_placed(survey, own, reached) is expected
 
@@ -198,6 +202,22 @@
     assert found.result == ("answers", "fenced", "restarted")
 
 
+# Failure: leaders take turns while each entry is cut off from other instances: one of
+# many peers reaches each of a few by chance.
+@pytest.mark.parametrize("seed", range(3))
+def test_leaders_take_no_turns_while_each_misses_a_tenth_of_the_instances(seed):
+    names = tuple(f"e{n}" for n in range(8))
+    cluster = JobCluster(seed, entry_names=names, instance_count=40)
+    rng = random.Random(seed)
+    for name in names:
+        cut_paths(cluster, [name], rng.sample(sorted(cluster.instances), 5))
+    cluster.advance(20)
+    assert {
+        process.entry.front_context.view.leader.term
+        for process in cluster.entries.values()
+    } == {1}
+
+
 # Failure: leaders take turns while calls to instances are lost at random.
 @pytest.mark.parametrize("seed", range(5))
 def test_leaders_take_no_turns_while_calls_are_lost_at_random(seed):
