Leave instances alone in surveys that the leader does not call

An instance that has answered under another identity is called no more until it registers anew. Surveys of peers took it for silent, and had it called by the leader and up to 12 peers, again and again; each call is billed.

The survey now asks the scheduler which instances it has an agent for.

--- a/src/fighead/decisions/reach.py
+++ b/src/fighead/decisions/reach.py
@@ -57,11 +57,22 @@
 
 
 def plan_survey(
-    plan: SurveyPlan, schedule: Schedule, now: dt.datetime
+    plan: SurveyPlan,
+    schedule: Schedule,
+    now: dt.datetime,
+    is_called: t.Callable[[str], bool] = lambda _: True,
 ) -> Survey | None:
-    """Return the survey that is due, if any; called at short intervals."""
+    """Return the survey that is due, if any; called at short intervals.
+
+    :param is_called: Whether the leader calls an instance, by ID. It leaves those alone
+        that have answered under another identity, and awaits their registration.
+    """
     registered = [s for s in schedule.instances.values() if s.is_registered]
-    silent = [state for state in registered if _is_silent(state, now)]
+    silent = [
+        state
+        for state in registered
+        if _is_silent(state, now) and is_called(state.instance.instance_id)
+    ]
     if not silent or len(silent) < MIN_GAIN_SHARE * len(registered):
         plan.pause = MIN_PAUSE
         return None
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -936,7 +936,9 @@
             self._apply_effects(
                 filler_control.pace_between_listings(self.schedule, now)
             )
-            survey = reach.plan_survey(self._survey_plan, self.schedule, now)
+            survey = reach.plan_survey(
+                self._survey_plan, self.schedule, now, self.agents.__contains__
+            )
             if survey is not None:
                 self.request_survey(self.schedule.fence, survey)
         self._apply_effects(self._describe_waits(now))
