--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -28,6 +28,7 @@
 from .mailbox import spawn
 from .model import Member
 from .process_load import ProcessClocks, SchedulerLoad
+from .run import RegisteredInstance
 from .settings import ListenAddress
 from .tasks import leadership
 from .tasks.call import call
@@ -347,7 +348,7 @@
             lambda fence: self.leadership.mailbox.offer(
                 leadership.PredecessorsStopped(fence)
             ),
-            lambda survey: self._start_survey(leader.fence, survey),
+            self._start_survey,
         )
         self.metrics.set_leading(True)
         self.scheduler.start()
@@ -435,26 +436,39 @@
     # Instances that a peer reaches and the leader doesn't.
 
     def _start_survey(self, fence: int, survey: Survey) -> None:
-        """Ask peers which instances they reach, and hand over to one with more."""
+        """Ask peers which instances they reach, and hand over to one with more.
+
+        :param fence: Fence of this entry, which leads.
+        """
         spawn(self._survey_peers(fence, survey))
 
     async def _survey_peers(self, fence: int, survey: Survey) -> None:
         peers = sorted(self.peer.peers())
-        better = self._random.sample(peers, min(len(peers), reach.MAX_PEERS))
-        for _ in range(reach.ROUNDS):
-            better = await self._find_better_placed(survey, better)
-        if not better or not self.leadership.is_leading:
+        better = peers
+        for answering, count in zip(survey.answering, reach.MAX_PEERS, strict=True):
+            asked = self._random.sample(better, min(len(better), count))
+            better = await self._find_better_placed(survey, answering, asked)
+        leads = self.scheduler is not None and self.scheduler.schedule.fence == fence
+        if not better or not leads:
             return
         for name in peers:
             if name not in better:
                 self.peer.send(name, m.YieldAsked())
         self.leadership.mailbox.offer(leadership.PeerReachesMore(fence, better[0]))
 
-    async def _find_better_placed(self, survey: Survey, peers: list[str]) -> list[str]:
-        """Return those of some peers that reach more instances than this entry."""
+    async def _find_better_placed(
+        self,
+        survey: Survey,
+        answering: tuple[RegisteredInstance, ...],
+        peers: list[str],
+    ) -> list[str]:
+        """Return those of some peers that reach more instances than this entry.
+
+        :param answering: Instances that answer this entry, which peers are to call.
+        """
         if not peers:
             return []
-        instances = survey.silent + survey.answering
+        instances = survey.silent + answering
         asking = spawn(ask_peers(self.peer.ask, peers, m.ReachAsked(instances)))
         own = await find_reached(self.adapter.make_client, instances)
         answers = await asking
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -1,6 +1,7 @@
 """A leader that doesn't reach instances which other entries reach."""
 
 import datetime as dt
+import random
 
 import pytest
 from attrs import define
@@ -14,6 +15,7 @@
 )
 from fighead.job import JobSpec, Stage
 from fighead.run import RefusalReason, RegisteredInstance
+from fighead.store import JOB_LEADER_KEY
 from fighead.tasks.reach import find_reached
 from job_builders import at_seconds, make_schedule
 from job_cluster import JobCluster
@@ -74,6 +76,20 @@
     assert not cluster.find_breaches()
 
 
+# Failure: a leader that has been elected again under a new fence hands over no more.
+def test_a_reelected_leader_hands_over_to_an_entry_that_reaches_more_instances():
+    cluster, leader = start_lasting_tasks()
+    cluster.store.remove(JOB_LEADER_KEY)
+    cluster.advance(3)
+    assert cluster.leader() == leader
+    assert cluster.entries[leader].entry.front_context.view.leader.term == 2
+    cut_paths(cluster, [leader], ("i1", "i2", "i3"))
+    cluster.advance(MAX_GAP_S)
+    assert cluster.leader() != leader
+    assert count_running(cluster) == LASTING.count
+    assert not cluster.find_breaches()
+
+
 @pytest.mark.parametrize("lost_count", [1, 3])
 def test_a_leader_keeps_the_lead_if_no_entry_reaches_more(lost_count):
     cluster, leader = start_lasting_tasks()
@@ -115,7 +131,9 @@
     assert plan_survey(schedule, 0.9, plan) is None
     survey = plan_survey(schedule, 1, plan)
     assert len(survey.silent) == 2 and survey.silent_share == 0.1
-    assert len(survey.answering) == reach.SAMPLE_SIZE
+    first, second = survey.answering
+    assert len(first) == reach.SAMPLE_SIZE
+    assert len({each.instance_id for each in first + second}) == 18
 
 
 def test_instances_that_are_not_called_are_not_counted():
@@ -156,8 +174,9 @@
 ):
     schedule = make_silent_schedule(8)
     survey = plan_survey(schedule, 9)
-    own = survey.silent[:own_silent] + survey.answering
-    reached = survey.silent[:silent_reached] + survey.answering[answering_missed:]
+    answering = survey.answering[0]
+    own = survey.silent[:own_silent] + answering
+    reached = survey.silent[:silent_reached] + answering[answering_missed:]
     own, reached = ({each.instance_id for each in part} for part in (own, reached))
     assert reach.is_better_placed(survey, own, reached) is expected
 
@@ -190,6 +209,22 @@
     assert found.result == ("answers", "fenced", "restarted")
 
 
+# Failure: leaders take turns while each entry is cut off from other instances: one of
+# many peers reaches each of a few by chance.
+@pytest.mark.parametrize("seed", range(3))
+def test_leaders_take_no_turns_while_each_misses_a_tenth_of_the_instances(seed):
+    names = tuple(f"e{n}" for n in range(8))
+    cluster = JobCluster(seed, entry_names=names, instance_count=40)
+    rng = random.Random(seed)
+    for name in names:
+        cut_paths(cluster, [name], rng.sample(sorted(cluster.instances), 5))
+    cluster.advance(20)
+    assert {
+        process.entry.front_context.view.leader.term
+        for process in cluster.entries.values()
+    } == {1}
+
+
 # Failure: leaders take turns while calls to instances are lost at random.
 @pytest.mark.parametrize("seed", range(5))
 def test_leaders_take_no_turns_while_calls_are_lost_at_random(seed):
