End no entry of a test cluster that is no longer advanced

test_no_task_runs_twice_where_leaders_of_two_versions_change hung once for 13 minutes: garbage collection closed the stop of an entry of an earlier cluster, whose last step started an entry, within a call that held the lock of an executor. A stop ends an entry only while its cluster advances, as entries do nothing else between.

test_a_stop_under_way_ends_nothing_once_its_cluster_is_dropped failed before.

--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -443,6 +443,7 @@
     history: list = field(factory=list)
     accepted_at: dict = field(factory=dict)
     cancelled_at: dict = field(factory=dict)
+    _is_advancing: bool = False
 
     def __attrs_post_init__(self):
         self.rng = random.Random(self.seed)
@@ -518,7 +519,7 @@
             make_codec(),
             clock,
             FakeReactor(),
-            lambda: self.on_end(name),
+            lambda: self._end_entry(name),
             make_peer,
             ProcessClocks(self.reactor.seconds, self.reactor.seconds, lambda: 0.0),
         )
@@ -527,10 +528,19 @@
 
     def advance(self, seconds):
         """Advance the clock in steps, updating the runs of instances after each."""
-        for _ in range(round(seconds / STEP_S)):
-            self.reactor.advance(STEP_S)
-            for simulated in self.instances.values():
-                simulated.update()
+        self._is_advancing = True
+        try:
+            for _ in range(round(seconds / STEP_S)):
+                self.reactor.advance(STEP_S)
+                for simulated in self.instances.values():
+                    simulated.update()
+        finally:
+            self._is_advancing = False
+
+    def _end_entry(self, name):
+        # Garbage collection closes the stop of a cluster that is no longer used.
+        if self._is_advancing:
+            self.on_end(name)
 
     def leader(self):
         """Return the name of an entry that considers itself leader, or ``None``."""
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -1,6 +1,7 @@
 """Jobs on complete entries without sockets, under injected faults."""
 
 import datetime as dt
+import gc
 import json
 import random
 
@@ -1036,3 +1037,16 @@
     assert overdue == []
     for accepted_job_id in cluster.accepted_at:
         assert has_ended(cluster.find_phase(accepted_job_id)), accepted_job_id
+
+
+# Failure: the stop of a cluster that was dropped started an entry in another test.
+def test_a_stop_under_way_ends_nothing_once_its_cluster_is_dropped():
+    ended = []
+    cluster = JobCluster()
+    cluster.on_end = ended.append
+    cluster.advance(2)
+    cluster.entries["e1"].entry.stop()
+    cluster.advance(0.5)
+    del cluster
+    gc.collect()
+    assert not ended
