Carry out surveys of reach in a task of their own

The entry assembles tasks; the survey had its steps there, and two could overlap. SurveyTask takes requests by its mailbox, one at a time, and drops one whose term is over.

--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -11,12 +11,11 @@
 from . import job_message as m
 from . import message
 from .clock import Clock, sleep, with_timeout
-from .decisions import admission, config_request, election, planned_stop, reach
+from .decisions import admission, config_request, election, planned_stop
 from .decisions.admission import QueuedStarts
 from .decisions.config_request import ConfigRequest
 from .decisions.election import Leader
 from .decisions.instance_tracking import AUTHORITY_TIMEOUT
-from .decisions.reach import Survey
 from .decisions.schedule_state import Schedule
 from .exceptions import MailboxFullError, PeerUnreachableError
 from .fronts.job import JobCodec, JobFront
@@ -28,7 +27,6 @@
 from .mailbox import spawn
 from .model import Member
 from .process_load import ProcessClocks, SchedulerLoad
-from .run import RegisteredInstance
 from .settings import ListenAddress
 from .tasks import leadership
 from .tasks.call import call
@@ -37,7 +35,7 @@
 from .tasks.listener import CloseConnections, ConnectionsClosed, ListenerTask
 from .tasks.load import LoadTask
 from .tasks.peer import CurveKeys, FinishAnswers, PeerTask
-from .tasks.reach import ask_peers, find_reached
+from .tasks.reach import SurveyTask, SurveyWanted, find_reached
 from .tasks.relay import RelayingStore, execute_for_peer
 from .tasks.scheduler import PlatformAdapter, Reelected, SchedulerTask
 from .tasks.watch import Changes, Snapshot, StoreContact, WatchTask
@@ -85,6 +83,7 @@
     peer: PeerTask = field(init=False)
     leadership: LeadershipTask = field(init=False)
     connectivity: ConnectivityTask = field(init=False)
+    survey: SurveyTask = field(init=False)
     scheduler: SchedulerTask | None = None
     _random: random.Random = field(init=False)
     _relaying_store: RelayingStore = field(init=False)
@@ -147,6 +146,17 @@
             lambda: self._relaying_store.set_store_reached(True),
             self.metrics.set_cut_off,
         )
+        self.survey = SurveyTask(
+            self.adapter.make_client,
+            self._random,
+            self.peer.peers,
+            self.peer.ask,
+            self.peer.send,
+            self._find_own_fence,
+            lambda fence, peer: self.leadership.mailbox.offer(
+                leadership.PeerReachesMore(fence, peer)
+            ),
+        )
 
     def start(self) -> None:
         """Listen on all addresses and start the tasks."""
@@ -165,7 +175,14 @@
             self._take_scheduler_load,
             self.metrics,
         )
-        for task in (self.peer, self.leadership, self.connectivity, config, load):
+        for task in (
+            self.peer,
+            self.leadership,
+            self.connectivity,
+            self.survey,
+            config,
+            load,
+        ):
             spawn(task.run())
         spawn(self._announce_periodically())
         front = JobFront(self.front_context, self.codec)
@@ -348,7 +365,9 @@
             lambda fence: self.leadership.mailbox.offer(
                 leadership.PredecessorsStopped(fence)
             ),
-            self._start_survey,
+            lambda fence, survey: self.survey.mailbox.offer(
+                SurveyWanted(fence, survey)
+            ),
         )
         self.metrics.set_leading(True)
         self.scheduler.start()
@@ -363,6 +382,10 @@
     def _describe_handover(self) -> str | None:
         return self.scheduler.describe_handover() if self.scheduler else None
 
+    def _find_own_fence(self) -> int | None:
+        """Return the fence under which this entry leads; ``None`` if it doesn't."""
+        return self.scheduler.schedule.fence if self.scheduler is not None else None
+
     def _take_scheduler_load(self) -> SchedulerLoad | None:
         return self.scheduler.take_load() if self.scheduler is not None else None
 
@@ -423,7 +446,7 @@
             case m.StoreAsked():
                 return Deferred.fromCoroutine(execute_for_peer(self.adapter.store, msg))
             case m.ReachAsked():
-                return Deferred.fromCoroutine(self._find_reached(msg))
+                return Deferred.fromCoroutine(self._answer_survey(msg))
             case m.YieldAsked():
                 leader = self.front_context.view.leader
                 if leader is not None and leader.name == sender:
@@ -433,62 +456,7 @@
                 return m.ContactIs(self._is_store_reached, self._may_schedule())
         return None
 
-    # Instances that a peer reaches and the leader doesn't.
-
-    def _start_survey(self, fence: int, survey: Survey) -> None:
-        """Ask peers which instances they reach, and hand over to one with more.
-
-        :param fence: Fence of this entry, which leads.
-        """
-        spawn(self._survey_peers(fence, survey))
-
-    async def _survey_peers(self, fence: int, survey: Survey) -> None:
-        peers = sorted(self.peer.peers())
-        better = peers
-        for answering, count in zip(survey.answering, reach.MAX_PEERS, strict=True):
-            asked = self._random.sample(better, min(len(better), count))
-            better = await self._find_better_placed(survey, answering, asked)
-        leads = self.scheduler is not None and self.scheduler.schedule.fence == fence
-        if not better or not leads:
-            return
-        for name in peers:
-            if name not in better:
-                self.peer.send(name, m.YieldAsked())
-        self.leadership.mailbox.offer(leadership.PeerReachesMore(fence, better[0]))
-
-    async def _find_better_placed(
-        self,
-        survey: Survey,
-        answering: tuple[RegisteredInstance, ...],
-        peers: list[str],
-    ) -> list[str]:
-        """Return those of some peers that reach more instances than this entry.
-
-        :param answering: Instances that answer this entry, which peers are to call.
-        """
-        if not peers:
-            return []
-        instances = survey.silent + answering
-        asking = spawn(ask_peers(self.peer.ask, peers, m.ReachAsked(instances)))
-        own = await find_reached(self.adapter.make_client, instances)
-        answers = await asking
-        better = [
-            name
-            for name, answer in sorted(answers.items())
-            if answer.can_lead and reach.is_better_placed(survey, own, answer.instances)
-        ]
-        log_event(
-            Event.REACH_SURVEYED,
-            silent_share=round(survey.silent_share, 3),
-            asked=len(peers),
-            answered=len(answers),
-            called=len(instances),
-            reached=len(own),
-            better=better,
-        )
-        return better
-
-    async def _find_reached(self, asked: m.ReachAsked) -> m.ReachIs:
+    async def _answer_survey(self, asked: m.ReachAsked) -> m.ReachIs:
         instances = await find_reached(self.adapter.make_client, asked.instances)
         return m.ReachIs(instances, self._can_lead())
 
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -187,7 +187,7 @@
     answering_missed, expected
 ):
     schedule = make_silent_schedule(16)
-    survey = reach.plan_survey(reach.SurveyPlan(), schedule, at_seconds(9))
+    survey = plan_survey(schedule, 9)
     own = [each.instance_id for each in survey.answering[0]]
     reached = [each.instance_id for each in survey.silent] + own[answering_missed:]
     assert reach.is_better_placed(survey, own, reached) is expected
