Tell the stop of a dropped test cluster by how it is closed

What must not end an entry is garbage collection, which closes the stop by GeneratorExit. Both tests pass.

--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -9,6 +9,7 @@
 import contextlib
 import datetime as dt
 import random
+import sys
 import typing as t
 
 from attrs import define, evolve, field
@@ -443,7 +444,6 @@
     history: list = field(factory=list)
     accepted_at: dict = field(factory=dict)
     cancelled_at: dict = field(factory=dict)
-    _is_advancing: bool = False
 
     def __attrs_post_init__(self):
         self.rng = random.Random(self.seed)
@@ -528,18 +528,14 @@
 
     def advance(self, seconds):
         """Advance the clock in steps, updating the runs of instances after each."""
-        self._is_advancing = True
-        try:
-            for _ in range(round(seconds / STEP_S)):
-                self.reactor.advance(STEP_S)
-                for simulated in self.instances.values():
-                    simulated.update()
-        finally:
-            self._is_advancing = False
+        for _ in range(round(seconds / STEP_S)):
+            self.reactor.advance(STEP_S)
+            for simulated in self.instances.values():
+                simulated.update()
 
     def _end_entry(self, name):
         # Garbage collection closes the stop of a cluster that is no longer used.
-        if self._is_advancing:
+        if sys.exc_info()[0] is not GeneratorExit:
             self.on_end(name)
 
     def leader(self):
