Tell answered starts from starts without an answer in 5008

With orders that get no answer tasks waited for the window of starts, and no line told whether answers were slow or missing: starts_in_flight counts both. 5008 now has starts_answered, starts_unanswered and quick_answer_ms, the time that the quickest quarter of the answers took, by which the window judges congestion. No decision changes.

Evidence: tests/test_start_window.py counts answers, a start that was given up and those dropped by age; tests/test_load_watch.py reads the fields.

--- a/src/fighead/decisions/load_watch.py
+++ b/src/fighead/decisions/load_watch.py
@@ -130,7 +130,7 @@
 def describe_leader(report: ProcessReport, load: SchedulerLoad) -> LogNote:
     """Return the note on the load of a leader."""
     store, instances = report.calls.store, report.calls.instances
-    done = load.done
+    done, starts, quickest = load.done, load.starts, load.starts.quickest
     fields: dict[str, t.Any] = {
         "term": load.term,
         "interval_ms": _to_ms(report.interval_s),
@@ -158,6 +158,11 @@
         "write_age_ms": _to_ms(load.write_age_s),
         "start_limit": load.start_limit,
         "starts_in_flight": load.starts_in_flight,
+        "starts_answered": starts.answered,
+        "starts_unanswered": starts.unanswered,
+        "quick_answer_ms": None
+        if quickest is None
+        else _to_ms(quickest.total_seconds()),
         "store_calls": store.sent,
         "store_failed": store.failed,
         "store_timed_out": store.timed_out,
--- a/src/fighead/decisions/start_window.py
+++ b/src/fighead/decisions/start_window.py
@@ -13,8 +13,9 @@
 
 import collections
 import datetime as dt
+import typing as t
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from ..job import TaskKey
 
@@ -49,6 +50,21 @@
 StartId = tuple[TaskKey, int]
 
 
+@frozen
+class StartCounts:
+    """What became of starts in a period.
+
+    :param answered: Starts that an instance answered.
+    :param unanswered: Starts that were given up.
+    :param quickest: Time below which the quickest answers stayed; ``None`` if there
+        were none.
+    """
+
+    answered: int = 0
+    unanswered: int = 0
+    quickest: dt.timedelta | None = None
+
+
 @define(eq=False)
 class StartWindow:
     """The starts in flight and their limit.
@@ -62,6 +78,8 @@
     :param adjusted_at: When the current interval began.
     :param full_since: Since when the limit has been reached again and again.
     :param full_at: When it was last reached.
+    :param times_since_report: How long answers took since the last report of them.
+    :param unanswered_since_report: Starts that were given up since then.
     """
 
     limit: float = INITIAL_STARTS
@@ -75,6 +93,8 @@
     adjusted_at: dt.datetime | None = None
     full_since: dt.datetime | None = None
     full_at: dt.datetime | None = None
+    times_since_report: list[dt.timedelta] = field(factory=list)
+    unanswered_since_report: int = 0
 
     def full_for(self, now: dt.datetime) -> dt.timedelta:
         """Return for how long the limit has been reached again and again."""
@@ -111,13 +131,23 @@
         return
     took = now - sent_at
     window.answer_times.append(took)
+    window.times_since_report.append(took)
     if window.shortest is None or took < window.shortest:
         window.shortest = took
 
 
 def forget_start(window: StartWindow, start: StartId) -> None:
     """No longer count a start that gets no answer."""
-    window.sent_at.pop(start, None)
+    if window.sent_at.pop(start, None) is not None:
+        window.unanswered_since_report += 1
+
+
+def take_counts(window: StartWindow) -> StartCounts:
+    """Return what became of starts since the last call."""
+    times, window.times_since_report = window.times_since_report, []
+    unanswered, window.unanswered_since_report = window.unanswered_since_report, 0
+    quickest = _find_quickest(times) if times else None
+    return StartCounts(len(times), unanswered, quickest)
 
 
 def adjust(window: StartWindow, now: dt.datetime) -> None:
@@ -141,13 +171,18 @@
     for start, sent_at in list(window.sent_at.items()):
         if now - sent_at < MAX_FLIGHT_TIME:
             break
-        del window.sent_at[start]
+        forget_start(window, start)
+
+
+def _find_quickest(times: t.Iterable[dt.timedelta]) -> dt.timedelta:
+    """Return the time below which the quickest answers stayed."""
+    ordered = sorted(times)
+    return ordered[int(len(ordered) * QUICKEST_SHARE)]
 
 
 def _next_limit(window: StartWindow, tolerated: dt.timedelta) -> float:
     """Return the next limit, for answers that may take the time ``tolerated``."""
-    times = sorted(window.answer_times)
-    if times[int(len(times) * QUICKEST_SHARE)] > tolerated:
+    if _find_quickest(window.answer_times) > tolerated:
         return window.limit * DECREASE
     if not window.was_full:
         return window.limit
--- a/src/fighead/process_load.py
+++ b/src/fighead/process_load.py
@@ -6,6 +6,7 @@
 from attrs import define, field, frozen
 
 from .clock import read_steady_s, read_wall_time
+from .decisions.start_window import StartCounts
 
 R = t.TypeVar("R")
 
@@ -113,6 +114,7 @@
     :param write_age_s: Age of the write in progress; 0 if there is none.
     :param start_limit: Number of starts that may be without an answer.
     :param starts_in_flight: Number of starts without an answer.
+    :param starts: What became of starts since the load was last taken.
     """
 
     term: int
@@ -125,6 +127,7 @@
     write_age_s: float
     start_limit: int = 0
     starts_in_flight: int = 0
+    starts: StartCounts = StartCounts()
 
 
 @frozen
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -334,6 +334,7 @@
             write_age_s if self._is_writing else 0.0,
             int(self.schedule.start_window.limit),
             len(self.schedule.start_window.sent_at),
+            start_window.take_counts(self.schedule.start_window),
         )
 
     def find_backlog(self) -> tuple[QueuedStarts, ...]:
--- a/tests/test_load_watch.py
+++ b/tests/test_load_watch.py
@@ -1,8 +1,12 @@
 """Tests of what is logged of the load of a process."""
 
+import datetime as dt
+
 import pytest
+from attrs import evolve
 
 from fighead.decisions import load_watch
+from fighead.decisions.start_window import StartCounts
 from fighead.log import Event
 from fighead.process_load import (
     AllCallCounts,
@@ -128,6 +132,7 @@
         done.rounds.add(duration_s)
     done.messages.add(0.02)
     load = SchedulerLoad(3, done, 40, 9, 12, 200, 4, 1.5)
+    load = evolve(load, starts=StartCounts(30, 20, dt.timedelta(milliseconds=6)))
     delays = Durations(2, 0.6, 0.4)
     calls = AllCallCounts(CallCounts(6, 1, 0, 2), CallCounts(50, 3, 4, 5))
     report = load_watch.ProcessReport(2.0, 1.9, delays, calls)
@@ -150,6 +155,9 @@
         "waiting_tasks": 12,
         "jobs": 9,
         "write_age_ms": 1500,
+        "starts_answered": 30,
+        "starts_unanswered": 20,
+        "quick_answer_ms": 6,
         "store_calls": 6,
         "store_timed_out": 2,
         "instance_calls": 50,
--- a/tests/test_start_window.py
+++ b/tests/test_start_window.py
@@ -140,3 +140,19 @@
     start_window.note_start(window, start_id(1), at_seconds(1))
     start_window.note_answer(window, start_id(1), at_seconds(1.25))
     assert window.shortest == dt.timedelta(seconds=0.25)
+
+
+def test_answered_and_silent_starts_are_told_apart():
+    window = StartWindow()
+    for number in range(8):
+        start_window.note_start(window, start_id(number), at_seconds(0))
+    for number, second in enumerate((0.01, 0.02, 0.9, 1.0)):
+        start_window.note_answer(window, start_id(number), at_seconds(second))
+    start_window.forget_start(window, start_id(4))
+    start_window.adjust(window, at_seconds(MAX_FLIGHT_TIME.total_seconds()))
+    # A start that was given up already is not counted again.
+    start_window.forget_start(window, start_id(5))
+    counts = start_window.take_counts(window)
+    quickest = dt.timedelta(milliseconds=20)
+    assert counts == start_window.StartCounts(4, 4, quickest)
+    assert start_window.take_counts(window) == start_window.StartCounts()
