Let the benchmark of decisions run again

benchmarks/scheduler.py decisions ended with a TypeError: add_instance() lost a parameter and Schedule gained one. With these two alone the window of starts was full after the first 32 tasks, so that hardly any placement was measured; the benchmark now sets no limit, as the tests do.

--- a/benchmarks/scheduler.py
+++ b/benchmarks/scheduler.py
@@ -5,6 +5,7 @@
 """
 
 import datetime as dt
+import math
 import time
 import typing as t
 
@@ -17,6 +18,7 @@
 
 from fighead.decisions import instance_tracking, job_lifecycle, placement, run_updates
 from fighead.decisions.schedule_state import Order, Schedule
+from fighead.decisions.start_window import StartWindow
 from fighead.http_client import HttpPool, HttpRequest
 from fighead.job import Demand, JobConfig, JobRecord, JobSpec, Queue, Stage
 from fighead.run import ListedRun, Listing, RegisteredInstance
@@ -31,14 +33,13 @@
 
 def make_schedule(instance_count: int) -> Schedule:
     """Return a settled schedule with four serving tasks per instance."""
-    schedule = Schedule(1, 1, START, JobConfig(1, (QUEUE,), ("u",)))
+    config, window = JobConfig(1, (QUEUE,), ("u",)), StartWindow(limit=math.inf)
+    schedule = Schedule(1, 1, START, config=config, start_window=window)
     for number in range(instance_count):
         instance = RegisteredInstance(
             f"i{number}", "1", "a", "u", "z", Demand(64000, 256000, 0), ("a", "r")
         )
-        instance_tracking.add_instance(
-            schedule, instance, dt.timedelta(seconds=6), START
-        )
+        instance_tracking.add_instance(schedule, instance, START)
         state = schedule.instances[instance.instance_id]
         state.is_reachable = state.is_listed = state.is_in_stored_fleet = True
     schedule.is_settled = True
