Let the window of starts follow how late answers come

A start without an answer stayed in flight for up to 2 s, and the limit was the rate of answers times the tolerated delay, so it fell to its least from a share of silent starts of about a tenth on.

- This entry sends in order, so an answer shows that all earlier starts have been sent.
They leave the window and count in its rate.
- The rate is that of sending while starts are in flight, measured from answer to answer.
In congestion the answers come no faster than this entry sends, and nothing leaves early.
- The time of a repeated start is that of the answered call, which the agent now tells: 0.95 s of waiting for the first call were taken for congestion.

--- a/src/fighead/process_load.py
+++ b/src/fighead/process_load.py
@@ -112,8 +112,8 @@
     :param waiting_tasks: Tasks that could run and have no run.
     :param unsaved_jobs: Changed jobs that wait for the write in progress.
     :param write_age_s: Age of the write in progress; 0 if there is none.
-    :param start_limit: Number of starts that may be without an answer.
-    :param starts_in_flight: Number of starts without an answer.
+    :param start_limit: Number of starts that may be in flight.
+    :param starts_in_flight: Number of starts that this entry may not have sent yet.
     :param starts: What became of starts since the load was last taken.
     """
 
--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -154,6 +154,7 @@
 
     :param refusal: ``None`` if the run started.
     :param is_certain: Whether each attempt was answered, so that none arrives later.
+    :param repeated_after: Time between the first attempt and the answered one.
     """
 
     identity: str
@@ -161,6 +162,7 @@
     number: int
     refusal: RefusalReason | None
     is_certain: bool = False
+    repeated_after: dt.timedelta = dt.timedelta()
 
 
 @frozen
@@ -417,10 +419,11 @@
         refusal: RefusalReason | None = None
         is_uncertain = False
         lease_until_ms = self._extend_leases()
+        first_sent_at = self.clock.now()
         for _ in range(MAX_START_ATTEMPTS):
             if not self.may_act() or self._is_stopped:
                 break
-            fence = self.fence
+            fence, sent_at = self.fence, self.clock.now()
             try:
                 await self.client.start(order, lease_until_ms, fence, CALL_TIMEOUT)
             except WorkerRefusedError as exc:
@@ -444,7 +447,12 @@
                 break
             self.report(
                 StartAnswered(
-                    self.identity, order.task, order.number, refusal, not is_uncertain
+                    self.identity,
+                    order.task,
+                    order.number,
+                    refusal,
+                    not is_uncertain,
+                    sent_at - first_sent_at,
                 )
             )
             return
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -790,9 +790,12 @@
                 if incarnation:
                     instance_tracking.replace_incarnation(state, incarnation)
                     self._start_agent(state.instance)
-            case agent_messages.StartAnswered(_, task, number, refusal, is_certain):
-                window = self.schedule.start_window
-                start_window.note_answer(window, (task, number), now)
+            case agent_messages.StartAnswered(
+                _, task, number, refusal, is_certain, repeated_after
+            ):
+                start_window.note_answer(
+                    self.schedule.start_window, (task, number), now, repeated_after
+                )
                 self._apply_effects(
                     run_updates.apply_start_result(
                         self.schedule, task, number, refusal, now, is_certain
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -25,6 +25,7 @@
 )
 from fighead.tasks.agent import (
     LISTING_WAIT,
+    RETRY_PAUSE,
     Acknowledge,
     AgentTask,
     AnswerWanted,
@@ -121,7 +122,8 @@
 def test_a_refusal_settles_a_start_whose_first_attempt_was_not_sent(timer):
     reason = RefusalReason.NO_ROOM
     (report,) = start_results(timer, [NOT_SENT, refused(reason)])
-    assert report == StartAnswered("i-1/1", TASK, 1, reason, is_certain=True)
+    repeated_after = dt.timedelta(seconds=0.2)
+    assert report == StartAnswered("i-1/1", TASK, 1, reason, True, repeated_after)
 
 
 @pytest.mark.parametrize(
@@ -151,6 +153,14 @@
     assert not instance.start_leases_ms and len(instance.listing_calls) == 1
 
 
+def test_an_answer_tells_how_long_after_the_first_call_the_answered_one_was(timer):
+    (report,) = start_results(timer, [LOST, 1000])
+    assert isinstance(report, StartAnswered)
+    assert RETRY_PAUSE <= report.repeated_after <= RETRY_PAUSE * 2
+    (report,) = start_results(timer, [1000])
+    assert report.repeated_after == dt.timedelta()
+
+
 def test_a_repeated_start_has_the_lease_of_the_moment_it_was_ordered(timer):
     """A process that was paused in between must not extend what it may do."""
     instance = ScriptedInstance([LOST, 5])
