Tell in 5008 the calls of which nothing was sent

A call to an instance waits for a connection while calls without an answer hold all four, and if it times out so, 5304 and instance_timed_out showed it like a call that the instance did not answer. 5008 now has store_unsent and instance_unsent.

The counts that tests/test_http_client.py expects gain the new field.

--- a/src/fighead/decisions/load_watch.py
+++ b/src/fighead/decisions/load_watch.py
@@ -166,9 +166,11 @@
         "store_calls": store.sent,
         "store_failed": store.failed,
         "store_timed_out": store.timed_out,
+        "store_unsent": store.unsent,
         "instance_calls": instances.sent,
         "instance_failed": instances.failed,
         "instance_timed_out": instances.timed_out,
+        "instance_unsent": instances.unsent,
         "connections": store.connections + instances.connections,
     }
     return LogNote(Event.LEADER_LOAD, fields)
--- a/src/fighead/http_client.py
+++ b/src/fighead/http_client.py
@@ -222,6 +222,7 @@
     :param connections: Number of connection attempts so far.
     :param failures: Number of calls that failed so far, without time-outs.
     :param timeouts: Number of calls that timed out so far.
+    :param unsent: Number of calls so far that ended so before anything was sent.
     """
 
     reactor: t.Any
@@ -231,6 +232,7 @@
     connections: int = 0
     failures: int = 0
     timeouts: int = 0
+    unsent: int = 0
     _pools: dict[str, _AddressPool] = field(factory=dict)
 
     def request(
@@ -267,12 +269,14 @@
         pending = Deferred.fromCoroutine(
             self._exchange(address, req, progress, restart_limit)
         )
-        limited = limit.apply(pending).addErrback(self._count_failure)
+        limited = limit.apply(pending).addErrback(self._count_failure, progress)
         return limited.addErrback(progress.raise_typed_error)
 
     def counts(self) -> CallCounts:
         """Return the numbers of calls so far."""
-        return CallCounts(self.calls, self.connections, self.failures, self.timeouts)
+        return CallCounts(
+            self.calls, self.connections, self.failures, self.timeouts, self.unsent
+        )
 
     def close_connections(self, address: str) -> None:
         """Close the idle connections to an address, and busy ones after their call."""
@@ -280,11 +284,15 @@
         for conn in pool.idle if pool else ():
             conn.transport.loseConnection()
 
-    def _count_failure(self, failure: t.Any) -> t.Any:
+    def _count_failure(self, failure: t.Any, progress: "_Progress") -> t.Any:
+        if failure.check(CancelledError, ConnectingCancelledError):
+            return failure
         if failure.check(TimeoutError, ConnectTimeoutError):
             self.timeouts += 1
-        elif not failure.check(CancelledError, ConnectingCancelledError):
+        else:
             self.failures += 1
+        if not progress.is_sent:
+            self.unsent += 1
         return failure
 
     async def _exchange(
--- a/src/fighead/process_load.py
+++ b/src/fighead/process_load.py
@@ -138,12 +138,14 @@
     :param connections: Connection attempts.
     :param failed: Calls that failed, without those that timed out.
     :param timed_out: Calls without an answer in time.
+    :param unsent: Calls that failed or timed out before anything was sent.
     """
 
     sent: int = 0
     connections: int = 0
     failed: int = 0
     timed_out: int = 0
+    unsent: int = 0
 
     def __sub__(self, earlier: "CallCounts") -> "CallCounts":
         return CallCounts(
@@ -151,6 +153,7 @@
             self.connections - earlier.connections,
             self.failed - earlier.failed,
             self.timed_out - earlier.timed_out,
+            self.unsent - earlier.unsent,
         )
 
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -48,20 +48,20 @@
     failures = send(pool)
     fail_connection(reactor, error.ConnectionRefusedError())
     assert failures == [HttpNotSentError]
-    assert pool.counts() == CallCounts(connections=1, failed=1)
+    assert pool.counts() == CallCounts(connections=1, failed=1, unsent=1)
 
 
 def test_a_connection_without_an_answer_counts_as_timed_out(reactor, pool):
     send(pool)
     fail_connection(reactor, error.TimeoutError())
-    assert pool.counts() == CallCounts(connections=1, timed_out=1)
+    assert pool.counts() == CallCounts(connections=1, timed_out=1, unsent=1)
 
 
 def test_a_call_without_an_answer_counts_as_timed_out(reactor, pool):
     failures = send(pool)
     reactor.advance(2.1)
     assert failures == [HttpNotSentError]
-    assert pool.counts() == CallCounts(connections=1, timed_out=1)
+    assert pool.counts() == CallCounts(connections=1, timed_out=1, unsent=1)
 
 
 class Transport(StringTransport):
@@ -150,6 +150,13 @@
     assert pool.connections == 2
 
 
+def test_a_sent_call_without_an_answer_does_not_count_as_unsent(reactor, pool):
+    ask(pool)
+    connect(reactor)
+    reactor.advance(2.1)
+    assert pool.counts() == CallCounts(sent=1, connections=1, timed_out=1)
+
+
 def test_an_endless_answer_fails_the_call_as_lost(reactor, pool):
     results = ask(pool)
     protocol = connect(reactor)
@@ -181,7 +188,7 @@
 )
 def test_a_request_that_can_not_be_encoded_is_not_sent(reactor, pool, req):
     assert ask(pool, req) == [HttpNotSentError]
-    assert pool.counts() == CallCounts(failed=1)
+    assert pool.counts() == CallCounts(failed=1, unsent=1)
 
 
 @pytest.mark.parametrize(
@@ -196,7 +203,8 @@
     for _ in range(2 * pool.max_per_address):
         assert ask(pool, address=address) == [HttpNotSentError]
     assert not reactor.tcpClients
-    assert pool.counts() == CallCounts(failed=2 * pool.max_per_address)
+    count = 2 * pool.max_per_address
+    assert pool.counts() == CallCounts(failed=count, unsent=count)
     results = ask(pool)
     connect(reactor).dataReceived(OK_RESPONSE)
     assert results[0].status == 200
--- a/tests/test_load_watch.py
+++ b/tests/test_load_watch.py
@@ -134,7 +134,7 @@
     load = SchedulerLoad(3, done, 40, 9, 12, 200, 4, 1.5)
     load = evolve(load, starts=StartCounts(30, 20, dt.timedelta(milliseconds=6)))
     delays = Durations(2, 0.6, 0.4)
-    calls = AllCallCounts(CallCounts(6, 1, 0, 2), CallCounts(50, 3, 4, 5))
+    calls = AllCallCounts(CallCounts(6, 1, 0, 2, 1), CallCounts(50, 3, 4, 5, 3))
     report = load_watch.ProcessReport(2.0, 1.9, delays, calls)
     note = load_watch.describe_leader(report, load)
     assert note.event is Event.LEADER_LOAD
@@ -160,9 +160,11 @@
         "quick_answer_ms": 6,
         "store_calls": 6,
         "store_timed_out": 2,
+        "store_unsent": 1,
         "instance_calls": 50,
         "instance_failed": 4,
         "instance_timed_out": 5,
+        "instance_unsent": 3,
         "connections": 4,
     }
     assert {key: note.fields[key] for key in expected} == expected
