--- a/src/fighead/process_load.py
+++ b/src/fighead/process_load.py
@@ -6,6 +6,7 @@
 from attrs import define, field, frozen
 
 from .clock import read_steady_s, read_wall_time
+from .decisions.start_window import StartCounts
 
 R = t.TypeVar("R")
 
@@ -111,8 +112,9 @@
     :param waiting_tasks: Tasks that could run and have no run.
     :param unsaved_jobs: Changed jobs that wait for the write in progress.
     :param write_age_s: Age of the write in progress; 0 if there is none.
-    :param start_limit: Number of starts that may be without an answer.
-    :param starts_in_flight: Number of starts without an answer.
+    :param start_limit: Number of starts that may be in flight.
+    :param starts_in_flight: Number of starts that this entry may not have sent yet.
+    :param starts: What became of starts since the load was last taken.
     """
 
     term: int
@@ -125,6 +127,7 @@
     write_age_s: float
     start_limit: int = 0
     starts_in_flight: int = 0
+    starts: StartCounts = StartCounts()
 
 
 @frozen
@@ -135,12 +138,14 @@
     :param connections: Connection attempts.
     :param failed: Calls that failed, without those that timed out.
     :param timed_out: Calls without an answer in time.
+    :param unsent: Calls that failed or timed out before anything was sent.
     """
 
     sent: int = 0
     connections: int = 0
     failed: int = 0
     timed_out: int = 0
+    unsent: int = 0
 
     def __sub__(self, earlier: "CallCounts") -> "CallCounts":
         return CallCounts(
@@ -148,6 +153,7 @@
             self.connections - earlier.connections,
             self.failed - earlier.failed,
             self.timed_out - earlier.timed_out,
+            self.unsent - earlier.unsent,
         )
 
 
