Don't wait again for instances that were listed and then replaced

Cause: the leader awaits the leases of instances that may have a run that it doesn't know. An instance that it had listed counted as unknown once more when another one answered at its address, for the 6.3 s of its leases, so that crashes at shorter intervals kept the schedule unsettled for good. Why it works: the listing was under the leader's fence, so its runs are known and nothing that an earlier leader sent is accepted there; the next instance refuses what is meant for another ID. Known runs still wait for their leases. The new test fails without the change with each of its three intervals.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -209,6 +209,8 @@
     state.restart_count += 1
     if not is_replaced:
         state.replaced_incarnations.add(state.instance.incarnation)
+    # Nothing that an earlier scheduler sent is carried out there any more.
+    state.was_listed = is_replaced and (state.was_listed or state.is_listed)
     state.instance = evolve(state.instance, is_draining=False)
     state.is_reachable = state.is_listed = False
     state.silent_since = state.silent_since or now
@@ -387,8 +389,10 @@
     schedule: Schedule, state: InstanceState, lease: dt.timedelta
 ) -> bool:
     """Whether each run of an earlier scheduler on an instance is known or has ended."""
+    if state.is_listed or state.was_listed:
+        return True
     # A listing of an instance that answers may be on its way.
-    return state.is_listed or _has_lapsed(schedule, state, lease)
+    return _has_lapsed(schedule, state, lease)
 
 
 def _describe_settling(schedule: Schedule, now: dt.datetime) -> LogNote:
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -215,6 +215,8 @@
     :param replaced_incarnations: Its earlier incarnations, as far as they are known.
     :param is_listed: Whether the current incarnation has listed all its runs and ends
         in this term.
+    :param was_listed: Whether it was listed in this term before another instance took
+        its address, so that it has no unknown run.
     :param is_reachable: Whether the last call to the instance was answered.
     :param was_reached: Whether a call has been answered in this term.
     :param silent_since: Since when no call has been answered; ``None`` if the last was.
@@ -243,6 +245,7 @@
     restart_count: int = 0
     replaced_incarnations: set[str] = field(factory=set)
     is_listed: bool = False
+    was_listed: bool = False
     is_reachable: bool = False
     was_reached: bool = False
     silent_since: dt.datetime | None = None
--- a/tests/test_bounded_waits.py
+++ b/tests/test_bounded_waits.py
@@ -300,3 +300,28 @@
     cluster.call_counts.clear()
     cluster.advance(5)
     assert not cluster.call_counts["i0", "list"]
+
+
+def replace_instance(cluster, name, successor):
+    """Crash an instance; another one registers and takes its address."""
+    cluster.instances[name].crash()
+    cluster.instances[name] = ReplacedInstance(cluster.instances[name])
+    cluster.unregister_instance(name)
+    cluster.add_instance(successor)
+
+
+# Failure: each crash of a listed instance starts the wait of a new leader anew.
+@pytest.mark.parametrize("gap", [1, 3, 5])
+def test_a_leader_settles_while_one_instance_after_another_is_replaced(gap):
+    cluster, names = start_cluster(entries=3, instances=16)
+    lose_instances(cluster, "i15")
+    cluster.kill_entries(names[0])
+    cluster.advance(2)
+    for number in range(RECOVERY_S // gap):
+        replace_instance(cluster, f"i{number}", f"i{16 + number}")
+        cluster.advance(gap)
+    is_settled = find_scheduler(cluster).schedule.is_settled
+    assert is_settled
+    cluster.advance(RECOVERY_S)
+    assert count_running(cluster) == 12
+    assert not cluster.find_breaches()
