Open further connections to an instance where calls wait for one

While half of the orders to instances get no answer, listings and starts without an answer hold the four connections to an instance for 0.8 to 1.8 s each, and other calls wait behind them until they fail, though nothing of them was sent.

So the four stay, and a call that has waited 0.1 s may open one of four others.

test_a_call_opens_a_further_connection_once_it_has_waited_for_one fails before (4 connections instead of 6).

--- a/src/fighead/http_client.py
+++ b/src/fighead/http_client.py
@@ -25,8 +25,8 @@
 #: Limit on establishing a connection: several times the latency of the slowest
 #: link between two availability zones.
 CONNECT_TIMEOUT = dt.timedelta(milliseconds=600)
-
-
+#: Wait for a free connection after which a call may open a further one.
+PATIENCE = dt.timedelta(milliseconds=100)
 #: Size in bytes at which a response is rejected: several times that of the largest
 #: page of the store.
 MAX_RESPONSE_BYTES = 16 << 20
@@ -210,7 +210,7 @@
 
     idle: list[_Connection] = field(factory=list)
     open_count: int = 0
-    waiting: collections.deque[Deferred[None]] = field(factory=collections.deque)
+    waiting: collections.deque[Deferred[bool]] = field(factory=collections.deque)
 
 
 @define(eq=False)
@@ -218,6 +218,8 @@
     """Sends requests over persistent connections, pooled by address.
 
     :param max_per_address: Most connections to one address; further calls wait.
+    :param max_extra: Most connections beside these, for calls that have waited for
+        :data:`PATIENCE`: the others may hold calls that get no answer.
     :param calls: Number of requests sent so far.
     :param connections: Number of connection attempts so far.
     :param failures: Number of calls that failed so far, without time-outs.
@@ -227,6 +229,7 @@
     reactor: t.Any
     clock: Clock
     max_per_address: int = 4
+    max_extra: int = 0
     calls: int = 0
     connections: int = 0
     failures: int = 0
@@ -297,10 +300,10 @@
         peer = read_address(address)
         data = encode_request(req, address)
         pool = self._pools.setdefault(address, _AddressPool())
-        while not pool.idle and pool.open_count >= self.max_per_address:
-            permit: Deferred[None] = Deferred(pool.waiting.remove)
-            pool.waiting.append(permit)
-            await permit
+        limit = self.max_per_address
+        while not pool.idle and pool.open_count >= limit:
+            if await self._wait_for_connection(pool, may_expire=self.max_extra > 0):
+                limit = self.max_per_address + self.max_extra
         conn = (
             pool.idle.pop() if pool.idle else await self._connect(address, peer, pool)
         )
@@ -308,6 +311,25 @@
         progress.is_sent = True
         return await conn.send(data, on_data)
 
+    async def _wait_for_connection(
+        self, pool: _AddressPool, *, may_expire: bool
+    ) -> bool:
+        """Wait until a connection may be free; return whether that took too long."""
+        permit: Deferred[bool] = Deferred(pool.waiting.remove)
+        pool.waiting.append(permit)
+
+        def expire() -> None:
+            if permit in pool.waiting:
+                pool.waiting.remove(permit)
+                permit.callback(True)
+
+        timer = self.clock.call_later(PATIENCE, expire) if may_expire else None
+        try:
+            return await permit
+        finally:
+            if timer is not None and timer.active():
+                timer.cancel()
+
     async def _connect(
         self, address: str, peer: ListenAddress, pool: _AddressPool
     ) -> _Connection:
@@ -341,7 +363,7 @@
 
     def _wake_next_call(self, pool: _AddressPool) -> None:
         if pool.waiting:
-            pool.waiting.popleft().callback(None)
+            pool.waiting.popleft().callback(False)
 
 
 @define(eq=False)
--- a/src/fighead/platform/daemon.py
+++ b/src/fighead/platform/daemon.py
@@ -24,6 +24,8 @@
 MAX_STORE_CONNECTIONS = 12
 #: Connections to each instance: one for listings, the rest for orders.
 MAX_INSTANCE_CONNECTIONS = 4
+#: Connections to each instance beside these, while those hold calls without answers.
+MAX_EXTRA_INSTANCE_CONNECTIONS = 4
 
 
 def make_codec() -> JobCodec:
@@ -44,7 +46,9 @@
     Connections are opened on the first call.
     """
     store_pool = HttpPool(reactor, clock, MAX_STORE_CONNECTIONS)
-    instance_pool = HttpPool(reactor, clock, MAX_INSTANCE_CONNECTIONS)
+    instance_pool = HttpPool(
+        reactor, clock, MAX_INSTANCE_CONNECTIONS, MAX_EXTRA_INSTANCE_CONNECTIONS
+    )
 
     def make_client(registered: RegisteredInstance) -> instance.PlatformInstanceClient:
         return instance.PlatformInstanceClient(instance_pool, registered)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -212,3 +212,32 @@
         connect(reactor)
     fut.cancel()
     assert failures == [CancelledError]
+
+
+# Failure: calls without answers hold all connections, so that no other is sent.
+def test_a_call_opens_a_further_connection_once_it_has_waited_for_one(reactor):
+    pool = HttpPool(reactor, ReactorClock(reactor, START), 4, 2)
+    for _ in range(8):
+        ask(pool)
+    reactor.advance(0.05)
+    assert len(reactor.tcpClients) == 4
+    reactor.advance(0.06)
+    assert len(reactor.tcpClients) == 6
+    reactor.advance(1)
+    assert len(reactor.tcpClients) == 6
+    results = ask(pool)
+    reactor.advance(2)
+    assert results == [HttpNotSentError]
+
+
+def test_a_call_that_gets_a_connection_soon_opens_no_further_one(reactor):
+    pool = HttpPool(reactor, ReactorClock(reactor, START), 1, 2)
+    ask(pool)
+    conn = connect(reactor)
+    results = ask(pool)
+    reactor.advance(0.05)
+    conn.dataReceived(OK_RESPONSE)
+    conn.dataReceived(OK_RESPONSE)
+    reactor.advance(1)
+    assert results[0].status == 200
+    assert len(reactor.tcpClients) == 1
