Repeat overdue listings, and keep the last expiry of the leases

The cause: a listing without an answer takes 1.8 s and extends nothing that counts, and the one after it extends no lease either, since the instance might be lost and the end of its leases must stay known.

Now a listing whose answer is overdue by 0.25 s, and again by 0.5 s, is repeated without a wait, and the first answer counts. All of them, and the listings after one that failed, carry the expiry that was sent last: it confirms the leases where the instance is sound and prolongs nothing where it is lost, so that a lost one is written off as soon as before. It is still taken for silent when the first listing fails. After 4 s of silence listings are repeated no more.

Three of the tests are new ones on this (tests/test_agent.py); the first two fail before.

--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -18,6 +18,9 @@
 from ..job import TaskKey
 from ..mailbox import Mailbox, spawn
 from ..run import Listing, PaceRun, RefusalReason, RegisteredInstance, StartRun, StopRun
+from .repeated_call import RETRY_PAUSE, call_repeatedly
+
+T = t.TypeVar("T")
 
 #: How long an instance may delay a listing until a run ends. Leases are renewed
 #: at least this often while the instance answers.
@@ -27,10 +30,14 @@
 SHORT_LISTING_WAIT = dt.timedelta(milliseconds=300)
 #: Time after which a call counts as unanswered, not counting the listing wait.
 CALL_TIMEOUT = dt.timedelta(milliseconds=800)
-#: Delay before a failed call is retried.
-RETRY_PAUSE = dt.timedelta(milliseconds=150)
+#: The same for a repeated call at least, which otherwise ends with the first one.
+MIN_CALL_TIMEOUT = dt.timedelta(milliseconds=250)
 #: Number of times a start is sent; if none is answered, the run is stopped.
 MAX_START_ATTEMPTS = 2
+#: When an overdue listing is repeated, from the time at which its answer was due.
+LISTING_REPEATS = (dt.timedelta(milliseconds=250), dt.timedelta(milliseconds=500))
+#: Silence after which calls are no longer repeated before they fail.
+MAX_REPEATING_SILENCE = dt.timedelta(seconds=4)
 #: Delay before the next listing if the last one was answered within this time and
 #: had no new end. While an end is not acknowledged, an instance answers at once, so
 #: that the next listing waits as long for the acknowledgement.
@@ -220,7 +227,11 @@
     _instance_clock_read_at: dt.datetime | None = None
     #: When the lease expiry of the last start or listing was computed.
     _leases_extended_at: dt.datetime | None = None
+    #: The expiry sent last, in ms on the instance's clock.
+    _lease_until_ms: int = 0
     _is_answering: bool = False
+    #: When the latest listing was received.
+    _answered_at: dt.datetime | None = None
     #: Stops without an answer, which are repeated.
     _stops: set[StopRun] = field(factory=set)
     #: The latest order on pace without an answer, by task and number of the run.
@@ -266,7 +277,7 @@
                     self.fence = max(self.fence, fence)
                 case AnswerWanted():
                     if self._wait > SHORT_LISTING_WAIT and self.may_act():
-                        spawn(self._overtake_listing())
+                        spawn(self._overtake_listing(self._next_expiry()))
 
     async def _poll_listings(self) -> None:
         wait = dt.timedelta()
@@ -278,7 +289,7 @@
             self._listing_number += 1
             self._wait, self._overtaken_ms = wait, 0
             try:
-                listing = await self._request_listing(wait)
+                listing, sent_at = await self._list_repeatedly(wait)
             except WorkerError as exc:
                 self._report_error(exc, fence)
                 await sleep(self.clock, RETRY_PAUSE)
@@ -297,17 +308,52 @@
             ):
                 await sleep(self.clock, UNCHANGED_LISTING_DELAY)
 
-    async def _overtake_listing(self) -> None:
-        """List the instance once more while it delays the answer to a listing."""
+    async def _list_repeatedly(self, wait: dt.timedelta) -> tuple[Listing, dt.datetime]:
+        """List the instance, and again without a wait while the answer is overdue.
+
+        Return the first answer and when it was requested. The repetitions carry the
+        same expiry, so that they don't prolong the leases on an instance that is lost.
+
+        :raises WorkerError: If no attempt was answered within ``CALL_TIMEOUT`` after
+            the wait.
+        """
+        lease_until_ms = self._next_expiry()
+        due_at, waits = self.clock.now() + wait, iter((wait,))
+
+        async def attempt() -> tuple[Listing, dt.datetime]:
+            sent_at = self.clock.now()
+            own_wait = next(waits, dt.timedelta())
+            left = max(due_at + CALL_TIMEOUT - sent_at - own_wait, MIN_CALL_TIMEOUT)
+            listing = await self._request_listing(own_wait, lease_until_ms, left)
+            return listing, sent_at
+
+        delays = [wait + delay for delay in LISTING_REPEATS]
+        return await call_repeatedly(self.clock, attempt, delays, self._may_repeat)
+
+    async def _overtake_listing(self, lease_until_ms: int) -> bool:
+        """List the instance once more while it delays the answer to a listing.
+
+        Return whether it answered.
+        """
         sent_at, fence, number = self.clock.now(), self.fence, self._listing_number
         try:
-            listing = await self._request_listing(dt.timedelta())
+            listing = await self._request_listing(dt.timedelta(), lease_until_ms)
         except WorkerError:
             # The listing under way tells whether the instance still answers.
-            return
+            return False
         if not self._is_stopped and number == self._listing_number and self._wait:
             self._overtaken_ms = listing.clock_ms
             self._report_listing(listing, sent_at, fence)
+        return True
+
+    def _may_repeat(self) -> bool:
+        """Whether calls may be repeated before they fail."""
+        at = self._answered_at
+        return (
+            at is not None
+            and self.clock.now() - at < MAX_REPEATING_SILENCE
+            and self.may_act()
+        )
 
     async def _await_acknowledgement(self) -> None:
         """Wait until all listed ends are acknowledged, but not for long."""
@@ -331,17 +377,29 @@
         if is_complete and pending is not None and not pending.called:
             pending.callback(None)
 
-    async def _request_listing(self, wait: dt.timedelta) -> Listing:
-        # An instance whose answers are lost may still receive calls. Its leases are
-        # not extended, so that the time of their expiry stays known.
-        may_extend = self._is_answering and self.may_renew()
-        lease_until_ms = self._extend_leases() if may_extend else 0
+    async def _request_listing(
+        self,
+        wait: dt.timedelta,
+        lease_until_ms: int,
+        timeout: dt.timedelta = CALL_TIMEOUT,
+    ) -> Listing:
         listing = await self.client.renew_and_list(
-            self.fence, self._acknowledged_sequence, lease_until_ms, wait, CALL_TIMEOUT
+            self.fence, self._acknowledged_sequence, lease_until_ms, wait, timeout
         )
         self._is_answering = True
+        self._answered_at = self.clock.now()
         return listing
 
+    def _next_expiry(self) -> int:
+        """Return the expiry to send with a listing; 0 to leave the leases unchanged.
+
+        An instance whose answers are lost may still receive calls. It gets the expiry
+        that was sent last, so that the time at which its leases end stays known.
+        """
+        if not self.may_renew():
+            return 0
+        return self._extend_leases() if self._is_answering else self._lease_until_ms
+
     def _extend_leases(self) -> int:
         """Return the expiry of a new lease in ms on the instance's clock.
 
@@ -353,9 +411,10 @@
         until_expiry = (
             self._leases_extended_at - self._instance_clock_read_at + self.lease
         )
-        return self._instance_clock_ms + int(
+        self._lease_until_ms = self._instance_clock_ms + int(
             until_expiry / dt.timedelta(milliseconds=1)
         )
+        return self._lease_until_ms
 
     def _lease_bound(self) -> dt.datetime | None:
         """Return the latest expiry of all leases requested so far."""
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -339,3 +339,82 @@
     agent.stop()
     timer.advance(5)
     assert instance.paces == [0, 0]
+
+
+class DelayedInstance(ScriptedInstance):
+    """Answers no start, stop or listing until told to; calls fail after their time."""
+
+    def __init__(self, timer):
+        super().__init__()
+        self.timer = timer
+        self.starts, self.stops, self.listings = [], [], []
+
+    async def _call(self, calls, timeout):
+        answer = Deferred()
+        calls.append(answer)
+        limit = self.timer.callLater(
+            timeout.total_seconds(), lambda: answer.errback(LOST)
+        )
+        try:
+            return await answer
+        finally:
+            if limit.active():
+                limit.cancel()
+
+    async def start(self, order, lease_until_ms, fence, timeout):
+        self.start_leases_ms.append(lease_until_ms)
+        return await self._call(self.starts, timeout)
+
+    async def stop(self, order, fence, timeout):
+        return await self._call(self.stops, timeout)
+
+    async def renew_and_list(self, fence, acknowledged, lease_until_ms, wait, timeout):
+        self.listing_waits.append(wait)
+        self.listing_calls.append(lease_until_ms)
+        return await self._call(self.listings, wait + timeout)
+
+    def list_runs(self, number=-1, clock_ms=0):
+        self.listings[number].callback(Listing(clock_ms, (), ()))
+
+
+def start_delayed(timer):
+    """Start an agent whose second, delayed listing is under way."""
+    instance = DelayedInstance(timer)
+    agent, reports = start_agent(timer, instance)
+    instance.list_runs()
+    timer.advance(0.1)
+    assert instance.listing_waits == [dt.timedelta(), LISTING_WAIT]
+    return instance, agent, reports
+
+
+def count_reports(reports, kind):
+    return len([each for each in reports if isinstance(each, kind)])
+
+
+# Failure: a listing without an answer leaves runs of a sound instance without a lease.
+def test_an_overdue_listing_is_repeated_with_the_same_expiry(timer):
+    instance, _, reports = start_delayed(timer)
+    timer.pump([0.05] * 24)
+    assert len(instance.listings) == 2
+    timer.pump([0.05] * 3)
+    assert instance.listing_waits[2:] == [dt.timedelta()]
+    assert instance.listing_calls[2] == instance.listing_calls[1] > 0
+    instance.list_runs(clock_ms=1300)
+    assert not count_reports(reports, CallFailed)
+    assert find_listed_ms(reports) == [0, 1300]
+
+
+def test_the_leases_on_a_silent_instance_are_not_prolonged(timer):
+    instance, _, reports = start_delayed(timer)
+    timer.pump([0.05] * 60)
+    assert len(set(instance.listing_calls[1:])) == 1
+    bounds = {each.leases_end_at for each in reports if isinstance(each, CallFailed)}
+    assert len(bounds) == 1
+
+
+def test_a_silent_instance_is_listed_no_more_often_after_a_while(timer):
+    instance, *_ = start_delayed(timer)
+    timer.pump([0.05] * 200)
+    count = len(instance.listings)
+    timer.pump([0.05] * 200)
+    assert len(instance.listings) - count <= 11
