Repeat starts sooner, and take no instance for silent for one call

The cause: a single start without an answer for 0.8 s made its instance silent until its next listing, and was repeated only then. Whether one call is answered tells little about the next.

Now a start is repeated beside the attempts under way, at 0.3 s and 0.6 s, and given up at 1.4 s instead of 1.9 s. A refusal counts once no attempt is under way; a start answered before all attempts are is reported as certain once they are. At most four repeated starts are under way at an instance, and none at one that has been silent for 4 s. A start or an order on pace that is overdue by 0.3 s has the instance listed beside a listing that it delays, twice at most. A failed call makes an instance silent unless another one was answered after it was sent and within 0.8 s; only listings count for listings. An instance that answers nothing is silent as soon as before.

The cluster of the tests can now draw once whether a delayed listing gets its answer (is_listing_drawn_once, off elsewhere): with a draw each 50 ms none would, which isn't what the platform does.

--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -32,12 +32,25 @@
 CALL_TIMEOUT = dt.timedelta(milliseconds=800)
 #: The same for a repeated call at least, which otherwise ends with the first one.
 MIN_CALL_TIMEOUT = dt.timedelta(milliseconds=250)
-#: Number of times a start is sent; if none is answered, the run is stopped.
-MAX_START_ATTEMPTS = 2
+#: Delay after which a call without an answer is sent once more beside it. Whether an
+#: instance answers one call tells little about the next.
+REPEAT_DELAY = dt.timedelta(milliseconds=300)
+#: Number of times a start is sent at most; if none is answered, the run is stopped.
+MAX_START_ATTEMPTS = 3
+#: Number of pauses in which these attempts are made, and of those between two.
+TICKS_PER_START = REPEAT_DELAY // RETRY_PAUSE
+START_TICKS = TICKS_PER_START * (MAX_START_ATTEMPTS - 1) + 1
+#: The same for attempts that all fail at once.
+MAX_FAILED_STARTS = 2
+#: Number of repeated starts under way at one instance. One that is slow, or an entry
+#: that is, must not get several times as many calls for that.
+MAX_REPEATED_STARTS = 4
 #: When an overdue listing is repeated, from the time at which its answer was due.
 LISTING_REPEATS = (dt.timedelta(milliseconds=250), dt.timedelta(milliseconds=500))
 #: Silence after which calls are no longer repeated before they fail.
 MAX_REPEATING_SILENCE = dt.timedelta(seconds=4)
+#: Number of listings that check whether an instance still answers.
+MAX_CHECKS = 2
 #: Delay before the next listing if the last one was answered within this time and
 #: had no new end. While an end is not acknowledged, an instance answers at once, so
 #: that the next listing waits as long for the acknowledgement.
@@ -188,6 +201,37 @@
     number: int
 
 
+@define(eq=False)
+class _StartAttempts:
+    """The attempts to start one run.
+
+    :param sent: Number of attempts so far.
+    :param under_way: Number of those that have neither been answered nor failed.
+    :param is_uncertain: Whether one failed that the instance may still carry out.
+    :param is_over: Whether no attempt follows.
+    :param is_settled: Whether the instance has answered that it has started the run.
+    :param refusal: The answer otherwise, or that the run has ended since.
+    :param is_answer_reported: Whether that it is settled has been reported.
+    :param is_reported: Whether nothing is left to report.
+    """
+
+    sent: int = 0
+    under_way: int = 0
+    is_uncertain: bool = False
+    is_over: bool = False
+    is_settled: bool = False
+    refusal: RefusalReason | None = None
+    is_answer_reported: bool = False
+    is_reported: bool = False
+
+    def note_answer(self, refusal: RefusalReason | None) -> None:
+        """Take an answer into account; the first that settles the start counts."""
+        self.is_over = True
+        if not self.is_settled:
+            self.refusal = refusal
+            self.is_settled = refusal in (None, RefusalReason.STALE)
+
+
 AgentReport = (
     ListingReceived
     | CallFailed
@@ -230,8 +274,12 @@
     #: The expiry sent last, in ms on the instance's clock.
     _lease_until_ms: int = 0
     _is_answering: bool = False
-    #: When the latest listing was received.
+    #: When the latest answer was received, to any call and to a listing.
     _answered_at: dt.datetime | None = None
+    _listed_at: dt.datetime | None = None
+    #: Number of repeated starts under way.
+    _repeated_starts: int = 0
+    _is_checking: bool = False
     #: Stops without an answer, which are repeated.
     _stops: set[StopRun] = field(factory=set)
     #: The latest order on pace without an answer, by task and number of the run.
@@ -291,7 +339,7 @@
             try:
                 listing, sent_at = await self._list_repeatedly(wait)
             except WorkerError as exc:
-                self._report_error(exc, fence)
+                self._report_error(exc, fence, sent_at, self._listed_at)
                 await sleep(self.clock, RETRY_PAUSE)
                 wait = dt.timedelta()
                 continue
@@ -346,6 +394,43 @@
             self._report_listing(listing, sent_at, fence)
         return True
 
+    async def _check(self) -> None:
+        """List the instance beside a delayed listing, and again without an answer.
+
+        The expiry of the leases is the one that was sent last.
+        """
+        if self._is_checking or not self._wait:
+            return
+        self._is_checking = True
+        answers: list[bool] = []
+
+        async def attempt() -> None:
+            expiry = self._lease_until_ms if self.may_renew() else 0
+            answers.append(await self._overtake_listing(expiry))
+
+        try:
+            for _ in range(MAX_CHECKS):
+                if any(answers) or self._is_stopped or not self.may_act():
+                    break
+                spawn(attempt())
+                await sleep(self.clock, REPEAT_DELAY)
+        finally:
+            self._is_checking = False
+
+    async def _call_and_check(self, call: t.Awaitable[T]) -> T:
+        """Await the answer to a call; check the instance if it is overdue."""
+        timer = self.clock.call_later(REPEAT_DELAY, lambda: spawn(self._check()))
+        try:
+            result = await call
+        except (WorkerRefusedError, WorkerRestartedError):
+            self._answered_at = self.clock.now()
+            raise
+        finally:
+            if timer.active():
+                timer.cancel()
+        self._answered_at = self.clock.now()
+        return result
+
     def _may_repeat(self) -> bool:
         """Whether calls may be repeated before they fail."""
         at = self._answered_at
@@ -387,7 +472,7 @@
             self.fence, self._acknowledged_sequence, lease_until_ms, wait, timeout
         )
         self._is_answering = True
-        self._answered_at = self.clock.now()
+        self._answered_at = self._listed_at = self.clock.now()
         return listing
 
     def _next_expiry(self) -> int:
@@ -422,7 +507,16 @@
             return None
         return latest_lease_expiry(self._leases_extended_at, self.lease)
 
-    def _report_failed_call(self, reason: str) -> None:
+    def _report_failed_call(
+        self, reason: str, sent_at: dt.datetime, answered_at: dt.datetime | None
+    ) -> None:
+        """Report a failed call, unless the instance has answered another one since.
+
+        :param answered_at: When the latest answer that counts was received.
+        """
+        now = self.clock.now()
+        if answered_at is not None and answered_at > max(sent_at, now - CALL_TIMEOUT):
+            return
         self._is_answering = False
         self.report(CallFailed(self.identity, reason, self._lease_bound()))
 
@@ -454,7 +548,13 @@
         self.report(InstanceRestarted(self.identity, exc.incarnation))
         self._is_stopped = True
 
-    def _report_error(self, exc: WorkerError, fence: int) -> None:
+    def _report_error(
+        self,
+        exc: WorkerError,
+        fence: int,
+        sent_at: dt.datetime,
+        answered_at: dt.datetime | None,
+    ) -> None:
         if isinstance(exc, WorkerRestartedError):
             self._report_restart(exc)
             return
@@ -465,49 +565,99 @@
             if exc.reason == RefusalReason.OTHER_INCARNATION.value:
                 self.report(InstanceRestarted(self.identity))
                 return
-        self._report_failed_call(exc.message)
+        self._report_failed_call(exc.message, sent_at, answered_at)
 
     async def _send_start(self, order: StartRun) -> None:
         """Send a start until it is answered, at most ``MAX_START_ATTEMPTS`` times.
 
-        A start without an answer may be carried out later, also after a repetition
-        was refused, so only a stop settles it.
+        An attempt that is overdue is repeated before it fails. A start without an
+        answer may be carried out later, also after a repetition was refused, so only a
+        stop settles it.
         """
-        refusal: RefusalReason | None = None
-        is_uncertain = False
         lease_until_ms = self._extend_leases()
-        for _ in range(MAX_START_ATTEMPTS):
+        attempts = _StartAttempts()
+        for tick in range(START_TICKS):
             if not self.may_act() or self._is_stopped:
                 break
-            fence = self.fence
-            try:
-                await self.client.start(order, lease_until_ms, fence, CALL_TIMEOUT)
-            except WorkerRefusedError as exc:
-                refusal = RefusalReason(exc.reason)
-            except WorkerRestartedError as exc:
-                self._report_restart(exc)
+            has_failed = attempts.sent > 0 and not attempts.under_way
+            if has_failed and attempts.sent >= MAX_FAILED_STARTS:
                 break
-            except WorkerUnreachableError as exc:
-                is_uncertain |= not isinstance(exc, WorkerNotReachedError)
-                self._report_failed_call(exc.message)
-                await sleep(self.clock, RETRY_PAUSE)
-                continue
-            if refusal is RefusalReason.FENCED:
-                self._report_refused_fence(fence)
-                if fence != self.fence:
-                    refusal = None
-                    continue
-                return
-            if is_uncertain and refusal not in (None, RefusalReason.STALE):
-                # The refusal says nothing about the attempt without an answer.
+            is_due = tick % TICKS_PER_START == 0 and self._may_repeat_start(attempts)
+            if has_failed or is_due:
+                spawn(self._attempt_start(order, lease_until_ms, attempts))
+            if attempts.is_over:
                 break
-            self.report(
-                StartAnswered(
-                    self.identity, order.task, order.number, refusal, not is_uncertain
-                )
+            await sleep(self.clock, RETRY_PAUSE)
+            if attempts.is_over:
+                break
+        attempts.is_over = True
+        self._conclude_start(order, attempts)
+
+    def _may_repeat_start(self, attempts: _StartAttempts) -> bool:
+        return not attempts.sent or (
+            self._repeated_starts < MAX_REPEATED_STARTS and self._may_repeat()
+        )
+
+    async def _attempt_start(
+        self, order: StartRun, lease_until_ms: int, attempts: _StartAttempts
+    ) -> None:
+        is_repetition = attempts.sent > 0
+        attempts.sent += 1
+        attempts.under_way += 1
+        self._repeated_starts += is_repetition
+        sent_at, fence = self.clock.now(), self.fence
+        try:
+            await self._call_and_check(
+                self.client.start(order, lease_until_ms, fence, CALL_TIMEOUT)
             )
+            attempts.note_answer(None)
+        except WorkerRefusedError as exc:
+            refusal = RefusalReason(exc.reason)
+            if refusal is not RefusalReason.FENCED:
+                attempts.note_answer(refusal)
+            else:
+                self._report_refused_fence(fence)
+                # Otherwise the next attempt carries the fence that has replaced it.
+                if fence == self.fence:
+                    attempts.is_over = attempts.is_reported = True
+        except WorkerRestartedError as exc:
+            attempts.is_uncertain = attempts.is_over = True
+            self._report_restart(exc)
+        except WorkerUnreachableError as exc:
+            attempts.is_uncertain |= not isinstance(exc, WorkerNotReachedError)
+            self._report_failed_call(exc.message, sent_at, self._answered_at)
+        finally:
+            attempts.under_way -= 1
+            self._repeated_starts -= is_repetition
+        self._conclude_start(order, attempts)
+
+    def _conclude_start(self, order: StartRun, attempts: _StartAttempts) -> None:
+        """Report the result of a start once it is known.
+
+        A refusal counts once no attempt is under way that may yet be carried out. A
+        start that is answered before all attempts are is reported again after that.
+        """
+        if attempts.is_reported:
             return
-        self.report(StartUnanswered(self.identity, order.task, order.number))
+        task, number = order.task, order.number
+        is_certain = not (attempts.under_way or attempts.is_uncertain)
+        if attempts.is_settled:
+            attempts.is_reported = not attempts.under_way
+            if is_certain or not attempts.is_answer_reported:
+                attempts.is_answer_reported = True
+                self.report(
+                    StartAnswered(
+                        self.identity, task, number, attempts.refusal, is_certain
+                    )
+                )
+        elif attempts.is_over and not attempts.under_way:
+            attempts.is_reported = True
+            if attempts.refusal is not None and is_certain:
+                self.report(
+                    StartAnswered(self.identity, task, number, attempts.refusal, True)
+                )
+            else:
+                self.report(StartUnanswered(self.identity, task, number))
 
     def _start_stop(self, order: StopRun) -> None:
         """Send a stop, unless it is being repeated already."""
@@ -552,13 +702,15 @@
             if not self.may_act():
                 await sleep(self.clock, RETRY_PAUSE * 2)
                 continue
-            fence = self.fence
+            sent_at, fence = self.clock.now(), self.fence
             try:
-                await self.client.set_pace(order, fence, CALL_TIMEOUT)
+                await self._call_and_check(
+                    self.client.set_pace(order, fence, CALL_TIMEOUT)
+                )
             except WorkerError as exc:
                 may_succeed_later = _may_succeed_later(exc)
                 if not (is_repetition and may_succeed_later):
-                    self._report_error(exc, fence)
+                    self._report_error(exc, fence, sent_at, self._answered_at)
                 if may_succeed_later or fence != self.fence:
                     is_repetition = True
                     await sleep(self.clock, RETRY_PAUSE * 2)
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -226,6 +226,11 @@
     async def renew_and_list(self, fence, acknowledged, lease_until_ms, wait, timeout):
         deadline = self.cluster.clock.now() + wait
         seen = acknowledged
+        outcome = None
+        if self.cluster.is_listing_drawn_once:
+            outcome = self.cluster.draw_call_outcome(self.instance.instance_id, self.me)
+            # An answer that is lost after a wait is missed only after the wait.
+            timeout += wait if outcome == "late" else dt.timedelta()
         while True:
             listing = await self._call(
                 lambda instance: self._list(
@@ -233,6 +238,7 @@
                 ),
                 timeout,
                 "list",
+                outcome,
             )
             has_new_ends = listing.ended and listing.ended[-1].sequence > seen
             if has_new_ends or self.cluster.clock.now() >= deadline:
@@ -240,10 +246,10 @@
             await sleep(self.cluster.clock, dt.timedelta(milliseconds=50))
             await self.gate.pass_through(None)
 
-    async def _call(self, operation, timeout, call="pace"):
+    async def _call(self, operation, timeout, call="pace", outcome=None):
         cluster, name = self.cluster, self.instance.instance_id
         await sleep(cluster.clock, dt.timedelta(milliseconds=2))
-        outcome = cluster.draw_call_outcome(name, self.me)
+        outcome = outcome or cluster.draw_call_outcome(name, self.me)
         cluster.call_counts[name, call] += 1
         if (name, call) in cluster.lost_calls:
             outcome = "lost"
@@ -410,6 +416,9 @@
     :param call_counts: Calls to instances so far, by instance and kind.
     :param late_share: Share of calls to instances that get no answer and are
         executed 2 to :data:`MAX_CALL_DELAY_S` seconds later.
+    :param is_listing_drawn_once: Whether a listing that an instance delays is as likely
+        to get an answer as any other call. Otherwise each check for an end has that
+        chance.
     :param on_end: Called with the name of an entry whose planned stop is complete.
     :param failing_tasks: Pairs of job id and task index whose runs fail.
     :param history: Events of all runs, in order.
@@ -439,6 +448,7 @@
     call_counts: collections.Counter = field(factory=collections.Counter)
     deaf_entries: set = field(factory=set)
     late_share: float = 0.0
+    is_listing_drawn_once: bool = False
     on_end: object = field(default=lambda _: None)
     failing_tasks: set = field(factory=set)
     history: list = field(factory=list)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -391,6 +391,85 @@
     return len([each for each in reports if isinstance(each, kind)])
 
 
+# Failure: a start waits 0.8 s for its repetition, though each has a chance of its own.
+def test_a_start_is_repeated_before_it_fails(timer):
+    instance, agent, reports = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 8)
+    assert len(instance.starts) == 2
+    instance.starts[1].callback(5)
+    assert reports[-1] == StartAnswered("i-1/1", TASK, 1, None)
+    timer.pump([0.05] * 20)
+    assert len(instance.starts) == 2
+
+
+def test_a_start_without_an_answer_is_given_up_no_later_than_before(timer):
+    instance, agent, reports = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 36)
+    assert StartUnanswered("i-1/1", TASK, 1) in reports
+    assert len(instance.starts) == 3
+    assert len(set(instance.start_leases_ms)) == 1
+
+
+def test_a_start_is_certain_once_all_its_attempts_are_answered(timer):
+    instance, agent, reports = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 8)
+    instance.starts[1].callback(5)
+    instance.starts[0].callback(5)
+    answers = [each for each in reports if isinstance(each, StartAnswered)]
+    assert [each.is_certain for each in answers] == [False, True]
+
+
+def test_a_refusal_waits_for_the_other_attempts(timer):
+    instance, agent, reports = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 8)
+    instance.starts[1].errback(refused(RefusalReason.NO_ROOM))
+    assert not count_reports(reports, StartAnswered)
+    instance.starts[0].callback(5)
+    assert reports[-1] == StartAnswered("i-1/1", TASK, 1, None, is_certain=True)
+
+
+# A slow instance, or a slow entry, must not get each call several times.
+def test_few_starts_are_repeated_at_one_instance_at_a_time(timer):
+    instance, agent, _ = start_delayed(timer)
+    for number in range(20):
+        agent.mailbox.offer(StartRun(TASK, number, "x"))
+    timer.pump([0.05] * 8)
+    assert len(instance.starts) == 20 + 4
+
+
+# Failure: one call without an answer takes an instance from placement.
+def test_an_instance_that_answers_a_listing_is_not_silent_for_one_start(timer):
+    instance, agent, reports = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 8)
+    assert instance.listing_waits[2:] == [dt.timedelta()]
+    instance.list_runs(clock_ms=300)
+    timer.pump([0.05] * 12)
+    assert not count_reports(reports, CallFailed)
+
+
+def test_an_instance_that_answers_nothing_is_silent_as_soon_as_a_call_fails(timer):
+    instance, agent, reports = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 17)
+    assert count_reports(reports, CallFailed) == 1
+
+
+def test_an_instance_that_is_not_listed_any_more_is_silent(timer):
+    """Answers to other calls don't stand for listings."""
+    instance, agent, reports = start_delayed(timer)
+    for number in range(4):
+        agent.mailbox.offer(StartRun(TASK, number, "x"))
+        instance.starts[-1].callback(5)
+        timer.pump([0.05] * 9)
+    timer.pump([0.05] * 4)
+    assert count_reports(reports, CallFailed) == 1
+
+
 # Failure: a listing without an answer leaves runs of a sound instance without a lease.
 def test_an_overdue_listing_is_repeated_with_the_same_expiry(timer):
     instance, _, reports = start_delayed(timer)
--- a/tests/test_job_cluster.py
+++ b/tests/test_job_cluster.py
@@ -409,6 +409,10 @@
     assert used and "i9" not in used
 
 
+def schedule_of(cluster):
+    return cluster.entries[cluster.leader()].entry.scheduler.schedule
+
+
 def test_an_unanswered_start_is_settled_before_its_task_starts_elsewhere():
     cluster = JobCluster(instance_count=2)
     cluster.advance(2)
@@ -423,6 +427,36 @@
     assert not cluster.find_breaches()
 
 
+# Failure: with half of the orders unanswered, sound instances get no work, lasting
+# tasks lapse, and tasks wait until the end of the day.
+@pytest.mark.parametrize("seed", range(4))
+def test_tasks_run_while_half_of_the_calls_get_no_answer(seed):
+    cluster = JobCluster(seed, instance_count=8, is_listing_drawn_once=True)
+    cluster.advance(2)
+    cluster.late_share = 0.5
+    lasting = Stage(count=8, cpu=1000, memory_mb=1, is_lasting=True)
+    cluster.submit(job_id(1), JobSpec("x", (lasting,)), queue_name="watches")
+    wide = Stage(count=8, cpu=1000, memory_mb=1, estimate_ms=1000)
+    for number in range(2, 8):
+        cluster.submit(job_id(number), JobSpec("x", (wide,)))
+    cluster.advance(10)
+    silent = samples = 0
+    for _ in range(200):
+        cluster.advance(0.2)
+        if cluster.leader():
+            states = schedule_of(cluster).instances.values()
+            silent += sum(not state.is_reachable for state in states)
+            samples += len(states)
+    assert samples and silent < samples * 0.1
+    lapsed = [event for event in cluster.history if event.event == "lapsed"]
+    assert len(lapsed) <= 8
+    for number in range(2, 8):
+        assert cluster.find_phase(job_id(number)) is JobPhase.COMPLETED
+    stage = schedule_of(cluster).jobs[job_id(1)].stages[0, 0]
+    assert all(task.runs for task in stage.tasks)
+    assert not cluster.find_breaches()
+
+
 def test_new_jobs_do_not_wait_for_an_instance_that_never_answers(cluster):
     cluster.submit(job_id(1), JobSpec("x", (LONG_STAGE,)))
     cluster.advance(2)
