Repeat stops sooner, and list an instance after that of a failed start

What callers saw: a task whose start had no answer waited seconds more: for its stop, repeated each 1.1 s, and for the next listing, which an instance without a new end delays by up to 1 s and which may itself get no answer.

Now a stop is repeated after 0.3 s and 0.6 s beside the attempts under way, and each 1.4 s from then on (10 calls in 11 s, as before), and the answer to the stop of an unanswered start has the instance listed at once beside a delayed listing, and again if that gets no answer. The task starts elsewhere on the same evidence as before: a listing requested after the stop's answer lacks its run.

Both tests fail before.

--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -49,8 +49,13 @@
 LISTING_REPEATS = (dt.timedelta(milliseconds=250), dt.timedelta(milliseconds=500))
 #: Silence after which calls are no longer repeated before they fail.
 MAX_REPEATING_SILENCE = dt.timedelta(seconds=4)
+#: When a stop without an answer is repeated, and the pause before each later attempt.
+STOP_REPEATS: tuple[dt.timedelta, ...] = (REPEAT_DELAY, 2 * REPEAT_DELAY)
+STOP_PAUSE = dt.timedelta(milliseconds=600)
 #: Number of listings that check whether an instance still answers.
 MAX_CHECKS = 2
+#: Delay of the listing that shows what has become of a run whose start had no answer.
+SETTLING_PAUSE = dt.timedelta(milliseconds=20)
 #: Delay before the next listing if the last one was answered within this time and
 #: had no new end. While an end is not acknowledged, an instance answers at once, so
 #: that the next listing waits as long for the acknowledgement.
@@ -279,7 +284,10 @@
     _listed_at: dt.datetime | None = None
     #: Number of repeated starts under way.
     _repeated_starts: int = 0
+    #: Runs whose start got no answer, until their stop is answered.
+    _unsettled: set[tuple[TaskKey, int]] = field(factory=set)
     _is_checking: bool = False
+    _must_list: bool = False
     #: Stops without an answer, which are repeated.
     _stops: set[StopRun] = field(factory=set)
     #: The latest order on pace without an answer, by task and number of the run.
@@ -657,6 +665,7 @@
                     StartAnswered(self.identity, task, number, attempts.refusal, True)
                 )
             else:
+                self._unsettled.add((task, number))
                 self.report(StartUnanswered(self.identity, task, number))
 
     def _start_stop(self, order: StopRun) -> None:
@@ -668,12 +677,19 @@
 
     async def _send_stop(self, order: StopRun) -> None:
         """Repeat a stop until it is answered or this task is stopped."""
-        while not self._is_stopped:
+        fence, repeats = self.fence, STOP_REPEATS
+
+        async def attempt() -> None:
+            nonlocal fence
             fence = self.fence
+            await self.client.stop(order, fence, CALL_TIMEOUT)
+
+        while not self._is_stopped:
             try:
-                await self.client.stop(order, fence, CALL_TIMEOUT)
+                await call_repeatedly(self.clock, attempt, repeats, self._may_repeat)
             except WorkerUnreachableError:
-                await sleep(self.clock, RETRY_PAUSE * 2)
+                repeats = ()
+                await sleep(self.clock, STOP_PAUSE)
                 continue
             except WorkerRestartedError as exc:
                 self._report_restart(exc)
@@ -688,8 +704,22 @@
                     await sleep(self.clock, RETRY_PAUSE * 2)
                     continue
             self.report(StopAnswered(self.identity, order.task, order.number))
+            if (order.task, order.number) in self._unsettled:
+                self._unsettled.discard((order.task, order.number))
+                self._list_soon()
             return
 
+    def _list_soon(self) -> None:
+        """List the instance once what was reported has been processed."""
+        if not self._must_list:
+            self._must_list = True
+            self.clock.call_later(SETTLING_PAUSE, self._list_beside)
+
+    def _list_beside(self) -> None:
+        self._must_list = False
+        if not self._is_stopped:
+            spawn(self._check())
+
     async def _send_pace(self, order: PaceRun) -> None:
         """Repeat an order on pace until it is answered or a later one follows.
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -22,6 +22,7 @@
     RegisteredInstance,
     RunEnd,
     StartRun,
+    StopRun,
 )
 from fighead.tasks.agent import (
     LISTING_WAIT,
@@ -497,3 +498,26 @@
     count = len(instance.listings)
     timer.pump([0.05] * 200)
     assert len(instance.listings) - count <= 11
+
+
+# Failure: a stop without an answer is repeated after 1.1 s only.
+def test_a_stop_is_repeated_before_it_fails(timer):
+    instance, agent, _ = start_delayed(timer)
+    agent.mailbox.offer(StopRun(TASK, 1))
+    timer.pump([0.05] * 7)
+    assert len(instance.stops) == 2
+
+
+# Failure: after an unanswered start its task waits for a listing that is delayed.
+def test_an_instance_is_listed_once_the_stop_of_an_unanswered_start_is_confirmed(timer):
+    instance, agent, _ = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 32)
+    instance.list_runs()
+    timer.pump([0.05] * 3)
+    count = len(instance.listings)
+    agent.mailbox.offer(StopRun(TASK, 1))
+    instance.stops[-1].callback(None)
+    timer.pump([0.01] * 3)
+    assert len(instance.listings) == count + 1
+    assert instance.listing_waits[-1] == dt.timedelta()
