Tell by a message of its own that no attempt at a start is open

A start that is answered while another attempt is under way was reported twice, the second time once all attempts are answered. Whoever counts answered starts counts it twice. StartCertain says the second now.

--- a/src/fighead/decisions/run_updates.py
+++ b/src/fighead/decisions/run_updates.py
@@ -430,6 +430,13 @@
     return [LogNote(Event.START_REFUSED, fields)]
 
 
+def rule_out_late_start(schedule: Schedule, key: TaskKey, number: int) -> None:
+    """Record that no attempt to start a run can arrive any more."""
+    run = find_run(schedule, key, number)
+    if run is not None:
+        run.may_start_late = False
+
+
 def stop_unanswered_start(
     schedule: Schedule, key: TaskKey, number: int
 ) -> list[Effect]:
--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -188,6 +188,15 @@
     is_certain: bool = False
 
 
+@frozen
+class StartCertain:
+    """Each attempt at a start has been answered since its first answer."""
+
+    identity: str
+    task: TaskKey
+    number: int
+
+
 @frozen
 class StartUnanswered:
     """A start was not answered; it may have taken effect or may still do so."""
@@ -243,6 +252,7 @@
     | InstanceRestarted
     | FenceRefused
     | StartAnswered
+    | StartCertain
     | StartUnanswered
     | StopAnswered
 )
@@ -651,13 +661,15 @@
         is_certain = not (attempts.under_way or attempts.is_uncertain)
         if attempts.is_settled:
             attempts.is_reported = not attempts.under_way
-            if is_certain or not attempts.is_answer_reported:
+            if not attempts.is_answer_reported:
                 attempts.is_answer_reported = True
                 self.report(
                     StartAnswered(
                         self.identity, task, number, attempts.refusal, is_certain
                     )
                 )
+            elif is_certain:
+                self.report(StartCertain(self.identity, task, number))
         elif attempts.is_over and not attempts.under_way:
             attempts.is_reported = True
             if attempts.refusal is not None and is_certain:
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -797,6 +797,8 @@
                         self.schedule, task, number, refusal, now, is_certain
                     )
                 )
+            case agent_messages.StartCertain(_, task, number):
+                run_updates.rule_out_late_start(self.schedule, task, number)
             case agent_messages.StartUnanswered(_, task, number):
                 start_window.forget_start(self.schedule.start_window, (task, number))
                 self._apply_effects(
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -33,6 +33,7 @@
     InstanceRestarted,
     ListingReceived,
     StartAnswered,
+    StartCertain,
     StartUnanswered,
 )
 
@@ -418,9 +419,10 @@
     agent.mailbox.offer(StartRun(TASK, 1, "x"))
     timer.pump([0.05] * 8)
     instance.starts[1].callback(5)
+    assert reports[-1] == StartAnswered("i-1/1", TASK, 1, None)
     instance.starts[0].callback(5)
-    answers = [each for each in reports if isinstance(each, StartAnswered)]
-    assert [each.is_certain for each in answers] == [False, True]
+    assert reports[-1] == StartCertain("i-1/1", TASK, 1)
+    assert count_reports(reports, StartAnswered) == 1
 
 
 def test_a_refusal_waits_for_the_other_attempts(timer):
