--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -18,6 +18,9 @@
 from ..job import TaskKey
 from ..mailbox import Mailbox, spawn
 from ..run import Listing, PaceRun, RefusalReason, RegisteredInstance, StartRun, StopRun
+from .repeated_call import RETRY_PAUSE, call_repeatedly
+
+T = t.TypeVar("T")
 
 #: How long an instance may delay a listing until a run ends. Leases are renewed
 #: at least this often while the instance answers.
@@ -27,10 +30,32 @@
 SHORT_LISTING_WAIT = dt.timedelta(milliseconds=300)
 #: Time after which a call counts as unanswered, not counting the listing wait.
 CALL_TIMEOUT = dt.timedelta(milliseconds=800)
-#: Delay before a failed call is retried.
-RETRY_PAUSE = dt.timedelta(milliseconds=150)
-#: Number of times a start is sent; if none is answered, the run is stopped.
-MAX_START_ATTEMPTS = 2
+#: The same for a repeated call at least, which otherwise ends with the first one.
+MIN_CALL_TIMEOUT = dt.timedelta(milliseconds=250)
+#: Delay after which a call without an answer is sent once more beside it. Whether an
+#: instance answers one call tells little about the next.
+REPEAT_DELAY = dt.timedelta(milliseconds=300)
+#: Number of times a start is sent at most; if none is answered, the run is stopped.
+MAX_START_ATTEMPTS = 3
+#: Number of pauses in which these attempts are made, and of those between two.
+TICKS_PER_START = REPEAT_DELAY // RETRY_PAUSE
+START_TICKS = TICKS_PER_START * (MAX_START_ATTEMPTS - 1) + 1
+#: The same for attempts that all fail at once.
+MAX_FAILED_STARTS = 2
+#: Number of repeated starts under way at one instance. One that is slow, or an entry
+#: that is, must not get several times as many calls for that.
+MAX_REPEATED_STARTS = 4
+#: When an overdue listing is repeated, from the time at which its answer was due.
+LISTING_REPEATS = (dt.timedelta(milliseconds=250), dt.timedelta(milliseconds=500))
+#: Silence after which calls are no longer repeated before they fail.
+MAX_REPEATING_SILENCE = dt.timedelta(seconds=4)
+#: When a stop without an answer is repeated, and the pause before each later attempt.
+STOP_REPEATS: tuple[dt.timedelta, ...] = (REPEAT_DELAY, 2 * REPEAT_DELAY)
+STOP_PAUSE = dt.timedelta(milliseconds=600)
+#: Number of listings that check whether an instance still answers.
+MAX_CHECKS = 2
+#: Delay of the listing that shows what has become of a run whose start had no answer.
+SETTLING_PAUSE = dt.timedelta(milliseconds=20)
 #: Delay before the next listing if the last one was answered within this time and
 #: had no new end. While an end is not acknowledged, an instance answers at once, so
 #: that the next listing waits as long for the acknowledgement.
@@ -165,6 +190,15 @@
     repeated_after: dt.timedelta = dt.timedelta()
 
 
+@frozen
+class StartCertain:
+    """Each attempt at a start has been answered since its first answer."""
+
+    identity: str
+    task: TaskKey
+    number: int
+
+
 @frozen
 class StartUnanswered:
     """A start was not answered; it may have taken effect or may still do so."""
@@ -183,12 +217,52 @@
     number: int
 
 
+@define(eq=False)
+class _StartAttempts:
+    """The attempts to start one run.
+
+    :param sent: Number of attempts so far.
+    :param under_way: Number of those that have neither been answered nor failed.
+    :param is_uncertain: Whether one failed that the instance may still carry out.
+    :param is_over: Whether no attempt follows.
+    :param is_settled: Whether the instance has answered that it has started the run.
+    :param refusal: The answer otherwise, or that the run has ended since.
+    :param first_sent_at: When the first attempt was made.
+    :param repeated_after: Time between that one and the one whose answer counts.
+    :param is_answer_reported: Whether that it is settled has been reported.
+    :param is_reported: Whether nothing is left to report.
+    """
+
+    sent: int = 0
+    under_way: int = 0
+    is_uncertain: bool = False
+    is_over: bool = False
+    is_settled: bool = False
+    refusal: RefusalReason | None = None
+    first_sent_at: dt.datetime | None = None
+    repeated_after: dt.timedelta = dt.timedelta()
+    is_answer_reported: bool = False
+    is_reported: bool = False
+
+    def note_answer(self, refusal: RefusalReason | None, sent_at: dt.datetime) -> None:
+        """Take an answer into account; the first that settles the start counts.
+
+        :param sent_at: When the attempt was made that was answered.
+        """
+        self.is_over = True
+        if not self.is_settled:
+            self.refusal = refusal
+            self.is_settled = refusal in (None, RefusalReason.STALE)
+            self.repeated_after = sent_at - (self.first_sent_at or sent_at)
+
+
 AgentReport = (
     ListingReceived
     | CallFailed
     | InstanceRestarted
     | FenceRefused
     | StartAnswered
+    | StartCertain
     | StartUnanswered
     | StopAnswered
 )
@@ -222,7 +296,18 @@
     _instance_clock_read_at: dt.datetime | None = None
     #: When the lease expiry of the last start or listing was computed.
     _leases_extended_at: dt.datetime | None = None
+    #: The expiry sent last, in ms on the instance's clock.
+    _lease_until_ms: int = 0
     _is_answering: bool = False
+    #: When the latest answer was received, to any call and to a listing.
+    _answered_at: dt.datetime | None = None
+    _listed_at: dt.datetime | None = None
+    #: Number of repeated starts under way.
+    _repeated_starts: int = 0
+    #: Runs whose start got no answer, until their stop is answered.
+    _unsettled: set[tuple[TaskKey, int]] = field(factory=set)
+    _is_checking: bool = False
+    _must_list: bool = False
     #: Stops without an answer, which are repeated.
     _stops: set[StopRun] = field(factory=set)
     #: The latest order on pace without an answer, by task and number of the run.
@@ -268,7 +353,7 @@
                     self.fence = max(self.fence, fence)
                 case AnswerWanted():
                     if self._wait > SHORT_LISTING_WAIT and self.may_act():
-                        spawn(self._overtake_listing())
+                        spawn(self._overtake_listing(self._next_expiry()))
 
     async def _poll_listings(self) -> None:
         wait = dt.timedelta()
@@ -280,9 +365,9 @@
             self._listing_number += 1
             self._wait, self._overtaken_ms = wait, 0
             try:
-                listing = await self._request_listing(wait)
+                listing, sent_at = await self._list_repeatedly(wait)
             except WorkerError as exc:
-                self._report_error(exc, fence)
+                self._report_error(exc, fence, sent_at, self._listed_at)
                 await sleep(self.clock, RETRY_PAUSE)
                 wait = dt.timedelta()
                 continue
@@ -299,17 +384,89 @@
             ):
                 await sleep(self.clock, UNCHANGED_LISTING_DELAY)
 
-    async def _overtake_listing(self) -> None:
-        """List the instance once more while it delays the answer to a listing."""
+    async def _list_repeatedly(self, wait: dt.timedelta) -> tuple[Listing, dt.datetime]:
+        """List the instance, and again without a wait while the answer is overdue.
+
+        Return the first answer and when it was requested. The repetitions carry the
+        same expiry, so that they don't prolong the leases on an instance that is lost.
+
+        :raises WorkerError: If no attempt was answered within ``CALL_TIMEOUT`` after
+            the wait.
+        """
+        lease_until_ms = self._next_expiry()
+        due_at, waits = self.clock.now() + wait, iter((wait,))
+
+        async def attempt() -> tuple[Listing, dt.datetime]:
+            sent_at = self.clock.now()
+            own_wait = next(waits, dt.timedelta())
+            left = max(due_at + CALL_TIMEOUT - sent_at - own_wait, MIN_CALL_TIMEOUT)
+            listing = await self._request_listing(own_wait, lease_until_ms, left)
+            return listing, sent_at
+
+        delays = [wait + delay for delay in LISTING_REPEATS]
+        return await call_repeatedly(self.clock, attempt, delays, self._may_repeat)
+
+    async def _overtake_listing(self, lease_until_ms: int) -> bool:
+        """List the instance once more while it delays the answer to a listing.
+
+        Return whether it answered.
+        """
         sent_at, fence, number = self.clock.now(), self.fence, self._listing_number
         try:
-            listing = await self._request_listing(dt.timedelta())
+            listing = await self._request_listing(dt.timedelta(), lease_until_ms)
         except WorkerError:
             # The listing under way tells whether the instance still answers.
-            return
+            return False
         if not self._is_stopped and number == self._listing_number and self._wait:
             self._overtaken_ms = listing.clock_ms
             self._report_listing(listing, sent_at, fence)
+        return True
+
+    async def _check(self) -> None:
+        """List the instance beside a delayed listing, and again without an answer.
+
+        The expiry of the leases is the one that was sent last.
+        """
+        if self._is_checking or not self._wait:
+            return
+        self._is_checking = True
+        answers: list[bool] = []
+
+        async def attempt() -> None:
+            expiry = self._lease_until_ms if self.may_renew() else 0
+            answers.append(await self._overtake_listing(expiry))
+
+        try:
+            for _ in range(MAX_CHECKS):
+                if any(answers) or self._is_stopped or not self.may_act():
+                    break
+                spawn(attempt())
+                await sleep(self.clock, REPEAT_DELAY)
+        finally:
+            self._is_checking = False
+
+    async def _call_and_check(self, call: t.Awaitable[T]) -> T:
+        """Await the answer to a call; check the instance if it is overdue."""
+        timer = self.clock.call_later(REPEAT_DELAY, lambda: spawn(self._check()))
+        try:
+            result = await call
+        except (WorkerRefusedError, WorkerRestartedError):
+            self._answered_at = self.clock.now()
+            raise
+        finally:
+            if timer.active():
+                timer.cancel()
+        self._answered_at = self.clock.now()
+        return result
+
+    def _may_repeat(self) -> bool:
+        """Whether calls may be repeated before they fail."""
+        at = self._answered_at
+        return (
+            at is not None
+            and self.clock.now() - at < MAX_REPEATING_SILENCE
+            and self.may_act()
+        )
 
     async def _await_acknowledgement(self) -> None:
         """Wait until all listed ends are acknowledged, but not for long."""
@@ -333,17 +490,29 @@
         if is_complete and pending is not None and not pending.called:
             pending.callback(None)
 
-    async def _request_listing(self, wait: dt.timedelta) -> Listing:
-        # An instance whose answers are lost may still receive calls. Its leases are
-        # not extended, so that the time of their expiry stays known.
-        may_extend = self._is_answering and self.may_renew()
-        lease_until_ms = self._extend_leases() if may_extend else 0
+    async def _request_listing(
+        self,
+        wait: dt.timedelta,
+        lease_until_ms: int,
+        timeout: dt.timedelta = CALL_TIMEOUT,
+    ) -> Listing:
         listing = await self.client.renew_and_list(
-            self.fence, self._acknowledged_sequence, lease_until_ms, wait, CALL_TIMEOUT
+            self.fence, self._acknowledged_sequence, lease_until_ms, wait, timeout
         )
         self._is_answering = True
+        self._answered_at = self._listed_at = self.clock.now()
         return listing
 
+    def _next_expiry(self) -> int:
+        """Return the expiry to send with a listing; 0 to leave the leases unchanged.
+
+        An instance whose answers are lost may still receive calls. It gets the expiry
+        that was sent last, so that the time at which its leases end stays known.
+        """
+        if not self.may_renew():
+            return 0
+        return self._extend_leases() if self._is_answering else self._lease_until_ms
+
     def _extend_leases(self) -> int:
         """Return the expiry of a new lease in ms on the instance's clock.
 
@@ -355,9 +524,10 @@
         until_expiry = (
             self._leases_extended_at - self._instance_clock_read_at + self.lease
         )
-        return self._instance_clock_ms + int(
+        self._lease_until_ms = self._instance_clock_ms + int(
             until_expiry / dt.timedelta(milliseconds=1)
         )
+        return self._lease_until_ms
 
     def _lease_bound(self) -> dt.datetime | None:
         """Return the latest expiry of all leases requested so far."""
@@ -365,7 +535,16 @@
             return None
         return latest_lease_expiry(self._leases_extended_at, self.lease)
 
-    def _report_failed_call(self, reason: str) -> None:
+    def _report_failed_call(
+        self, reason: str, sent_at: dt.datetime, answered_at: dt.datetime | None
+    ) -> None:
+        """Report a failed call, unless the instance has answered another one since.
+
+        :param answered_at: When the latest answer that counts was received.
+        """
+        now = self.clock.now()
+        if answered_at is not None and answered_at > max(sent_at, now - CALL_TIMEOUT):
+            return
         self._is_answering = False
         self.report(CallFailed(self.identity, reason, self._lease_bound()))
 
@@ -397,7 +576,13 @@
         self.report(InstanceRestarted(self.identity, exc.incarnation))
         self._is_stopped = True
 
-    def _report_error(self, exc: WorkerError, fence: int) -> None:
+    def _report_error(
+        self,
+        exc: WorkerError,
+        fence: int,
+        sent_at: dt.datetime,
+        answered_at: dt.datetime | None,
+    ) -> None:
         if isinstance(exc, WorkerRestartedError):
             self._report_restart(exc)
             return
@@ -408,55 +593,111 @@
             if exc.reason == RefusalReason.OTHER_INCARNATION.value:
                 self.report(InstanceRestarted(self.identity))
                 return
-        self._report_failed_call(exc.message)
+        self._report_failed_call(exc.message, sent_at, answered_at)
 
     async def _send_start(self, order: StartRun) -> None:
         """Send a start until it is answered, at most ``MAX_START_ATTEMPTS`` times.
 
-        A start without an answer may be carried out later, also after a repetition
-        was refused, so only a stop settles it.
+        An attempt that is overdue is repeated before it fails. A start without an
+        answer may be carried out later, also after a repetition was refused, so only a
+        stop settles it.
         """
-        refusal: RefusalReason | None = None
-        is_uncertain = False
         lease_until_ms = self._extend_leases()
-        first_sent_at = self.clock.now()
-        for _ in range(MAX_START_ATTEMPTS):
+        attempts = _StartAttempts()
+        for tick in range(START_TICKS):
             if not self.may_act() or self._is_stopped:
                 break
-            fence, sent_at = self.fence, self.clock.now()
-            try:
-                await self.client.start(order, lease_until_ms, fence, CALL_TIMEOUT)
-            except WorkerRefusedError as exc:
-                refusal = RefusalReason(exc.reason)
-            except WorkerRestartedError as exc:
-                self._report_restart(exc)
+            has_failed = attempts.sent > 0 and not attempts.under_way
+            if has_failed and attempts.sent >= MAX_FAILED_STARTS:
                 break
-            except WorkerUnreachableError as exc:
-                is_uncertain |= not isinstance(exc, WorkerNotReachedError)
-                self._report_failed_call(exc.message)
-                await sleep(self.clock, RETRY_PAUSE)
-                continue
-            if refusal is RefusalReason.FENCED:
-                self._report_refused_fence(fence)
-                if fence != self.fence:
-                    refusal = None
-                    continue
-                return
-            if is_uncertain and refusal not in (None, RefusalReason.STALE):
-                # The refusal says nothing about the attempt without an answer.
+            is_due = tick % TICKS_PER_START == 0 and self._may_repeat_start(attempts)
+            if has_failed or is_due:
+                spawn(self._attempt_start(order, lease_until_ms, attempts))
+            if attempts.is_over:
                 break
-            self.report(
-                StartAnswered(
-                    self.identity,
-                    order.task,
-                    order.number,
-                    refusal,
-                    not is_uncertain,
-                    sent_at - first_sent_at,
-                )
+            await sleep(self.clock, RETRY_PAUSE)
+            if attempts.is_over:
+                break
+        attempts.is_over = True
+        self._conclude_start(order, attempts)
+
+    def _may_repeat_start(self, attempts: _StartAttempts) -> bool:
+        return not attempts.sent or (
+            self._repeated_starts < MAX_REPEATED_STARTS and self._may_repeat()
+        )
+
+    async def _attempt_start(
+        self, order: StartRun, lease_until_ms: int, attempts: _StartAttempts
+    ) -> None:
+        is_repetition = attempts.sent > 0
+        sent_at, fence = self.clock.now(), self.fence
+        attempts.first_sent_at = attempts.first_sent_at or sent_at
+        attempts.sent += 1
+        attempts.under_way += 1
+        self._repeated_starts += is_repetition
+        try:
+            await self._call_and_check(
+                self.client.start(order, lease_until_ms, fence, CALL_TIMEOUT)
             )
+            attempts.note_answer(None, sent_at)
+        except WorkerRefusedError as exc:
+            refusal = RefusalReason(exc.reason)
+            if refusal is not RefusalReason.FENCED:
+                attempts.note_answer(refusal, sent_at)
+            else:
+                self._report_refused_fence(fence)
+                # Otherwise the next attempt carries the fence that has replaced it.
+                if fence == self.fence:
+                    attempts.is_over = attempts.is_reported = True
+        except WorkerRestartedError as exc:
+            attempts.is_uncertain = attempts.is_over = True
+            self._report_restart(exc)
+        except WorkerUnreachableError as exc:
+            attempts.is_uncertain |= not isinstance(exc, WorkerNotReachedError)
+            self._report_failed_call(exc.message, sent_at, self._answered_at)
+        finally:
+            attempts.under_way -= 1
+            self._repeated_starts -= is_repetition
+        self._conclude_start(order, attempts)
+
+    def _conclude_start(self, order: StartRun, attempts: _StartAttempts) -> None:
+        """Report the result of a start once it is known.
+
+        A refusal counts once no attempt is under way that may yet be carried out. A
+        start that is answered before all attempts are is reported again after that.
+        """
+        if attempts.is_reported:
             return
-        self.report(StartUnanswered(self.identity, order.task, order.number))
+        task, number = order.task, order.number
+        is_certain = not (attempts.under_way or attempts.is_uncertain)
+        if attempts.is_settled:
+            attempts.is_reported = not attempts.under_way
+            if not attempts.is_answer_reported:
+                attempts.is_answer_reported = True
+                self._report_start_answer(order, attempts, is_certain)
+            elif is_certain:
+                self.report(StartCertain(self.identity, task, number))
+        elif attempts.is_over and not attempts.under_way:
+            attempts.is_reported = True
+            if attempts.refusal is not None and is_certain:
+                self._report_start_answer(order, attempts, is_certain)
+            else:
+                self._unsettled.add((task, number))
+                self.report(StartUnanswered(self.identity, task, number))
+
+    def _report_start_answer(
+        self, order: StartRun, attempts: _StartAttempts, is_certain: bool
+    ) -> None:
+        self.report(
+            StartAnswered(
+                self.identity,
+                order.task,
+                order.number,
+                attempts.refusal,
+                is_certain,
+                attempts.repeated_after,
+            )
+        )
 
     def _start_stop(self, order: StopRun) -> None:
         """Send a stop, unless it is being repeated already."""
@@ -467,12 +708,19 @@
 
     async def _send_stop(self, order: StopRun) -> None:
         """Repeat a stop until it is answered or this task is stopped."""
-        while not self._is_stopped:
+        fence, repeats = self.fence, STOP_REPEATS
+
+        async def attempt() -> None:
+            nonlocal fence
             fence = self.fence
+            await self.client.stop(order, fence, CALL_TIMEOUT)
+
+        while not self._is_stopped:
             try:
-                await self.client.stop(order, fence, CALL_TIMEOUT)
+                await call_repeatedly(self.clock, attempt, repeats, self._may_repeat)
             except WorkerUnreachableError:
-                await sleep(self.clock, RETRY_PAUSE * 2)
+                repeats = ()
+                await sleep(self.clock, STOP_PAUSE)
                 continue
             except WorkerRestartedError as exc:
                 self._report_restart(exc)
@@ -487,8 +735,22 @@
                     await sleep(self.clock, RETRY_PAUSE * 2)
                     continue
             self.report(StopAnswered(self.identity, order.task, order.number))
+            if (order.task, order.number) in self._unsettled:
+                self._unsettled.discard((order.task, order.number))
+                self._list_soon()
             return
 
+    def _list_soon(self) -> None:
+        """List the instance once what was reported has been processed."""
+        if not self._must_list:
+            self._must_list = True
+            self.clock.call_later(SETTLING_PAUSE, self._list_beside)
+
+    def _list_beside(self) -> None:
+        self._must_list = False
+        if not self._is_stopped:
+            spawn(self._check())
+
     async def _send_pace(self, order: PaceRun) -> None:
         """Repeat an order on pace until it is answered or a later one follows.
 
@@ -501,13 +763,15 @@
             if not self.may_act():
                 await sleep(self.clock, RETRY_PAUSE * 2)
                 continue
-            fence = self.fence
+            sent_at, fence = self.clock.now(), self.fence
             try:
-                await self.client.set_pace(order, fence, CALL_TIMEOUT)
+                await self._call_and_check(
+                    self.client.set_pace(order, fence, CALL_TIMEOUT)
+                )
             except WorkerError as exc:
                 may_succeed_later = _may_succeed_later(exc)
                 if not (is_repetition and may_succeed_later):
-                    self._report_error(exc, fence)
+                    self._report_error(exc, fence, sent_at, self._answered_at)
                 if may_succeed_later or fence != self.fence:
                     is_repetition = True
                     await sleep(self.clock, RETRY_PAUSE * 2)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -22,6 +22,7 @@
     RegisteredInstance,
     RunEnd,
     StartRun,
+    StopRun,
 )
 from fighead.tasks.agent import (
     LISTING_WAIT,
@@ -33,6 +34,7 @@
     InstanceRestarted,
     ListingReceived,
     StartAnswered,
+    StartCertain,
     StartUnanswered,
 )
 
@@ -349,3 +351,193 @@
     agent.stop()
     timer.advance(5)
     assert instance.paces == [0, 0]
+
+
+class DelayedInstance(ScriptedInstance):
+    """Answers no start, stop or listing until told to; calls fail after their time."""
+
+    def __init__(self, timer):
+        super().__init__()
+        self.timer = timer
+        self.starts, self.stops, self.listings = [], [], []
+
+    async def _call(self, calls, timeout):
+        answer = Deferred()
+        calls.append(answer)
+        limit = self.timer.callLater(
+            timeout.total_seconds(), lambda: answer.errback(LOST)
+        )
+        try:
+            return await answer
+        finally:
+            if limit.active():
+                limit.cancel()
+
+    async def start(self, order, lease_until_ms, fence, timeout):
+        self.start_leases_ms.append(lease_until_ms)
+        return await self._call(self.starts, timeout)
+
+    async def stop(self, order, fence, timeout):
+        return await self._call(self.stops, timeout)
+
+    async def renew_and_list(self, fence, acknowledged, lease_until_ms, wait, timeout):
+        self.listing_waits.append(wait)
+        self.listing_calls.append(lease_until_ms)
+        return await self._call(self.listings, wait + timeout)
+
+    def list_runs(self, number=-1, clock_ms=0):
+        self.listings[number].callback(Listing(clock_ms, (), ()))
+
+
+def start_delayed(timer):
+    """Start an agent whose second, delayed listing is under way."""
+    instance = DelayedInstance(timer)
+    agent, reports = start_agent(timer, instance)
+    instance.list_runs()
+    timer.advance(0.1)
+    assert instance.listing_waits == [dt.timedelta(), LISTING_WAIT]
+    return instance, agent, reports
+
+
+def count_reports(reports, kind):
+    return len([each for each in reports if isinstance(each, kind)])
+
+
+#: When ``timer.pump([0.05] * 8)`` sees the first repetition of a start.
+REPEATED_AFTER = dt.timedelta(seconds=0.35)
+
+
+# Failure: a start waits 0.8 s for its repetition, though each has a chance of its own.
+def test_a_start_is_repeated_before_it_fails(timer):
+    instance, agent, reports = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 8)
+    assert len(instance.starts) == 2
+    instance.starts[1].callback(5)
+    assert reports[-1] == StartAnswered(
+        "i-1/1", TASK, 1, None, repeated_after=REPEATED_AFTER
+    )
+    timer.pump([0.05] * 20)
+    assert len(instance.starts) == 2
+
+
+def test_a_start_without_an_answer_is_given_up_no_later_than_before(timer):
+    instance, agent, reports = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 36)
+    assert StartUnanswered("i-1/1", TASK, 1) in reports
+    assert len(instance.starts) == 3
+    assert len(set(instance.start_leases_ms)) == 1
+
+
+def test_a_start_is_certain_once_all_its_attempts_are_answered(timer):
+    instance, agent, reports = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 8)
+    instance.starts[1].callback(5)
+    assert reports[-1] == StartAnswered(
+        "i-1/1", TASK, 1, None, repeated_after=REPEATED_AFTER
+    )
+    instance.starts[0].callback(5)
+    assert reports[-1] == StartCertain("i-1/1", TASK, 1)
+    assert count_reports(reports, StartAnswered) == 1
+
+
+def test_a_refusal_waits_for_the_other_attempts(timer):
+    instance, agent, reports = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 8)
+    instance.starts[1].errback(refused(RefusalReason.NO_ROOM))
+    assert not count_reports(reports, StartAnswered)
+    instance.starts[0].callback(5)
+    assert reports[-1] == StartAnswered("i-1/1", TASK, 1, None, is_certain=True)
+
+
+# A slow instance, or a slow entry, must not get each call several times.
+def test_few_starts_are_repeated_at_one_instance_at_a_time(timer):
+    instance, agent, _ = start_delayed(timer)
+    for number in range(20):
+        agent.mailbox.offer(StartRun(TASK, number, "x"))
+    timer.pump([0.05] * 8)
+    assert len(instance.starts) == 20 + 4
+
+
+# Failure: one call without an answer takes an instance from placement.
+def test_an_instance_that_answers_a_listing_is_not_silent_for_one_start(timer):
+    instance, agent, reports = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 8)
+    assert instance.listing_waits[2:] == [dt.timedelta()]
+    instance.list_runs(clock_ms=300)
+    timer.pump([0.05] * 12)
+    assert not count_reports(reports, CallFailed)
+
+
+def test_an_instance_that_answers_nothing_is_silent_as_soon_as_a_call_fails(timer):
+    instance, agent, reports = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 17)
+    assert count_reports(reports, CallFailed) == 1
+
+
+def test_an_instance_that_is_not_listed_any_more_is_silent(timer):
+    """Answers to other calls don't stand for listings."""
+    instance, agent, reports = start_delayed(timer)
+    for number in range(4):
+        agent.mailbox.offer(StartRun(TASK, number, "x"))
+        instance.starts[-1].callback(5)
+        timer.pump([0.05] * 9)
+    timer.pump([0.05] * 4)
+    assert count_reports(reports, CallFailed) == 1
+
+
+# Failure: a listing without an answer leaves runs of a sound instance without a lease.
+def test_an_overdue_listing_is_repeated_with_the_same_expiry(timer):
+    instance, _, reports = start_delayed(timer)
+    timer.pump([0.05] * 24)
+    assert len(instance.listings) == 2
+    timer.pump([0.05] * 3)
+    assert instance.listing_waits[2:] == [dt.timedelta()]
+    assert instance.listing_calls[2] == instance.listing_calls[1] > 0
+    instance.list_runs(clock_ms=1300)
+    assert not count_reports(reports, CallFailed)
+    assert find_listed_ms(reports) == [0, 1300]
+
+
+def test_the_leases_on_a_silent_instance_are_not_prolonged(timer):
+    instance, _, reports = start_delayed(timer)
+    timer.pump([0.05] * 60)
+    assert len(set(instance.listing_calls[1:])) == 1
+    bounds = {each.leases_end_at for each in reports if isinstance(each, CallFailed)}
+    assert len(bounds) == 1
+
+
+def test_a_silent_instance_is_listed_no_more_often_after_a_while(timer):
+    instance, *_ = start_delayed(timer)
+    timer.pump([0.05] * 200)
+    count = len(instance.listings)
+    timer.pump([0.05] * 200)
+    assert len(instance.listings) - count <= 11
+
+
+# Failure: a stop without an answer is repeated after 1.1 s only.
+def test_a_stop_is_repeated_before_it_fails(timer):
+    instance, agent, _ = start_delayed(timer)
+    agent.mailbox.offer(StopRun(TASK, 1))
+    timer.pump([0.05] * 7)
+    assert len(instance.stops) == 2
+
+
+# Failure: after an unanswered start its task waits for a listing that is delayed.
+def test_an_instance_is_listed_once_the_stop_of_an_unanswered_start_is_confirmed(timer):
+    instance, agent, _ = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 32)
+    instance.list_runs()
+    timer.pump([0.05] * 3)
+    count = len(instance.listings)
+    agent.mailbox.offer(StopRun(TASK, 1))
+    instance.stops[-1].callback(None)
+    timer.pump([0.01] * 3)
+    assert len(instance.listings) == count + 1
+    assert instance.listing_waits[-1] == dt.timedelta()
