Wait for late starts on silent instances while other calls get lost

What callers saw: a task that must run once runs twice, if an instance restarts out of reach and takes a start sent before. Cause: an instance may restart unnoticed under its ID. Until it is listed it refuses nothing, and a start without an answer is executed up to 12 s late. Its task started elsewhere as soon as the leases had ended; also if that start had been stopped and the task had another run there. Change: the leader notes the starts of which an attempt got no answer, by instance and task. A run on a silent instance is kept until such a start can't run there any more, but only if a call within 13 s of its order got no answer from an instance that has answered later ones.

--- a/src/fighead/decisions/instance_tracking.py
+++ b/src/fighead/decisions/instance_tracking.py
@@ -9,7 +9,7 @@
 from ..log import Event
 from ..run import RegisteredInstance
 from .authority import MAX_TIME_WITH_NEARLY_ALL, Authority
-from .run_updates import MAX_ORDER_DELAY, requeue_lost_run
+from .run_updates import MAX_ORDER_DELAY, find_run, requeue_lost_run
 from .schedule_state import (
     Effect,
     InheritedRuns,
@@ -216,6 +216,9 @@
     state.drain_deadline = state.start_backoff_until = state.suspect_until = None
     state.suspect_reason = ""
     state.recent_ends.clear()
+    state.call_lost_at = None
+    if is_replaced:
+        state.late_starts.clear()
     state.leases_end_at = max(state.leases_end_at, latest_lease_expiry(now, lease))
     for run in state.runs.values():
         if is_replaced or not run.may_start_late:
@@ -273,6 +276,36 @@
         extend_lease_bound(state, latest_lease_expiry(now, lease))
 
 
+def note_late_orders(
+    schedule: Schedule, state: InstanceState, sent_at: dt.datetime
+) -> None:
+    """Record that calls get lost, once an instance answers a later one.
+
+    An instance that has crashed loses calls too, but answers none afterwards.
+    """
+    lost_at, known = state.call_lost_at, schedule.orders_late_at
+    if lost_at is not None and sent_at > lost_at:
+        schedule.orders_late_at = max(lost_at, known) if known else lost_at
+        state.call_lost_at = None
+
+
+def note_unanswered_start(
+    schedule: Schedule,
+    key: TaskKey,
+    number: int,
+    lease: dt.timedelta,
+    now: dt.datetime,
+) -> None:
+    """Record that a start, of which an attempt got no answer, may arrive late."""
+    run = find_run(schedule, key, number)
+    state = schedule.instances.get(run.instance_id) if run else None
+    if run is None or state is None:
+        return
+    ends = {task: end for task, end in state.late_starts.items() if end > now}
+    end = latest_lease_expiry(run.ordered_at + MAX_ORDER_DELAY, lease)
+    state.late_starts = ends | {key: max(end, ends.get(key, end))}
+
+
 def record_silence(state: InstanceState, now: dt.datetime) -> None:
     """Mark an instance as unreachable."""
     state.is_reachable = False
@@ -530,7 +563,9 @@
     Only those that the scheduler doesn't extend, also by calls under way.
     """
     known = {
-        name: max([lease_bound(schedule, state, lease), *_find_late_ends(state)])
+        name: max(
+            [lease_bound(schedule, state, lease), *_find_late_ends(schedule, state)]
+        )
         for name, state in schedule.instances.items()
         if not state.is_reachable
         and (not state.was_reached or _is_silent_for_long(state, now))
@@ -541,11 +576,31 @@
     }
 
 
-def _find_late_ends(state: InstanceState) -> list[dt.datetime]:
+def _find_late_ends(schedule: Schedule, state: InstanceState) -> list[dt.datetime]:
     """Return until when runs may go on whose starts may arrive late."""
+    ends = [find_late_end(schedule, state, run) for run in state.runs.values()]
+    return [end for end in ends if end is not None]
+
+
+def find_late_end(
+    schedule: Schedule, state: InstanceState, run: RunState
+) -> dt.datetime | None:
+    """Return until when a late start may run the task of a run on an instance.
+
+    ``None`` if no start of the task can arrive there late. A restart of an instance
+    that was listed is not known; it counts as possible only while calls get lost that
+    are none of a crash, since the tasks of each crash would wait otherwise.
+    """
+    late_start = state.late_starts.get(run.key)
     if state.is_listed:
-        return []
-    return [run.late_until for run in state.runs.values() if run.late_until]
+        return late_start if _are_orders_late(schedule, run) else None
+    ends = [end for end in (run.late_until, late_start) if end is not None]
+    return max(ends, default=None)
+
+
+def _are_orders_late(schedule: Schedule, run: RunState) -> bool:
+    at = schedule.orders_late_at
+    return at is not None and abs(at - run.ordered_at) <= MAX_ORDER_DELAY
 
 
 def find_bounds_to_store(
@@ -580,11 +635,8 @@
     schedule: Schedule, state: InstanceState, now: dt.datetime
 ) -> list[Effect]:
     effects: list[Effect] = []
-    lost = [
-        run
-        for run in state.runs.values()
-        if state.is_listed or run.late_until is None or now >= run.late_until
-    ]
+    ends = {run: find_late_end(schedule, state, run) for run in state.runs.values()}
+    lost = [run for run, end in ends.items() if end is None or now >= end]
     if lost:
         fields = {"instance": state.instance.instance_id, "runs": len(lost)}
         effects.append(LogNote(Event.INSTANCE_LOST, fields))
--- a/src/fighead/decisions/run_updates.py
+++ b/src/fighead/decisions/run_updates.py
@@ -71,6 +71,8 @@
     has_all_ends = len(listing.ended) < MAX_ENDS_LISTED
     if not state.is_listed:
         effects.append(_note_first_listing(state, listing, has_all_ends))
+        # The incarnation has seen a fence above those of all earlier starts.
+        state.late_starts.clear()
     earlier_unwanted, state.unwanted = state.unwanted, {}
     for listed_run in listing.running:
         effects += _apply_listed_run(schedule, state, listed_run, earlier_unwanted, now)
--- a/src/fighead/decisions/schedule_state.py
+++ b/src/fighead/decisions/schedule_state.py
@@ -227,6 +227,9 @@
     :param last_end_sequence: Highest sequence number of the run ends processed so far.
     :param stored_end_sequence: The same for ends whose effects are stored.
     :param recent_ends: The most recent run ends, to judge the health of the instance.
+    :param late_starts: Until when a start that got no answer, should it arrive late,
+        can keep a task running at an incarnation not yet listed, by task.
+    :param call_lost_at: When the last call failed, until a later one is answered.
     :param suspect_until: Until when no run is placed on the instance because it
         looks unhealthy.
     :param suspect_reason: Why the instance looks unhealthy; empty if it does not.
@@ -255,6 +258,8 @@
     recent_ends: collections.deque[RecentEnd] = field(
         factory=lambda: collections.deque(maxlen=MAX_RECENT_ENDS)
     )
+    late_starts: dict[TaskKey, dt.datetime] = field(factory=dict)
+    call_lost_at: dt.datetime | None = None
     suspect_until: dt.datetime | None = None
     suspect_reason: str = ""
 
@@ -326,6 +331,8 @@
         without an interruption.
     :param sole_at: Latest time at which no other scheduler had been elected since, as
         far as the store has confirmed it; ``None`` before it has.
+    :param orders_late_at: Latest time at which a call got no answer from an instance
+        that has answered later ones; ``None`` if there was none.
     :param predecessors_end: When no earlier scheduler acts any more; ``None`` if that
         is not yet known.
     :param inherited_fleet: Instances to which an earlier scheduler may have assigned
@@ -362,6 +369,7 @@
     elected_at: dt.datetime
     latest_term: int = Factory(lambda self: self.term, takes_self=True)
     sole_at: dt.datetime | None = None
+    orders_late_at: dt.datetime | None = None
     predecessors_end: dt.datetime | None = None
     inherited_fleet: frozenset[str] | None = None
     inherited_runs: dict[str, InheritedRuns] = field(factory=dict)
--- a/src/fighead/decisions/waiting.py
+++ b/src/fighead/decisions/waiting.py
@@ -347,6 +347,11 @@
     ]
 
 
+def _find_late_end(schedule: Schedule, run: RunState) -> dt.datetime | None:
+    state = schedule.instances[run.instance_id]
+    return instance_tracking.find_late_end(schedule, state, run)
+
+
 def _held_since(watch: WaitWatch, state: InstanceState) -> dt.datetime:
     return watch.held_since[state.instance.instance_id]
 
@@ -383,7 +388,8 @@
         ]
     held_runs = [run for state in held for run in _find_held_runs(schedule, state)]
     for run in held_runs:
-        is_late = run.late_until is not None and now < run.late_until
+        late_end = _find_late_end(schedule, run)
+        is_late = late_end is not None and now < late_end
         reason = WaitReason.LATE_START if is_late else WaitReason.HELD
         reasons[reason.value] += 1
         lasting_count += run.stage.is_lasting
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -36,7 +36,15 @@
     Schedule,
 )
 from ..exceptions import RequestError, StoreError
-from ..job import JobConfig, JobEnding, JobPhase, JobProgress, JobRecord, find_fault
+from ..job import (
+    JobConfig,
+    JobEnding,
+    JobPhase,
+    JobProgress,
+    JobRecord,
+    TaskKey,
+    find_fault,
+)
 from ..job_metric import JobMetrics
 from ..log import Event, log_event
 from ..mailbox import Mailbox, process_messages, spawn
@@ -769,6 +777,7 @@
                 self._counters.listings += 1
                 put_listing(self._pending, instance_id, msg)
                 self._note_answer(state, msg)
+                instance_tracking.note_late_orders(self.schedule, state, msg.sent_at)
                 instance_tracking.record_instance_contact(
                     state, msg.leases_end_at, self.lease, now
                 )
@@ -776,6 +785,7 @@
                     self._check_listing(instance_id, now)
             case agent_messages.CallFailed(_, reason, leases_end_at):
                 instance_tracking.extend_lease_bound(state, leases_end_at)
+                state.call_lost_at = now
                 if state.is_reachable:
                     instance_tracking.record_silence(state, now)
                     log_event(
@@ -792,12 +802,15 @@
             case agent_messages.StartAnswered(_, task, number, refusal, is_certain):
                 window = self.schedule.start_window
                 start_window.note_answer(window, (task, number), now)
+                if not is_certain:
+                    self._note_unanswered_start(task, number, now)
                 self._apply_effects(
                     run_updates.apply_start_result(
                         self.schedule, task, number, refusal, now, is_certain
                     )
                 )
             case agent_messages.StartUnanswered(_, task, number):
+                self._note_unanswered_start(task, number, now)
                 start_window.forget_start(self.schedule.start_window, (task, number))
                 self._apply_effects(
                     run_updates.stop_unanswered_start(self.schedule, task, number)
@@ -809,6 +822,13 @@
                     )
                 )
 
+    def _note_unanswered_start(
+        self, task: TaskKey, number: int, now: dt.datetime
+    ) -> None:
+        instance_tracking.note_unanswered_start(
+            self.schedule, task, number, self.lease, now
+        )
+
     def _note_answer(
         self, state: InstanceState, msg: agent_messages.ListingReceived
     ) -> None:
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -13,15 +13,25 @@
 
 def order_late_start(cluster):
     """Let a start at i0 get no answer, so that it is executed seconds later."""
+    others = leave_only_i0(cluster)
+    cluster.late_share = 1.0
+    cluster.submit(JOB_ID, LONG_JOB)
+    cluster.advance(0.3)
+    end_draining(cluster, others)
+
+
+def leave_only_i0(cluster):
+    """Drain all instances but i0, and return their names."""
     cluster.advance(2)
     others = sorted(cluster.instances.keys() - {"i0"})
     for name in others:
         cluster.drain_instance(name, 60_000)
     cluster.advance(0.5)
-    cluster.late_share = 1.0
-    cluster.submit(JOB_ID, LONG_JOB)
-    cluster.advance(0.3)
-    for name in others:
+    return others
+
+
+def end_draining(cluster, names):
+    for name in names:
         simulated = cluster.instances[name]
         simulated.instance = evolve(simulated.instance, is_draining=False)
         cluster.register_instance(name)
@@ -164,6 +174,27 @@
     assert cluster.find_phase(JOB_ID) is JobPhase.COMPLETED
 
 
+# Failure: each task whose start was under way in a crash waited for a late start.
+@pytest.mark.parametrize("seed", range(12))
+def test_a_task_of_a_crash_waits_for_leases_only_while_no_other_call_is_lost(seed):
+    cluster = JobCluster(seed)
+    others = leave_only_i0(cluster)
+    cluster.silent_instances.add("i0")
+    crashed_at = cluster.clock.now()
+    cluster.submit(JOB_ID, LONG_JOB)
+    cluster.advance(0.3)
+    assert scheduler_state(cluster, "i0").runs
+    cluster.crash_instance("i0", is_cut=True)
+    end_draining(cluster, others)
+    cluster.advance(4)
+    cluster.unregister_instance("i0")
+    cluster.advance(26)
+    (started,) = [event for event in cluster.history if event.event == "started"]
+    assert started.instance_id != "i0"
+    assert (started.at - crashed_at).total_seconds() < 8
+    assert cluster.find_phase(JOB_ID) is JobPhase.COMPLETED
+
+
 def play_stopped_start(seed):
     """Restart an instance out of reach once a start there was stopped."""
     cluster = JobCluster(seed)
