--- a/src/fighead/decisions/run_updates.py
+++ b/src/fighead/decisions/run_updates.py
@@ -71,6 +71,8 @@
     has_all_ends = len(listing.ended) < MAX_ENDS_LISTED
     if not state.is_listed:
         effects.append(_note_first_listing(state, listing, has_all_ends))
+        # The incarnation has seen a fence above those of all earlier starts.
+        state.late_starts.clear()
     earlier_unwanted, state.unwanted = state.unwanted, {}
     for listed_run in listing.running:
         effects += _apply_listed_run(schedule, state, listed_run, earlier_unwanted, now)
@@ -430,13 +432,6 @@
     return [LogNote(Event.START_REFUSED, fields)]
 
 
-def rule_out_late_start(schedule: Schedule, key: TaskKey, number: int) -> None:
-    """Record that no attempt to start a run can arrive any more."""
-    run = find_run(schedule, key, number)
-    if run is not None:
-        run.may_start_late = False
-
-
 def stop_unanswered_start(
     schedule: Schedule, key: TaskKey, number: int
 ) -> list[Effect]:
--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -151,6 +151,13 @@
     leases_end_at: dt.datetime | None
 
 
+@frozen
+class CallLost:
+    """A call was sent and got no answer; the instance may have answered others."""
+
+    identity: str
+
+
 @frozen
 class InstanceRestarted:
     """Another incarnation of the instance has replaced the called one.
@@ -259,6 +266,7 @@
 AgentReport = (
     ListingReceived
     | CallFailed
+    | CallLost
     | InstanceRestarted
     | FenceRefused
     | StartAnswered
@@ -496,9 +504,13 @@
         lease_until_ms: int,
         timeout: dt.timedelta = CALL_TIMEOUT,
     ) -> Listing:
-        listing = await self.client.renew_and_list(
-            self.fence, self._acknowledged_sequence, lease_until_ms, wait, timeout
-        )
+        try:
+            listing = await self.client.renew_and_list(
+                self.fence, self._acknowledged_sequence, lease_until_ms, wait, timeout
+            )
+        except WorkerUnreachableError as exc:
+            self._report_lost_call(exc)
+            raise
         self._is_answering = True
         self._answered_at = self._listed_at = self.clock.now()
         return listing
@@ -548,6 +560,10 @@
         self._is_answering = False
         self.report(CallFailed(self.identity, reason, self._lease_bound()))
 
+    def _report_lost_call(self, exc: WorkerUnreachableError) -> None:
+        if not isinstance(exc, WorkerNotReachedError):
+            self.report(CallLost(self.identity))
+
     def _report_listing(
         self, listing: Listing, sent_at: dt.datetime, fence: int
     ) -> bool:
@@ -654,6 +670,7 @@
             self._report_restart(exc)
         except WorkerUnreachableError as exc:
             attempts.is_uncertain |= not isinstance(exc, WorkerNotReachedError)
+            self._report_lost_call(exc)
             self._report_failed_call(exc.message, sent_at, self._answered_at)
         finally:
             attempts.under_way -= 1
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -36,7 +36,15 @@
     Schedule,
 )
 from ..exceptions import RequestError, StoreError
-from ..job import JobConfig, JobEnding, JobPhase, JobProgress, JobRecord, find_fault
+from ..job import (
+    JobConfig,
+    JobEnding,
+    JobPhase,
+    JobProgress,
+    JobRecord,
+    TaskKey,
+    find_fault,
+)
 from ..job_metric import JobMetrics
 from ..log import Event, log_event
 from ..mailbox import Mailbox, process_messages, spawn
@@ -770,6 +778,7 @@
                 self._counters.listings += 1
                 put_listing(self._pending, instance_id, msg)
                 self._note_answer(state, msg)
+                instance_tracking.note_late_orders(self.schedule, state, msg.sent_at)
                 instance_tracking.record_instance_contact(
                     state, msg.leases_end_at, self.lease, now
                 )
@@ -782,6 +791,8 @@
                     log_event(
                         Event.INSTANCE_SILENT, instance=instance_id, reason=reason
                     )
+            case agent_messages.CallLost():
+                state.call_lost_at = now
             case agent_messages.FenceRefused(_, fence):
                 log_event(Event.SCHEDULER_FENCED, instance=instance_id, fence=fence)
                 self._notify_fence_refused(fence // INCARNATIONS_PER_TERM)
@@ -796,14 +807,17 @@
                 start_window.note_answer(
                     self.schedule.start_window, (task, number), now, repeated_after
                 )
+                if not is_certain:
+                    self._note_unanswered_start(task, number, now)
                 self._apply_effects(
                     run_updates.apply_start_result(
                         self.schedule, task, number, refusal, now, is_certain
                     )
                 )
             case agent_messages.StartCertain(_, task, number):
-                run_updates.rule_out_late_start(self.schedule, task, number)
+                instance_tracking.rule_out_late_start(self.schedule, task, number)
             case agent_messages.StartUnanswered(_, task, number):
+                self._note_unanswered_start(task, number, now)
                 start_window.forget_start(self.schedule.start_window, (task, number))
                 self._apply_effects(
                     run_updates.stop_unanswered_start(self.schedule, task, number)
@@ -815,6 +829,13 @@
                     )
                 )
 
+    def _note_unanswered_start(
+        self, task: TaskKey, number: int, now: dt.datetime
+    ) -> None:
+        instance_tracking.note_unanswered_start(
+            self.schedule, task, number, self.lease, now
+        )
+
     def _note_answer(
         self, state: InstanceState, msg: agent_messages.ListingReceived
     ) -> None:
