Notice a silent watch of registrations within 2.4 s

An entry counts as in touch again 3 s after such a disturbance, and has 2 s after the report.

Cause: the silence of the watch of registrations was taken for "nothing has changed" for as long as the watch waits, 4 s, and 1 s more for its answer.

The watch now waits 1 s at most. A silent channel is replaced after 2.0 s and a pause of 0.13 to 0.38 s. A busy watch makes no more calls than before; a quiet one makes one a second in place of one each 4 s, at the leader alone.

--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -103,6 +103,9 @@
 #: Minimum time between two watches of registrations or of jobs. Entries also notify
 #: the scheduler directly of new jobs.
 MIN_WATCH_INTERVAL = dt.timedelta(milliseconds=300)
+#: Maximum wait of a watch of registrations. A channel that has gone silent is noticed
+#: after it and the margin of a watch, and until then instances that leave get starts.
+REGISTRATIONS_WAIT = dt.timedelta(seconds=1)
 #: Interval at which learned interference is stored for the next scheduler.
 LEARNED_WRITE_INTERVAL = dt.timedelta(seconds=5)
 #: Characters of an unreadable key that are logged, as many as the store allows bytes.
@@ -293,6 +296,7 @@
             self.clock,
             self.random,
             self.mailbox.offer,
+            wait=REGISTRATIONS_WAIT,
             pause=MIN_WATCH_INTERVAL,
         )
         loops = (
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -145,6 +145,8 @@
     :param is_deaf: Whether calls are executed and get no answer.
     :param is_cut: Whether the store is unreachable; watches fail too.
     :param is_watch_silent: Whether nothing arrives on watches, until they time out.
+    :param silenced: Number of times that the open channels have gone silent; watches
+        that were waiting then get nothing more, and later ones are served.
     :param is_reset: Whether each call fails without being sent, as if the connection
         was reset.
     :param calls: Number of calls made, without watches.
@@ -155,6 +157,7 @@
     is_deaf: t.Callable[[], bool] = lambda: False
     is_cut: bool = False
     is_watch_silent: bool = False
+    silenced: int = 0
     is_reset: bool = False
     calls: int = 0
 
@@ -167,10 +170,11 @@
 
     async def watch(self, prefix, after, wait):
         timeout_at = self.store.clock.now() + wait + WATCH_TIMEOUT_MARGIN
+        silenced = self.silenced
         batch = await self._call_through_gate(
             lambda: self.store.watch(prefix, after, wait)
         )
-        while self.is_watch_silent:
+        while self.is_watch_silent or silenced != self.silenced:
             await sleep(self.store.clock, dt.timedelta(milliseconds=100))
             await self.gate.pass_through(None)
             if self.store.clock.now() >= timeout_at:
