Watch on a new channel after a watch got no answer

A watch that was repeated could go out on another channel that had gone silent at the same time, and be lost for a further 2 s.

Cause: the pool keeps idle channels, and gives the latest one to the next call. Nothing tells that these are silent, too. Reset ones notice it themselves.

A failed watch closes the idle channels to the store; calls under way go on, and channels to instances are kept, since new ones are priced. HttpPool.close_connections, which nothing called, gives way to close_idle_connections.

Evidence: test_a_watch_is_repeated_on_a_new_channel_after_its_own_went_silent failed before (3 connections in place of 4), and passes now.

--- a/src/fighead/http_client.py
+++ b/src/fighead/http_client.py
@@ -175,6 +175,11 @@
         if pending is not None and not pending.called:
             pending.callback(response)
 
+    def close(self) -> None:
+        """Close the connection, which carries no call."""
+        self.is_open = False
+        self.transport.abortConnection()
+
     def _abort(self, reason: str) -> None:
         self.is_open = False
         self._fail(HttpLostError(reason))
@@ -274,11 +279,13 @@
         """Return the numbers of calls so far."""
         return CallCounts(self.calls, self.connections, self.failures, self.timeouts)
 
-    def close_connections(self, address: str) -> None:
-        """Close the idle connections to an address, and busy ones after their call."""
-        pool = self._pools.pop(address, None)
-        for conn in pool.idle if pool else ():
-            conn.transport.loseConnection()
+    def close_idle_connections(self, address: str) -> None:
+        """Close the idle connections to an address; calls under way go on."""
+        pool = self._pools.get(address)
+        if pool is not None:
+            idle, pool.idle = pool.idle, []
+            for conn in idle:
+                conn.close()
 
     def _count_failure(self, failure: t.Any) -> t.Any:
         if failure.check(TimeoutError, ConnectTimeoutError):
@@ -314,7 +321,7 @@
         pool.open_count += 1
         self.connections += 1
         try:
-            conn = _Connection(lambda c: self._release(address, pool, c))
+            conn = _Connection(lambda c: self._release(pool, c))
             endpoint = TCP4ClientEndpoint(
                 self.reactor, peer.host, peer.port, CONNECT_TIMEOUT.total_seconds()
             )
@@ -324,13 +331,11 @@
             raise
         return conn
 
-    def _release(self, address: str, pool: _AddressPool, conn: _Connection) -> None:
+    def _release(self, pool: _AddressPool, conn: _Connection) -> None:
         if not conn.is_open:
             if conn in pool.idle:
                 pool.idle.remove(conn)
             self._discard_connection(pool)
-        elif self._pools.get(address) is not pool:
-            conn.transport.loseConnection()
         else:
             pool.idle.append(conn)
             self._wake_next_call(pool)
--- a/src/fighead/platform/store.py
+++ b/src/fighead/platform/store.py
@@ -107,9 +107,7 @@
         wait_ms = int(wait.total_seconds() * 1000)
         query = {"Prefix": prefix, "After": after, "WaitMs": wait_ms}
         req = HttpRequest("GET", _make_target("kv-watch", query))
-        response = await self._send(
-            req, wait + WATCH_TIMEOUT_MARGIN, WATCH_TIMEOUT_MARGIN, False
-        )
+        response = await self._send_watch(req, wait)
         try:
             body = _decode_response(response)
             events = tuple(_decode_event(event) for event in body["events"])
@@ -117,6 +115,15 @@
         except DECODE_ERRORS as exc:
             raise _unavailable(f"the answer can't be read: {exc!r}") from exc
 
+    async def _send_watch(self, req: HttpRequest, wait: dt.timedelta) -> HttpResponse:
+        timeout = wait + WATCH_TIMEOUT_MARGIN
+        try:
+            return await self._send(req, timeout, WATCH_TIMEOUT_MARGIN, False)
+        except StoreUnavailableError:
+            # The idle channels may have gone silent with this one.
+            self.pool.close_idle_connections(self.address)
+            raise
+
     async def _send(
         self,
         req: HttpRequest,
