Keep a job from being stored after its cancelling

What callers saw: the store left the write of a job unanswered and did it 5.5 s later. The client had left and sent DELETE, which was answered 410.

Cause: a DELETE of a job that is neither stored nor ended left nothing behind, so that the condition of the late write still held.

Such a DELETE now writes an ending before its 410, on condition that there is neither a record nor an ending. Each write of a job expects that there is no ending, so a late one fails. The ending says that nobody is known to have submitted the job (is_known), and GET goes on to answer 410. It is swept like the others. A DELETE of an unknown job costs one write more, and is answered 503 or 504 if that can't be made.

test_bad_input_gets_a_clear_answer cancelled an unknown job whose id a later test of the file submits, which failed. It cancels one of its own now, and checks the GET after it, too.

--- a/src/fighead/commands/job.py
+++ b/src/fighead/commands/job.py
@@ -3,14 +3,19 @@
 import datetime as dt
 import typing as t
 
-from attrs import frozen
+from attrs import evolve, frozen
 from twisted.internet.defer import Deferred
 
 from .. import job_message as m
 from ..clock import sleep, with_timeout
-from ..codec import to_json
-from ..exceptions import StoreError, StoreOutcomeUnknownError, StoreUnavailableError
-from ..job import JobRecord, JobSpec, Queue
+from ..codec import from_json, to_json
+from ..exceptions import (
+    RequestError,
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from ..job import JobEnding, JobPhase, JobRecord, JobSpec, Queue
 from ..job_front_context import JobFrontContext
 from ..log import Event, log_event
 from ..store import (
@@ -23,6 +28,7 @@
     Range,
     Txn,
     TxnResult,
+    put_if_unchanged,
 )
 from ..tasks.watch import STORE_TIMEOUT
 
@@ -152,6 +158,7 @@
     while context.clock.now() < deadline:
         try:
             result: TxnResult = await _call_store(context, txn, deadline)
+            await _note_submission(context, queue, result, deadline)
         except StoreOutcomeUnknownError as exc:
             is_certain, reason = False, exc.message
             await sleep(context.clock, WRITE_RETRY_PAUSE)
@@ -172,12 +179,39 @@
     return Uncertain(reason)
 
 
+async def _note_submission(
+    context: JobFrontContext, queue: Queue, result: TxnResult, deadline: dt.datetime
+) -> None:
+    """Note that a client has submitted a job, if it was cancelled before.
+
+    The job is then shown as cancelled.
+    """
+    for kv in () if result.succeeded else result.kvs:
+        ending = _read_ending(kv)
+        if ending is not None and not ending.is_known:
+            known = to_json(evolve(ending, queue=queue.name, is_known=True))
+            txn = put_if_unchanged(kv.key, known, kv.mod_revision)
+            await _call_store(context, txn, deadline)
+
+
+def _read_ending(kv: KeyValue) -> JobEnding | None:
+    """Return the stored ending of a job; ``None`` if it is none or can't be read."""
+    if not (kv.mod_revision and kv.key.startswith(JOB_ENDINGS_PREFIX)):
+        return None
+    try:
+        return from_json(kv.value, JobEnding)
+    except RequestError as exc:
+        log_event(Event.RECORD_UNREADABLE, key=kv.key, reason=exc.message)
+        return None
+
+
 async def cancel_job(
     context: JobFrontContext, job_id: str, deadline: dt.datetime
 ) -> Accepted | NoSuchJob | NotAccepted | Uncertain:
     """Mark a job as cancelled and notify the scheduler, which stops its runs.
 
-    A job that has already ended stays unchanged and is reported as accepted.
+    A job that has already ended stays unchanged and is reported as accepted. One that
+    is unknown gets an ending, since the store may be about to write it.
 
     :param deadline: When to stop waiting for the store.
     """
@@ -186,8 +220,10 @@
         try:
             record = await _read_key(context, JOBS_PREFIX + job_id, deadline)
             if record is None:
-                ending = await _read_key(context, JOB_ENDINGS_PREFIX + job_id, deadline)
-                return Accepted() if ending else NoSuchJob()
+                outcome = await _cancel_unknown_job(context, job_id, deadline)
+                if outcome is not None:
+                    return outcome
+                continue
             txn = Txn(
                 (Compare(JOBS_PREFIX + job_id, record.mod_revision),),
                 (Put(JOBS_PREFIX + job_id + CANCEL_MARK_SUFFIX, "{}"),),
@@ -201,12 +237,40 @@
             reason = exc.message
             break
         if result.succeeded:
-            log_event(Event.JOB_CANCELLING, job=job_id)
+            log_event(Event.JOB_CANCELLING, job=job_id, is_known=True)
             context.send(m.CancelTold(job_id))
             return Accepted()
     return NotAccepted(reason) if is_certain else Uncertain(reason)
 
 
+async def _cancel_unknown_job(
+    context: JobFrontContext, job_id: str, deadline: dt.datetime
+) -> Accepted | NoSuchJob | None:
+    """Prevent that a job without a record is stored later.
+
+    :return: ``None`` if it has been stored in the meantime.
+    """
+    key = JOB_ENDINGS_PREFIX + job_id
+    kv = await _read_key(context, key, deadline)
+    if kv is not None:
+        ending = _read_ending(kv)
+        return Accepted() if ending is None or ending.is_known else NoSuchJob()
+    # Stamped like the end of any job, with the later of both clocks.
+    ended_at = max(context.clock.now(), context.clock.wall_now())
+    ending = JobEnding(
+        JobPhase.CANCELLED, "", int(ended_at.timestamp() * 1000), is_known=False
+    )
+    txn = Txn(
+        (Compare(JOBS_PREFIX + job_id, 0), Compare(key, 0)),
+        (Put(key, to_json(ending)),),
+    )
+    result: TxnResult = await _call_store(context, txn, deadline)
+    if not result.succeeded:
+        return None
+    log_event(Event.JOB_CANCELLING, job=job_id, is_known=False)
+    return NoSuchJob()
+
+
 async def _read_key(
     context: JobFrontContext, key: str, deadline: dt.datetime
 ) -> KeyValue | None:
--- a/src/fighead/job.py
+++ b/src/fighead/job.py
@@ -317,12 +317,15 @@
     """Stored outcome of a job that has ended.
 
     :param ended_ms: Unix time of the end.
+    :param is_known: Whether a client has submitted the job. Otherwise it was cancelled
+        only, and the ending prevents a write of the job that is under way.
     """
 
     phase: JobPhase
     queue: str
     ended_ms: int
     reason: str = ""
+    is_known: bool = True
 
 
 @frozen
--- a/src/fighead/queries/job.py
+++ b/src/fighead/queries/job.py
@@ -46,7 +46,8 @@
     ending = await context.store.call(Range(JOB_ENDINGS_PREFIX + job_id), STORE_TIMEOUT)
     if not ending.kvs:
         return None
-    return from_json(ending.kvs[0].value, JobEnding).phase
+    found = from_json(ending.kvs[0].value, JobEnding)
+    return found.phase if found.is_known else None
 
 
 def _has_started(progress: KeyValue) -> bool:
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -42,6 +42,7 @@
 from fighead.run import EndKind, RegisteredInstance, RunEnd
 from fighead.settings import ListenAddress
 from fighead.standins.simulated_job_instance import SimulatedJobInstance, restart
+from fighead.store import Put, Txn
 from fighead.tasks.call import Call
 from fighead.tasks.peer import DEFAULT_ANSWER_TIMEOUT
 from fighead.tasks.scheduler import PlatformAdapter
@@ -59,6 +60,8 @@
 NO_ERROR = dt.timedelta()
 #: Longest delay of a late call. Its sender has given up on it by then.
 MAX_CALL_DELAY_S = 12
+#: Delay of a write that the store does late.
+LATE_WRITE_S = 5.5
 
 
 @define(eq=False)
@@ -149,6 +152,8 @@
         that were waiting then get nothing more, and later ones are served.
     :param is_reset: Whether each call fails without being sent, as if the connection
         was reset.
+    :param late_puts: Prefix of the keys whose writes get no answer and are done after
+        ``LATE_WRITE_S``.
     :param calls: Number of calls made, without watches.
     """
 
@@ -159,6 +164,7 @@
     is_watch_silent: bool = False
     silenced: int = 0
     is_reset: bool = False
+    late_puts: str = ""
     calls: int = 0
 
     async def call(self, req, timeout):
@@ -166,6 +172,14 @@
         if self.is_reset:
             await self.gate.pass_through(None)
             raise StoreOutcomeUnknownError("reset", "again")
+        if self.late_puts and _puts_any(req, self.late_puts):
+            self.store.clock.call_later(
+                dt.timedelta(seconds=LATE_WRITE_S),
+                lambda: spawn(self.store.call(req, timeout)),
+            )
+            await sleep(self.store.clock, timeout)
+            await self.gate.pass_through(None)
+            raise StoreOutcomeUnknownError("no answer", "again")
         return await self._call_through_gate(lambda: self.store.call(req, timeout))
 
     async def watch(self, prefix, after, wait):
@@ -198,6 +212,11 @@
         return await self.gate.pass_through(result)
 
 
+def _puts_any(req, prefix):
+    changes = req.success if isinstance(req, Txn) else ()
+    return any(isinstance(c, Put) and c.key.startswith(prefix) for c in changes)
+
+
 @define(eq=False)
 class GatedInstance:
     """The calls of the entry ``me`` to one instance.
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -23,6 +23,7 @@
 JOB_ID = "00000000000000a1"
 OTHER_JOB_ID = "00000000000000a2"
 NEW_JOB_ID = "00000000000000a3"
+UNKNOWN_JOB_ID = "00000000000000a4"
 
 
 @pytest.fixture(scope="module")
@@ -52,7 +53,8 @@
     assert call("POST", f"{base}/plans/{OTHER_JOB_ID}", {"x": "y" * 300_000})[0] == 413
     assert call("GET", f"{base}/nothing/{OTHER_JOB_ID}")[0] == 404
     assert call("GET", f"{base}/plans/{OTHER_JOB_ID}")[0] == 410
-    assert call("DELETE", f"{base}/plans/{OTHER_JOB_ID}")[0] == 410
+    assert call("DELETE", f"{base}/plans/{UNKNOWN_JOB_ID}")[0] == 410
+    assert call("GET", f"{base}/plans/{UNKNOWN_JOB_ID}")[0] == 410
     assert call("GET", f"{base}/plans/")[1] == {"Pending": 0}
 
 
