Hold the ports of test processes until they are done

Cause: free_ports and find_free_ports bound ports and gave them back before the processes bound them. In between, any other process could.

ReservedPorts binds each port and keeps it, without listening, until the cluster or fleet has stopped. On Linux a process that sets SO_REUSEADDR, as Twisted and ZeroMQ do, still listens there, also after a restart; any other bind fails, and the system gives the port to no connection. Clusters of tests now use ports below those that the system chooses, as the soak did. test_a_proxy_never_takes_the_port_of_a_process makes the same checks on it.

That this was the cause of the unexplained errors of test_platform_processes.py under load is not proved: their output was lost.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,25 +1,21 @@
 """The processes of one seed, and the proxies on their links."""
 
 import base64
-import contextlib
 import json
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import typing as t
 
 from attrs import define, field
 
+from .ports import ReservedPorts
 from .proxy import LinkProxy
 
 CORES = 8
 #: Time that a process may take to end after SIGTERM, in seconds.
 GRACE_S = 8
-#: Ports for processes.
-PORTS = range(10_000, 30_000)
 CONFIG = {
     "Version": 1,
     "Routes": [
@@ -59,22 +55,6 @@
 """
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free now.
-
-    They are below those that the system chooses, so that no proxy and no connection
-    takes one before its process listens.
-    """
-    ports: list[int] = []
-    for port in random.sample(PORTS, len(PORTS)):
-        if len(ports) == count:
-            break
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            ports.append(port)
-    return ports
-
-
 @define(eq=False)
 class Fleet:
     """Owns the processes and the proxies.
@@ -93,6 +73,7 @@
     store_links: dict[str, LinkProxy] = field(factory=dict)
     instance_links: dict[str, LinkProxy] = field(factory=dict)
     _processes: dict[str, subprocess.Popen] = field(factory=dict)
+    _reserved: ReservedPorts = field(factory=ReservedPorts)
 
     @property
     def entries(self) -> list[str]:
@@ -109,7 +90,7 @@
         names = ["store", *self.instances]
         for name in self.entries:
             names += [name, f"{name}/ready", f"{name}/peer"]
-        self.ports = dict(zip(names, find_free_ports(len(names)), strict=True))
+        self.ports = dict(zip(names, self._reserved.reserve(len(names)), strict=True))
         for name in self.instances:
             self.instance_links[name] = LinkProxy(
                 self.reactor, self.ports[name]
@@ -192,6 +173,7 @@
             process.wait(GRACE_S)
         for link in (*self.store_links.values(), *self.instance_links.values()):
             link.stop()
+        self._reserved.close()
         self.store_links.clear()
         self.instance_links.clear()
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -16,6 +16,7 @@
 import urllib.request
 
 from attrs import define, field
+from soak.ports import ReservedPorts
 
 OPERATOR_TOKEN = "test-token-0123456789"
 AVAILABILITY_ZONES = ("smolyan", "chepelare", "devin")
@@ -23,20 +24,6 @@
 RULES_PATH = pathlib.Path(__file__).parents[1] / "examples" / "demo" / "rules.ini"
 
 
-def free_ports(count):
-    """Return distinct loopback ports that were free when they were checked.
-
-    They aren't reserved: another process can bind one before the caller does.
-    """
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 def request_json(method, url, body=None, token=OPERATOR_TOKEN, timeout=10):
     """Send ``body`` as JSON with the operator token; return the decoded answer.
 
@@ -194,13 +181,14 @@
     relays: dict = field(factory=dict)
     statuses: dict = field(factory=dict)
     _ports: object = None
+    _reserved: ReservedPorts = field(factory=ReservedPorts)
 
     def start(self):
         """Start all processes, apply the declarations and wait for convergence."""
         # The store and each worker take one port, each entry four. Tests may
         # start up to three more entries.
         count = 1 + self.worker_count + 4 * (self.entry_count + 3)
-        self._ports = iter(free_ports(count))
+        self._ports = iter(self._reserved.reserve(count))
         self._start_store()
         declarations = self.folder / "declarations"
         declarations.mkdir()
@@ -357,6 +345,7 @@
         return tuple(journals)
 
     def stop(self):
-        """Kill all processes."""
+        """Kill all processes, and give their ports back."""
         for process in self.processes.values():
             process.kill()
+        self._reserved.close()
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -10,8 +10,9 @@
 from attrs import define, field
 from soak.fleet import CONFIG as FLEET_CONFIG
 from soak.fleet import SETTINGS as SETTINGS_TEMPLATE
+from soak.ports import ReservedPorts
 
-from cluster import free_ports, wait_until
+from cluster import wait_until
 
 CONFIG = {
     **FLEET_CONFIG,
@@ -38,11 +39,12 @@
     instance_count: int = 3
     processes: dict = field(factory=dict)
     ports: dict = field(factory=dict)
+    _reserved: ReservedPorts = field(factory=ReservedPorts)
 
     def start(self):
         names = ["store", *self.instances(), *self.entries()]
         count = 1 + self.instance_count + 3 * self.entry_count
-        ports = iter(free_ports(count))
+        ports = iter(self._reserved.reserve(count))
         for name in names:
             self.ports[name] = next(ports)
         for name in self.entries():
@@ -132,3 +134,4 @@
             process.kill()
         for process in self.processes.values():
             process.wait()
+        self._reserved.close()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,7 @@
 from soak import checks, report
 from soak.__main__ import read_seeds
 from soak.clients import Clients
-from soak.fleet import Fleet, find_free_ports
+from soak.fleet import Fleet
 from soak.model import (
     Exchange,
     Fault,
@@ -26,6 +26,7 @@
 from soak.open_clients import OpenClients
 from soak.plan import LOAD_S, PAIRS, REGISTERED_S, draw_faults
 from soak.player import Player, find_running, is_settled
+from soak.ports import ReservedPorts
 from soak.proxy import LinkProxy, Mode
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
@@ -241,11 +242,13 @@
 
 
 def test_a_proxy_never_takes_the_port_of_a_process():
-    ports = find_free_ports(20)
     with contextlib.ExitStack() as stack:
+        reserved = stack.enter_context(contextlib.closing(ReservedPorts()))
+        others = stack.enter_context(contextlib.closing(ReservedPorts()))
+        ports = reserved.reserve(20)
         for port in ports:
             stack.enter_context(socket.create_server(("127.0.0.1", port)))
-        assert set(ports).isdisjoint(find_free_ports(1000))
+        assert set(ports).isdisjoint(others.reserve(1000))
         servers = [socket.create_server(("127.0.0.1", 0)) for _ in range(50)]
         chosen = [stack.enter_context(each).getsockname()[1] for each in servers]
     assert max(ports) < min(chosen)
