Let an instance leave in the test only after it has run something

What was seen: test_leaving_instance_gets_no_new_work failed once in 14 runs, at max() of no runs.

Cause: the instance was told to leave 3 s after the driver of the load was started, which need not have started anything by then.

The test still waits 3 s, and then until the instance has started a run. The bound is the same. It also expects that other instances go on starting runs afterwards, so that it can't pass without load.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -278,20 +278,31 @@
     wait_until(lambda: have_plans_ended(cluster, history), PLANS_TIMEOUT_S)
 
 
+def find_starts(journals):
+    """Return when runs were started, by instance."""
+    return {
+        journal.instance: [run.started_s for run in read_runs(journal)]
+        for journal in journals
+    }
+
+
 def test_leaving_instance_gets_no_new_work(make_cluster):
     cluster = make_cluster()
     leaving_since_s = []
 
     def inject_faults(cluster, rng):
         time.sleep(3)
+        # The load may start late.
+        wait_until(lambda: find_starts(cluster.journals())["bench-0"])
         cluster.set_platform_instances(leaving=["bench-0"])
         leaving_since_s.append(time.time())
 
     history = run_load(cluster, inject_faults, seconds=8)
     assert_guarantees(history)
-    journal = next(j for j in history.journals if j.instance == "bench-0")
-    last_start_s = max(run.started_s for run in read_runs(journal))
-    assert last_start_s - leaving_since_s[0] < 5
+    starts = find_starts(history.journals)
+    assert max(starts["bench-0"]) - leaving_since_s[0] < 5
+    others = [at_s for name in starts.keys() - {"bench-0"} for at_s in starts[name]]
+    assert max(others) > leaving_since_s[0]
     assert select_operations(history, Category.CHECK, "done")
 
 
