Confirm a leader again after a short stall in an outage

What callers saw: a leader that stalled for 1.1 to 1.3 s while the store was away had no authority until its end: nothing started, and the leases of all runs ran out (6 of 25 cases of test_a_leader_acts_in_an_outage_after_a_short_stall).

Cause: its last confirmation before the stall and the first after it are over 1.5 s apart, and such confirmations prolonged an authority and did not restore one. Nor could they come: without authority the agents listed nothing, so that no instance answered.

Confirmations up to 2.5 s apart now count, also if the authority has ended in between. Until then a leader lists its instances without extending leases. Starts, paces and leases still need the authority.

No task may come to run in two places by it. An earlier leader is excluded by the entries that follow the next one, by the instances that answered it, or by time. Instances refuse it or, once restarted, don't count; the time counts from the store's last confirmation, as before. An entry that followed the next leader, restarted and forgot it might confirm the earlier one: it confirms nobody for 5.5 s after its start, in place of 4.5 s. That is the gap, the 1.5 s for which a follower counts, and 1.5 s for announcements on their way, which is the same margin as before. Entries that restart in an outage confirm the leader 1 s later.

--- a/src/fighead/decisions/authority.py
+++ b/src/fighead/decisions/authority.py
@@ -17,6 +17,10 @@
 MAX_TIME_WITHOUT_STORE = dt.timedelta(seconds=8)
 #: The same if no entry or less than a quarter of the instances is missing.
 MAX_TIME_WITH_NEARLY_ALL = dt.timedelta(seconds=60)
+#: Longest time between two confirmations by peers and instances of which the later one
+#: counts, also if the authority has ended in between. Entries that have just started
+#: confirm nobody for longer: one may have followed a later leader before it restarted.
+MAX_CONFIRMATION_GAP = dt.timedelta(milliseconds=2500)
 #: Share of the instances that counts as nearly all.
 NEARLY_ALL = 0.75
 
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -11,7 +11,7 @@
 from . import job_message as m
 from . import message
 from .clock import Clock, sleep, with_timeout
-from .decisions import admission, config_request, election, planned_stop
+from .decisions import admission, authority, config_request, election, planned_stop
 from .decisions.admission import QueuedStarts
 from .decisions.config_request import ConfigRequest
 from .decisions.election import Leader
@@ -45,9 +45,10 @@
 CONFIG_WATCH_WAIT = dt.timedelta(milliseconds=1500)
 #: Interval at which the leader announces itself to its peers.
 ANNOUNCEMENT_INTERVAL = dt.timedelta(milliseconds=500)
-#: Time from its start until an entry confirms a leader. Confirmations that its earlier
-#: process may have taken from that leader have then ended the leader's authority.
-CONFIRMATION_DELAY = 3 * AUTHORITY_TIMEOUT
+#: Time from its start until an entry confirms a leader. If the earlier process followed
+#: a later one, the authority of that leader has then ended for good: the later one
+#: counts a follower for one timeout, and an announcement may be on its way for another.
+CONFIRMATION_DELAY = authority.MAX_CONFIRMATION_GAP + 2 * AUTHORITY_TIMEOUT
 #: Maximum wait for an answer from the scheduler, here or on a peer.
 SCHEDULER_TIMEOUT = dt.timedelta(milliseconds=800)
 NOT_READY_STATUS = 503
@@ -360,6 +361,7 @@
             self.clocks.steady_s,
             self.leadership.mailbox.offer,
             self.leadership.needs_instances,
+            self.leadership.may_regain,
             lambda fence: self.leadership.mailbox.offer(leadership.LoadFailed(fence)),
             self.leadership.find_lease_record_date,
             lambda fence: self.leadership.mailbox.offer(
--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -203,6 +203,7 @@
     :param report: Called with each report; must not block.
     :param needs_answers: Whether the instance must confirm the leader by its answers.
     :param may_renew: Whether leases may be extended, beside ``may_act``.
+    :param may_ask: Whether the instance may be asked for an answer without authority.
     """
 
     client: InstanceClient
@@ -213,6 +214,7 @@
     report: t.Callable[[AgentReport], None]
     needs_answers: t.Callable[[], bool] = lambda: False
     may_renew: t.Callable[[], bool] = lambda: True
+    may_ask: t.Callable[[], bool] = lambda: False
     mailbox: Mailbox[AgentOrder] = field(factory=lambda: Mailbox("agent", 4096))
     _acknowledged_sequence: int = 0
     _last_end_sequence: int = 0
@@ -272,8 +274,11 @@
         wait = dt.timedelta()
         while not self._is_stopped:
             if not self.may_act():
-                await sleep(self.clock, RETRY_PAUSE)
-                continue
+                if not self.may_ask():
+                    await sleep(self.clock, RETRY_PAUSE)
+                    continue
+                # The answer is wanted at once.
+                wait = dt.timedelta()
             sent_at, fence = self.clock.now(), self.fence
             self._listing_number += 1
             self._wait, self._overtaken_ms = wait, 0
@@ -334,7 +339,7 @@
     async def _request_listing(self, wait: dt.timedelta) -> Listing:
         # An instance whose answers are lost may still receive calls. Its leases are
         # not extended, so that the time of their expiry stays known.
-        may_extend = self._is_answering and self.may_renew()
+        may_extend = self._is_answering and self.may_renew() and self.may_act()
         lease_until_ms = self._extend_leases() if may_extend else 0
         listing = await self.client.renew_and_list(
             self.fence, self._acknowledged_sequence, lease_until_ms, wait, CALL_TIMEOUT
--- a/src/fighead/tasks/leadership.py
+++ b/src/fighead/tasks/leadership.py
@@ -366,6 +366,15 @@
             self.clock.now(), self.confirmation.at, AUTHORITY_TIMEOUT
         )
 
+    def may_regain(self) -> bool:
+        """Whether peers and instances may confirm this leader after a gap."""
+        return (
+            self._is_leading
+            and self.confirmation is not None
+            and self.needs_instances()
+            and self._is_within(authority.MAX_CONFIRMATION_GAP, self.confirmation.at)
+        )
+
     def read_authority(self) -> Authority:
         """Return what this entry, if it leads, may infer from silence."""
         support = authority.measure_support(
@@ -897,7 +906,7 @@
     def _confirm_without_store(self) -> None:
         """Take over what peers and instances confirm while the store is silent.
 
-        They prolong an authority and don't restore one: peers that have restarted may
+        After a long gap they don't restore an authority: peers that have restarted may
         have followed a later leader in between.
         """
         if self._is_within(election.RENEWAL_INTERVAL, self._sole_at):
@@ -906,7 +915,7 @@
         if (
             date is not None
             and self.confirmation is not None
-            and date - self.confirmation.at < AUTHORITY_TIMEOUT
+            and date - self.confirmation.at < authority.MAX_CONFIRMATION_GAP
         ):
             self._confirm(date, ConfirmationSource.PEERS)
 
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -203,6 +203,8 @@
     :param status_time: How long the outcome of an ended job must be available.
     :param steady_s: Source of steady seconds, to measure durations.
     :param report_instances: Called with the instances that have answered.
+    :param may_regain: Whether instances and peers may give this entry its authority
+        back.
     :param needs_instances: Whether instances must confirm this entry as the leader.
     :param find_lease_record_date: Returns when this entry first saw a revision of the
         stored ends of leases; ``None`` if it has not seen it.
@@ -226,6 +228,7 @@
     steady_s: t.Callable[[], float] = read_steady_s
     report_instances: t.Callable[[InstancesAnswered], None] = lambda _: None
     needs_instances: t.Callable[[], bool] = lambda: False
+    may_regain: t.Callable[[], bool] = lambda: False
     on_load_failed: t.Callable[[int], None] = lambda _: None
     find_lease_record_date: t.Callable[[int], dt.datetime | None] = lambda _: None
     on_handed_over: t.Callable[[int], None] = lambda _: None
@@ -669,6 +672,7 @@
             self.mailbox.offer,
             self.needs_instances,
             lambda: instance.instance_id not in self.schedule.stored_bounds,
+            self.may_regain,
         )
         self.agents[instance.instance_id] = agent
         agent.start()
