--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -287,6 +287,7 @@
     :param report: Called with each report; must not block.
     :param needs_answers: Whether the instance must confirm the leader by its answers.
     :param may_renew: Whether leases may be extended, beside ``may_act``.
+    :param may_ask: Whether the instance may be asked for an answer without authority.
     """
 
     client: InstanceClient
@@ -297,6 +298,7 @@
     report: t.Callable[[AgentReport], None]
     needs_answers: t.Callable[[], bool] = lambda: False
     may_renew: t.Callable[[], bool] = lambda: True
+    may_ask: t.Callable[[], bool] = lambda: False
     mailbox: Mailbox[AgentOrder] = field(factory=lambda: Mailbox("agent", 4096))
     _acknowledged_sequence: int = 0
     _last_end_sequence: int = 0
@@ -367,8 +369,11 @@
         wait = dt.timedelta()
         while not self._is_stopped:
             if not self.may_act():
-                await sleep(self.clock, RETRY_PAUSE)
-                continue
+                if not self.may_ask():
+                    await sleep(self.clock, RETRY_PAUSE)
+                    continue
+                # The answer is wanted at once.
+                wait = dt.timedelta()
             sent_at, fence = self.clock.now(), self.fence
             self._listing_number += 1
             self._wait, self._overtaken_ms = wait, 0
@@ -441,7 +446,8 @@
         answers: list[bool] = []
 
         async def attempt() -> None:
-            expiry = self._lease_until_ms if self.may_renew() else 0
+            may_renew = self.may_renew() and self.may_act()
+            expiry = self._lease_until_ms if may_renew else 0
             answers.append(await self._overtake_listing(expiry))
 
         try:
@@ -521,7 +527,7 @@
         An instance whose answers are lost may still receive calls. It gets the expiry
         that was sent last, so that the time at which its leases end stays known.
         """
-        if not self.may_renew():
+        if not (self.may_renew() and self.may_act()):
             return 0
         return self._extend_leases() if self._is_answering else self._lease_until_ms
 
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -111,6 +111,9 @@
 #: Minimum time between two watches of registrations or of jobs. Entries also notify
 #: the scheduler directly of new jobs.
 MIN_WATCH_INTERVAL = dt.timedelta(milliseconds=300)
+#: Maximum wait of a watch of registrations. A channel that has gone silent is noticed
+#: after it and the margin of a watch, and until then instances that leave get starts.
+REGISTRATIONS_WAIT = dt.timedelta(seconds=1)
 #: Interval at which learned interference is stored for the next scheduler.
 LEARNED_WRITE_INTERVAL = dt.timedelta(seconds=5)
 #: Characters of an unreadable key that are logged, as many as the store allows bytes.
@@ -208,6 +211,8 @@
     :param status_time: How long the outcome of an ended job must be available.
     :param steady_s: Source of steady seconds, to measure durations.
     :param report_instances: Called with the instances that have answered.
+    :param may_regain: Whether instances and peers may give this entry its authority
+        back.
     :param needs_instances: Whether instances must confirm this entry as the leader.
     :param find_lease_record_date: Returns when this entry first saw a revision of the
         stored ends of leases; ``None`` if it has not seen it.
@@ -231,6 +236,7 @@
     steady_s: t.Callable[[], float] = read_steady_s
     report_instances: t.Callable[[InstancesAnswered], None] = lambda _: None
     needs_instances: t.Callable[[], bool] = lambda: False
+    may_regain: t.Callable[[], bool] = lambda: False
     on_load_failed: t.Callable[[int], None] = lambda _: None
     find_lease_record_date: t.Callable[[int], dt.datetime | None] = lambda _: None
     on_handed_over: t.Callable[[int], None] = lambda _: None
@@ -301,6 +307,7 @@
             self.clock,
             self.random,
             self.mailbox.offer,
+            wait=REGISTRATIONS_WAIT,
             pause=MIN_WATCH_INTERVAL,
         )
         loops = (
@@ -674,6 +681,7 @@
             self.mailbox.offer,
             self.needs_instances,
             lambda: instance.instance_id not in self.schedule.stored_bounds,
+            self.may_regain,
         )
         self.agents[instance.instance_id] = agent
         agent.start()
