--- a/tests/test_start_window.py
+++ b/tests/test_start_window.py
@@ -386,3 +386,12 @@
     played = Playing(60, slow_share=slow_share, silent_share=silent_share).play(20)
     assert played.turns > 0.85 * 60 * 20
     assert played.longest_later_s < RENEWAL_TIMEOUT_S
+
+
+# Failure: repeated calls of silent starts keep renewals waiting at a slow sender.
+@pytest.mark.parametrize("starts_per_s", [20, 30])
+def test_congestion_of_a_slow_sender_is_held_down_beside_silence(starts_per_s):
+    for seed in range(6):
+        rng = random.Random(seed)
+        played = Playing(starts_per_s, rng=rng, silent_share=0.5).play(20)
+        assert played.longest_later_s < RENEWAL_TIMEOUT_S
