Repeat no overdue starts on an entry that is late itself

What callers would see: an entry whose calls queue for 0.3 s or longer sent each start up to three times, queued the longer for it, and answered fewer. Cause: a call that waits at this entry looked like one without an answer, and the window of starts doesn't count repetitions. Change: nothing is repeated after an answer that took 0.175 s or longer, by which the window tells congestion too, and all agents together repeat no more starts at a time than the window lets the entry send. test_no_start_is_repeated_after_a_slow_answer fails without the first condition; test_an_entry_repeats_no_more_starts_than_it_can_carry can't be written without the second.

--- a/src/fighead/tasks/agent.py
+++ b/src/fighead/tasks/agent.py
@@ -18,7 +18,7 @@
 from ..job import TaskKey
 from ..mailbox import Mailbox, spawn
 from ..run import Listing, PaceRun, RefusalReason, RegisteredInstance, StartRun, StopRun
-from .repeated_call import RETRY_PAUSE, call_repeatedly
+from .repeated_call import RETRY_PAUSE, RepeatBudget, call_repeatedly
 
 T = t.TypeVar("T")
 
@@ -45,6 +45,9 @@
 #: Number of repeated starts under way at one instance. One that is slow, or an entry
 #: that is, must not get several times as many calls for that.
 MAX_REPEATED_STARTS = 4
+#: Time of the latest answer from which on an overdue call tells nothing: the instance,
+#: or this entry, takes that long.
+SLOW_ANSWER_TIME = dt.timedelta(milliseconds=175)
 #: When an overdue listing is repeated, from the time at which its answer was due.
 LISTING_REPEATS = (dt.timedelta(milliseconds=250), dt.timedelta(milliseconds=500))
 #: Silence after which calls are no longer repeated before they fail.
@@ -288,6 +291,7 @@
     :param needs_answers: Whether the instance must confirm the leader by its answers.
     :param may_renew: Whether leases may be extended, beside ``may_act``.
     :param may_ask: Whether the instance may be asked for an answer without authority.
+    :param repeats: The repeated starts of all agents of the entry.
     """
 
     client: InstanceClient
@@ -299,6 +303,7 @@
     needs_answers: t.Callable[[], bool] = lambda: False
     may_renew: t.Callable[[], bool] = lambda: True
     may_ask: t.Callable[[], bool] = lambda: False
+    repeats: RepeatBudget = field(factory=RepeatBudget)
     mailbox: Mailbox[AgentOrder] = field(factory=lambda: Mailbox("agent", 4096))
     _acknowledged_sequence: int = 0
     _last_end_sequence: int = 0
@@ -312,6 +317,8 @@
     #: When the latest answer was received, to any call and to a listing.
     _answered_at: dt.datetime | None = None
     _listed_at: dt.datetime | None = None
+    #: How long the latest answer took that the instance had no reason to delay.
+    _answer_time: dt.timedelta = dt.timedelta()
     #: Number of repeated starts under way.
     _repeated_starts: int = 0
     #: Runs whose start got no answer, until their stop is answered.
@@ -462,23 +469,29 @@
     async def _call_and_check(self, call: t.Awaitable[T]) -> T:
         """Await the answer to a call; check the instance if it is overdue."""
         timer = self.clock.call_later(REPEAT_DELAY, lambda: spawn(self._check()))
+        sent_at = self.clock.now()
         try:
             result = await call
         except (WorkerRefusedError, WorkerRestartedError):
-            self._answered_at = self.clock.now()
+            self._note_answer(sent_at)
             raise
         finally:
             if timer.active():
                 timer.cancel()
-        self._answered_at = self.clock.now()
+        self._note_answer(sent_at)
         return result
 
+    def _note_answer(self, sent_at: dt.datetime) -> None:
+        self._answered_at = self.clock.now()
+        self._answer_time = self._answered_at - sent_at
+
     def _may_repeat(self) -> bool:
         """Whether calls may be repeated before they fail."""
         at = self._answered_at
         return (
             at is not None
             and self.clock.now() - at < MAX_REPEATING_SILENCE
+            and self._answer_time < SLOW_ANSWER_TIME
             and self.may_act()
         )
 
@@ -510,6 +523,7 @@
         lease_until_ms: int,
         timeout: dt.timedelta = CALL_TIMEOUT,
     ) -> Listing:
+        sent_at = self.clock.now()
         try:
             listing = await self.client.renew_and_list(
                 self.fence, self._acknowledged_sequence, lease_until_ms, wait, timeout
@@ -519,6 +533,8 @@
             raise
         self._is_answering = True
         self._answered_at = self._listed_at = self.clock.now()
+        if not wait:
+            self._answer_time = self._answered_at - sent_at
         return listing
 
     def _next_expiry(self) -> int:
@@ -645,7 +661,9 @@
 
     def _may_repeat_start(self, attempts: _StartAttempts) -> bool:
         return not attempts.sent or (
-            self._repeated_starts < MAX_REPEATED_STARTS and self._may_repeat()
+            self._repeated_starts < MAX_REPEATED_STARTS
+            and self.repeats.has_room
+            and self._may_repeat()
         )
 
     async def _attempt_start(
@@ -657,6 +675,7 @@
         attempts.sent += 1
         attempts.under_way += 1
         self._repeated_starts += is_repetition
+        self.repeats.under_way += is_repetition
         try:
             await self._call_and_check(
                 self.client.start(order, lease_until_ms, fence, CALL_TIMEOUT)
@@ -681,6 +700,7 @@
         finally:
             attempts.under_way -= 1
             self._repeated_starts -= is_repetition
+            self.repeats.under_way -= is_repetition
         self._conclude_start(order, attempts)
 
     def _conclude_start(self, order: StartRun, attempts: _StartAttempts) -> None:
--- a/src/fighead/tasks/repeated_call.py
+++ b/src/fighead/tasks/repeated_call.py
@@ -1,8 +1,10 @@
 """Calls that are repeated beside an attempt whose answer is overdue."""
 
 import datetime as dt
+import math
 import typing as t
 
+from attrs import define
 from twisted.internet.defer import CancelledError, Deferred
 
 from ..clock import Clock
@@ -15,6 +17,23 @@
 RETRY_PAUSE = dt.timedelta(milliseconds=150)
 
 
+@define(eq=False)
+class RepeatBudget:
+    """The repeated calls of all tasks of an entry.
+
+    :param find_limit: Returns the number that the entry can carry.
+    :param under_way: Number of those that have neither been answered nor failed.
+    """
+
+    find_limit: t.Callable[[], float] = lambda: math.inf
+    under_way: int = 0
+
+    @property
+    def has_room(self) -> bool:
+        """Whether one more call may be repeated."""
+        return self.under_way < self.find_limit()
+
+
 async def call_repeatedly(
     clock: Clock,
     attempt: t.Callable[[], t.Awaitable[T]],
--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -82,6 +82,7 @@
     resolve_job,
 )
 from .recorder import JobsRecorded, JobWrite, LeadershipLost, RecorderTask, RecordJobs
+from .repeated_call import RepeatBudget
 from .sweeper import SweeperTask
 from .watch import (
     STORE_TIMEOUT,
@@ -278,6 +279,7 @@
     _next_round_at: dt.datetime = field(init=False)
     _counters: SchedulerCounters = field(factory=SchedulerCounters)
     _write_requested_s: float = 0.0
+    _repeats: RepeatBudget = field(init=False)
     _wait_watch: waiting.WaitWatch = field(factory=waiting.WaitWatch)
     _survey_plan: SurveyPlan = field(factory=SurveyPlan)
     #: Registrations that were unreadable when they were last read.
@@ -285,6 +287,8 @@
 
     def __attrs_post_init__(self) -> None:
         self._next_round_at = self.clock.now()
+        # What the entry can carry is found by the starts that are not repeated.
+        self._repeats = RepeatBudget(lambda: self.schedule.start_window.limit)
         self._sweeper = SweeperTask(
             self.adapter.store, self.clock, self.status_time, self.schedule.fence
         )
@@ -682,6 +686,7 @@
             self.needs_instances,
             lambda: instance.instance_id not in self.schedule.stored_bounds,
             self.may_regain,
+            self._repeats,
         )
         self.agents[instance.instance_id] = agent
         agent.start()
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -37,6 +37,7 @@
     StartCertain,
     StartUnanswered,
 )
+from fighead.tasks.repeated_call import RepeatBudget
 
 START_TIME = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
 LEASE = dt.timedelta(seconds=5)
@@ -462,6 +463,28 @@
     assert len(instance.starts) == 20 + 4
 
 
+# Failure: an entry that is late repeats all its calls, which makes it later.
+def test_no_start_is_repeated_after_a_slow_answer(timer):
+    instance, agent, _ = start_delayed(timer)
+    agent.mailbox.offer(StartRun(TASK, 1, "x"))
+    timer.pump([0.05] * 4)
+    instance.starts[0].callback(5)
+    agent.mailbox.offer(StartRun(TASK, 2, "x"))
+    timer.pump([0.05] * 8)
+    assert len(instance.starts) == 2
+
+
+def test_an_entry_repeats_no_more_starts_than_it_can_carry(timer):
+    instance, agent, _ = start_delayed(timer)
+    agent.repeats = RepeatBudget(lambda: 2)
+    for number in range(20):
+        agent.mailbox.offer(StartRun(TASK, number, "x"))
+    timer.pump([0.05] * 8)
+    assert len(instance.starts) == 20 + 2
+    timer.pump([0.05] * 40)
+    assert agent.repeats.under_way == 0
+
+
 # Failure: one call without an answer takes an instance from placement.
 def test_an_instance_that_answers_a_listing_is_not_silent_for_one_start(timer):
     instance, agent, reports = start_delayed(timer)
