Test crowds whose requests cost more than their bytes

Callers' requests got no answer, or an entry exceeded its memory, while crowds of clients sent requests of legal size that arrive whole: bodies that cost much to decode, jobs of thousands of steps or tasks, queries of thousands of arguments, thousands of requests in one segment. Others opened connections to the port for entries, where nothing bounds them.

Bounds are those of the crowds before: the 128 MiB and the 400 descriptors that the entry is told, and one ordinary request.

The checks stand in limited_cluster.py.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,8 @@
 import pytest
 from twisted.python import log
 
+pytest.register_assert_rewrite("limited_cluster")
+
 
 @pytest.fixture
 def failures():
--- a/tests/hostile_crowd.py
+++ b/tests/hostile_crowd.py
@@ -162,3 +162,33 @@
             if line.startswith("VmRSS:"):
                 return int(line.split()[1]) * 1024
     return 0
+
+
+def whole(path, body, *headers):
+    """Yield a request whose body arrives whole."""
+    length = f"Content-Length: {len(body)}"
+    yield head(path, "Content-Type: application/json", length, *headers) + body
+
+
+def repeated(path, count, *headers):
+    """Yield ``count`` requests in one segment."""
+    yield head(path, *headers, method="GET") * count
+
+
+def tiny_chunks(path, size):
+    """Yield a request that is complete, in chunks of one byte."""
+    yield head(path, "Transfer-Encoding: chunked")
+    batch = 4000
+    for start in range(0, size, batch):
+        yield b"1\r\n[\r\n" * min(batch, size - start)
+    yield b"0\r\n\r\n"
+
+
+def peer_message(size, piece=1 << 16):
+    """Yield the handshake of ZMTP 3.0 and a message without its last byte."""
+    yield b"\xff" + bytes(8) + b"\x7f\x03\x00" + b"NULL".ljust(20, b"\0") + bytes(32)
+    ready = b"\x05READY\x0bSocket-Type" + (4).to_bytes(4, "big") + b"PUSH"
+    yield b"\x04" + bytes([len(ready)]) + ready
+    yield b"\x02" + size.to_bytes(8, "big")
+    for start in range(0, size - 1, piece):
+        yield bytes(min(piece, size - 1 - start))
