Free the error of a refused body at once

Callers: an entry of 128 MiB held 206.8 to 230.0 million bytes while 300 clients sent bodies of empty objects, lists or steps that were refused.

Cause: the error of a handler was stored in a failed deferred. Its frames refer to the deferred, and hold the body and what was decoded of it. Only a collection of old objects frees such a cycle, and those are rare by design.

The test finds the error among the living objects without this change.

--- a/src/fighead/fronts/caller.py
+++ b/src/fighead/fronts/caller.py
@@ -18,7 +18,7 @@
 from ..log import Event, log_event
 from ..queries.work import find_work
 from .answer import send_error, send_outcome
-from .refusal import answer_or_refuse
+from .refusal import answer_or_refuse, release_frames
 
 #: Upper limit of the wait that one request may ask for.
 MAX_REQUEST_WAIT = dt.timedelta(seconds=60)
@@ -42,11 +42,13 @@
                 lambda: _refuse(request, path_params.get("request_id", "")),
             )
         except FigheadError as exc:
+            release_frames(exc)
             return send_error(request, exc)
         except CancelledError:
             # The caller closed the connection, so there is nobody to answer.
             raise
         except Exception as exc:
+            release_frames(exc)
             log_event(Event.REQUEST_FAILED, error=type(exc).__name__, text=str(exc))
             failure = FigheadError(
                 "An unexpected error occurred while the request was handled.",
--- a/src/fighead/fronts/job.py
+++ b/src/fighead/fronts/job.py
@@ -23,7 +23,7 @@
 from ..job_front_context import JobFrontContext
 from ..log import Event, log_event
 from ..queries import job as queries
-from .refusal import answer_or_refuse
+from .refusal import answer_or_refuse, release_frames
 
 OK = 200
 GONE = 410
@@ -80,6 +80,7 @@
         try:
             return await answer_or_refuse(request, handler(self, request), refuse)
         except FigheadError as exc:
+            release_frames(exc)
             if exc.status >= UNAVAILABLE:
                 request.setHeader("Retry-After", "1")
                 self._log_unserved(request, exc.status, exc.message, started_at)
@@ -88,6 +89,7 @@
             # The client closed the connection, so there is nobody to answer.
             raise
         except Exception as exc:
+            release_frames(exc)
             log_event(Event.REQUEST_FAILED, error=type(exc).__name__, text=str(exc))
             return self._send_error(request, 500, "The entry met an unexpected error.")
         finally:
--- a/src/fighead/fronts/operator.py
+++ b/src/fighead/fronts/operator.py
@@ -24,7 +24,7 @@
 from ..queries.burn import BurnReport, compute_burn, read_buckets
 from ..queries.status import read_history, read_status
 from .answer import OK, send_error, send_json
-from .refusal import answer_or_refuse
+from .refusal import answer_or_refuse, release_frames
 
 #: Maximum size of a request body: 2 MiB.
 MAX_BODY_BYTES = 2 << 20
@@ -52,6 +52,7 @@
                 lambda: _refuse(request),
             )
         except FigheadError as exc:
+            release_frames(exc)
             return send_error(request, exc)
 
     return handle
--- /dev/null
+++ b/tests/test_client_costs.py
@@ -0,0 +1,105 @@
+"""What clients' requests take of a process, and when others are served meanwhile."""
+
+import datetime as dt
+import gc
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from fighead.clock import ReactorClock
+from fighead.decisions.intake import IntakeLimits
+from fighead.exceptions import RequestError
+from fighead.fronts.intake import Intake
+from fighead.fronts.job import JobFront
+from fighead.job import JobConfig, Queue
+from fighead.job_front_context import JobFrontContext
+from fighead.job_metric import JobMetrics
+from fighead.platform.daemon import make_codec
+from fighead.tasks.listener import ListenerTask
+
+START = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
+GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+LARGEST_BODY = 262_144
+
+
+class HangingStore:
+    async def call(self, *_, **__):
+        return await Deferred()
+
+
+class World:
+    """A listener on whose connections requests arrive in memory."""
+
+    def __init__(self, resource=None, limits=None):
+        self.timer = Clock()
+        self.clock = ReactorClock(self.timer, START)
+        self.intake = Intake(self.clock, limits or IntakeLimits())
+        self.listener = ListenerTask(
+            self.clock,
+            lambda site: site,
+            resource or self.make_slow_resource(),
+            1 << 20,
+            self.intake,
+        )
+        self.listener.start()
+
+    def make_slow_resource(self):
+        """Return a resource that takes 4 ms for each answer."""
+        app = Klein()
+
+        @app.route("/", branch=True)
+        def serve(request):
+            self.timer.rightNow += 0.004
+            return b"served"
+
+        return app.resource()
+
+    def turn(self):
+        """Make the calls that are due now, as one turn of the reactor does."""
+        due = [c for c in self.timer.calls if c.getTime() <= self.timer.seconds()]
+        for call in due:
+            self.timer.calls.remove(call)
+            call.called = 1
+            call.func(*call.args, **call.kw)
+
+    def connect(self):
+        channel = self.listener._port.buildProtocol(None)
+        transport = StringTransport()
+        transport.setTcpNoDelay = lambda _: None
+        transport.abortConnection = transport.loseConnection
+        channel.makeConnection(transport)
+        return channel, transport
+
+
+def job_world(limits=None):
+    """Return a world with a front of jobs whose store answers nothing."""
+    timer = Clock()
+    context = JobFrontContext(
+        ReactorClock(timer, START),
+        HangingStore(),
+        lambda _: Deferred(),
+        lambda _: None,
+        JobMetrics("e1"),
+        config=JobConfig(1, (Queue("q", "a", "/q/", "u"),)),
+    )
+    return World(JobFront(context, make_codec()).app.resource(), limits)
+
+
+def submission(body, query=""):
+    head = f"POST /q/00000000000000aa{query} HTTP/1.1\r\nHost: a\r\n"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+# Failure: each refused body stays in memory, decoded, until a garbage collection.
+def test_the_error_of_a_refused_body_is_freed_at_once():
+    channel, transport = job_world().connect()
+    gc.collect()
+    gc.disable()
+    try:
+        channel.dataReceived(submission(b'{"Steps":[[]]}'))
+        left = [one for one in gc.get_objects() if isinstance(one, RequestError)]
+    finally:
+        gc.enable()
+    assert transport.value().startswith(b"HTTP/1.1 400") and not left
