Refuse bodies of too many objects and lists before they are decoded

Callers: a single body of legal size took 30 times its bytes, 6 MB, while it was decoded; in the crowds before, many such bodies at once.

Cause: the number of steps was checked when the body had been decoded.

Objects and lists are counted in the text. Above 10,000 they are counted again without the strings, in one pass, and the body is refused with 400. A legal job has 2,002 of them at most.

--- a/src/fighead/platform/submission.py
+++ b/src/fighead/platform/submission.py
@@ -12,6 +12,12 @@
 MAX_PAYLOAD_BYTES = 4000
 MAX_TASKS_PER_STAGE = 10_000
 MAX_STAGES_PER_JOB = 1000
+#: Objects and lists of a body. A job of as many steps as are allowed has 2,002: itself,
+#: its list of steps, and each step with its list ``After``. Empty ones take 30 times
+#: their bytes when they are decoded.
+MAX_CONTAINERS = 10_000
+#: A string of JSON, or what there is of one that has no end.
+_STRING = re.compile(r'"[^"\\]*+(?:\\.[^"\\]*+)*+(?:"|\\?\Z)', re.DOTALL)
 
 Json = dict[str, t.Any]
 
@@ -33,12 +39,7 @@
 
     :raises RequestError: Naming the first invalid field.
     """
-    try:
-        body = json.loads(content)
-    except (ValueError, RecursionError) as exc:
-        raise RequestError(
-            "The body is not valid JSON.", "Send a JSON object."
-        ) from exc
+    body = _decode_json(content)
     if not isinstance(body, dict):
         raise RequestError("The body is not a JSON object.", "Send a JSON object.")
     rows = _take(body, "Steps", list, [])
@@ -68,6 +69,35 @@
     return spec
 
 
+def _decode_json(content: bytes) -> t.Any:
+    try:
+        text = content.decode(json.detect_encoding(content), "surrogatepass")
+        if _has_excess_containers(text):
+            raise RequestError(
+                f"The body has more than {MAX_CONTAINERS} objects and lists.",
+                f"Send 1 to {MAX_STAGES_PER_JOB} steps.",
+            )
+        return json.loads(text)
+    except (ValueError, RecursionError) as exc:
+        raise RequestError(
+            "The body is not valid JSON.", "Send a JSON object."
+        ) from exc
+
+
+def _has_excess_containers(text: str) -> bool:
+    """Whether a text has more objects and lists than are decoded.
+
+    Brackets within strings don't count, but looking for strings takes longer.
+    """
+    if _count_containers(text) <= MAX_CONTAINERS:
+        return False
+    return _count_containers(_STRING.sub("", text)) > MAX_CONTAINERS
+
+
+def _count_containers(text: str) -> int:
+    return text.count("{") + text.count("[")
+
+
 def _is_payload(text: str) -> bool:
     try:
         return len(text.encode()) <= MAX_PAYLOAD_BYTES
--- a/tests/test_client_costs.py
+++ b/tests/test_client_costs.py
@@ -2,7 +2,9 @@
 
 import datetime as dt
 import gc
+import json
 
+import pytest
 from klein import Klein
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
@@ -17,6 +19,7 @@
 from fighead.job_front_context import JobFrontContext
 from fighead.job_metric import JobMetrics
 from fighead.platform.daemon import make_codec
+from fighead.platform.submission import MAX_CONTAINERS, decode_submission
 from fighead.tasks.listener import ListenerTask
 
 START = dt.datetime(2030, 1, 1, tzinfo=dt.UTC)
@@ -103,3 +106,27 @@
     finally:
         gc.enable()
     assert transport.value().startswith(b"HTTP/1.1 400") and not left
+
+
+# Failure: empty objects and lists take 30 times their bytes when they are decoded.
+@pytest.mark.parametrize("part", ["{}", "[]", '{"":0}', "[["])
+def test_a_body_of_too_many_objects_and_lists_is_not_decoded(part):
+    body = ",".join([part] * (MAX_CONTAINERS + 1)).encode()
+    with pytest.raises(RequestError, match="objects and lists"):
+        decode_submission(b'{"Steps":[' + body + b"]}")
+
+
+# Failure: legal jobs are refused for what their texts hold, or for their many steps.
+def test_jobs_inside_the_limits_are_decoded():
+    steps = [{"After": list(range(min(n, 50)))} for n in range(1000)]
+    spec = decode_submission(json.dumps({"Spec": "x", "Steps": steps}).encode())
+    assert len(spec.stages) == 1000 and len(spec.stages[999].after) == 50
+    label = '{["\\' * 10_000
+    text = json.dumps({"Steps": [{"Requires": label}]})
+    assert decode_submission(text.encode()).stages[0].required_label == label
+
+
+# Failure: a string without an end is looked through once for each quote in it.
+def test_a_string_without_an_end_takes_no_time():
+    with pytest.raises(RequestError, match="not valid JSON"):
+        decode_submission(b'["' + b'\\"' * 100_000 + b"{" * 20_000)
