Shorten values of clients in the answers to wrong ones

Callers: 300 clients that sent a long string in place of a list raised an entry of 134.2 million bytes to 168.2, and each got an answer of 261,246 bytes.

Cause: the error repeated the value.

Values are shortened by reprlib, so that an answer has a few hundred bytes.

--- a/src/fighead/platform/submission.py
+++ b/src/fighead/platform/submission.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import reprlib
 import typing as t
 
 from ..exceptions import RequestError
@@ -142,7 +143,7 @@
     after = _take(row, "After", list, [])
     if not all(type(n) is int and 0 <= n < index for n in after):
         raise RequestError(
-            f"Step {index} has After {after!r}.",
+            f"Step {index} has After {reprlib.repr(after)}.",
             "List the numbers of earlier steps, counted from 0.",
         )
     return tuple(after)
@@ -163,7 +164,7 @@
         value = int(value)
     if type(value) is not expected_type:
         raise RequestError(
-            f"{name} is {value!r}.",
+            f"{name} is {reprlib.repr(value)}.",
             f"Send a value of type {expected_type.__name__}, or omit the field.",
         )
     return value
--- a/tests/test_client_costs.py
+++ b/tests/test_client_costs.py
@@ -130,3 +130,14 @@
 def test_a_string_without_an_end_takes_no_time():
     with pytest.raises(RequestError, match="not valid JSON"):
         decode_submission(b'["' + b'\\"' * 100_000 + b"{" * 20_000)
+
+
+# Failure: the answer repeats a body of legal size.
+@pytest.mark.parametrize(
+    "body", [{"Steps": "x" * 200_000}, {"Steps": [{"After": ["x"] * 50_000}]}]
+)
+def test_the_answer_to_a_wrong_value_is_short(body):
+    channel, transport = job_world().connect()
+    channel.dataReceived(submission(json.dumps(body).encode()))
+    assert transport.value().startswith(b"HTTP/1.1 400")
+    assert len(transport.value()) < 1000
