Serve clients' connections in turns

Callers: while 150 clients sent 3,000 GETs each in one segment, no ordinary request was answered within 60 s, on the clients' port and on that of metrics.

Cause: Twisted handles all requests that one segment holds, one within the other, before it returns to the reactor. A segment takes seconds, and a leader would lose its authority meanwhile.

In each turn of the reactor clients are served for 10 ms. A connection that has more waits in a queue and gets one request, or 8 KiB of a body, when it is its turn; reading is paused until then. What waits counts for its connection. A client without company never waits.

The unit tests: a single request waits for one of each other client, and all requests of a segment are answered in the end.

--- a/src/fighead/fronts/intake.py
+++ b/src/fighead/fronts/intake.py
@@ -8,12 +8,13 @@
 import datetime as dt
 import typing as t
 
-from attrs import define, field
+from attrs import Factory, define, field
 
 from ..clock import Clock
 from ..decisions import intake
 from ..decisions.intake import ConnectionUse, IntakeLimits, Phase, Reason
 from ..log import Event, log_event
+from .turns import ServingTurns
 
 #: Interval at which requests that have not arrived whole are looked at.
 CHECK_INTERVAL = dt.timedelta(seconds=1)
@@ -26,11 +27,15 @@
     """The connections of clients, and what they hold in all.
 
     :param count_refusal: Called with the reason of each refusal or close.
+    :param turns: Shares the time of the reactor among the connections.
     """
 
     clock: Clock
     limits: IntakeLimits = IntakeLimits()
     count_refusal: t.Callable[[str], None] = lambda _: None
+    turns: ServingTurns = field(
+        default=Factory(lambda self: ServingTurns(self.clock), takes_self=True)
+    )
     total_bytes: int = 0
     _refuse: dict[ConnectionUse, t.Callable[[Reason], None]] = field(factory=dict)
     _dropping: int = 0
--- a/src/fighead/fronts/site.py
+++ b/src/fighead/fronts/site.py
@@ -1,6 +1,7 @@
 """A Twisted site whose connections can be closed without losing an answer."""
 
 import datetime as dt
+import functools
 import io
 import typing as t
 
@@ -17,6 +18,9 @@
 
 #: Time after which an idle connection is closed.
 IDLE_TIMEOUT_S = 75
+#: Bytes that are parsed before it is asked whether the turn of a connection is over: of
+#: chunks of one byte, 1,400.
+PARSED_AT_ONCE_BYTES = 8 * 1024
 TOO_LARGE_RESPONSE = (
     b"HTTP/1.1 413 Request Entity Too Large\r\nConnection: close\r\n"
     b"Content-Length: 0\r\n\r\n"
@@ -112,10 +116,12 @@
         super().__init__()
         self._clock = clock
         self._intake = intake
+        self._turns = intake.turns
         self._use: t.Any = None
         self._head_bytes = 0
-        #: What follows an answered request whose client has yet to read the answer.
+        #: What has arrived and waits for its turn, or for the client to read answers.
         self._unparsed = b""
+        self._is_waiting_for_turn = False
         self._drop_call: t.Any = None
         self._dropped_bytes = 0
         self._is_dropping = False
@@ -130,14 +136,52 @@
         self._use = self._intake.open(self._close_refused)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Handle what has arrived, and count what of it is kept."""
+        """Handle what has arrived, or keep it until it is this connection's turn."""
         if self.is_refused:
             self._drop(data)
-            return
-        self.received_bytes += len(data)
-        super().dataReceived(data)
+        elif self._unparsed or not self._turns.may_go_on():
+            self._unparsed += data
+            self._wait_for_turn()
+            self._update_use()
+        else:
+            self._turns.run(functools.partial(self._parse, data))
+
+    def _parse(self, data: bytes) -> None:
+        """Handle data until the turn is over, and count what of it is kept."""
+        for start in range(0, len(data), PARSED_AT_ONCE_BYTES):
+            if self.is_refused or not self.connected:
+                return
+            if start and (self._unparsed or not self._turns.may_go_on()):
+                # Further requests of the part before come first.
+                self._unparsed += data[start:]
+                self._wait_for_turn()
+                break
+            part = data[start : start + PARSED_AT_ONCE_BYTES]
+            self.received_bytes += len(part)
+            super().dataReceived(part)
         self._update_use()
 
+    def _wait_for_turn(self) -> None:
+        """Read nothing more until it is this connection's turn."""
+        self._networkProducer.pauseProducing()
+        if not self._is_waiting_for_turn:
+            self._is_waiting_for_turn = True
+            self._turns.wait(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._is_waiting_for_turn = False
+        if not self.connected or not self._unparsed:
+            return
+        # Otherwise the end of the request, or the client's reading, goes on with it.
+        if not self._handlingRequest and not self._waitingForTransport:
+            self._go_on()
+
+    def _go_on(self) -> None:
+        """Handle what has waited, and read on."""
+        data, self._unparsed = self._unparsed, b""
+        self._networkProducer.resumeProducing()
+        self._turns.run(functools.partial(self._parse, data))
+
     def _send100Continue(self) -> None:  # noqa: N802
         """Ask for the body, unless the request is refused."""
         if not self.is_refused:
@@ -148,7 +192,7 @@
             return
         if self.read_at is not None:
             phase = Phase.SERVED
-        elif self.requests:
+        elif self.requests or self._unparsed:
             phase = Phase.RECEIVING
         else:
             phase = Phase.IDLE
@@ -194,11 +238,14 @@
                 return
             if not self.connected:
                 return
-            if not self.requests:
+            if self.is_idle:
                 self._lose_at_once()
                 return
         self.is_refused = True
         self._dataBuffer = []
+        self._unparsed = b""
+        # What still arrives is read, and dropped, also if nothing was to be read before.
+        self._networkProducer.resumeProducing()
         too_large = reason is Reason.BODY_SIZE
         self.transport.write(TOO_LARGE_RESPONSE if too_large else OVERLOADED_RESPONSE)
         for request in self.requests:
@@ -236,6 +283,7 @@
         if self._use is not None:
             self._use.has_head = False
         self.read_at = self._clock.now()
+        self._update_use()
         super().allContentReceived()
         if self._refuses_all:
             self._refuse_served()
@@ -245,12 +293,17 @@
         self.read_at = None
         self._on_answer(self)
         self._head_bytes = self.received_bytes = 0
-        if self._waitingForTransport and self.persistent:
-            # Answers would pile up for a client that sends on and reads none.
-            self._unparsed += b"".join(self._dataBuffer) + self.clearLineBuffer()
+        # Answers would pile up for a client that sends on and reads none.
+        must_wait = self._waitingForTransport or not self._turns.may_go_on()
+        if self.persistent and (must_wait or self._unparsed):
+            arrived = b"".join(self._dataBuffer) + self.clearLineBuffer()
+            self._unparsed = arrived + self._unparsed
             self._dataBuffer = []
-            self._networkProducer.pauseProducing()
         super().requestDone(request)
+        if self._unparsed and self._waitingForTransport:
+            self._networkProducer.pauseProducing()
+        elif self._unparsed:
+            self._wait_for_turn()
         if self.connected and self.transport.disconnecting:
             # Ends a connection whose client never reads its last answer.
             self.setTimeout(IDLE_TIMEOUT_S)
@@ -262,9 +315,12 @@
     def resumeProducing(self) -> None:  # noqa: N802
         """Read on once the client has read its answers."""
         super().resumeProducing()
-        if self._unparsed and not self._handlingRequest:
-            data, self._unparsed = self._unparsed, b""
-            self.dataReceived(data)
+        if not self._unparsed or self._handlingRequest:
+            return
+        if self._turns.may_go_on():
+            self._go_on()
+        else:
+            self._wait_for_turn()
 
     @property
     def is_idle(self) -> bool:
--- a/tests/test_client_costs.py
+++ b/tests/test_client_costs.py
@@ -15,6 +15,7 @@
 from fighead.exceptions import RequestError
 from fighead.fronts.intake import Intake
 from fighead.fronts.job import JobFront
+from fighead.fronts.turns import TURN_TIME
 from fighead.job import JobConfig, Queue
 from fighead.job_front_context import JobFrontContext
 from fighead.job_metric import JobMetrics
@@ -141,3 +142,44 @@
     channel.dataReceived(submission(json.dumps(body).encode()))
     assert transport.value().startswith(b"HTTP/1.1 400")
     assert len(transport.value()) < 1000
+
+
+# Failure: one client's requests are all answered before anybody else's.
+def test_a_single_request_waits_for_one_of_each_other_client():
+    world = World()
+    crowd = [world.connect() for _ in range(3)]
+    for channel, _ in crowd:
+        channel.dataReceived(GET * 100)
+    channel, transport = world.connect()
+    channel.dataReceived(GET)
+    for _ in range(3):
+        world.turn()
+    assert b"served" in transport.value()
+    # Each turn ends with the request that exceeds its time.
+    most = 4 * (TURN_TIME // dt.timedelta(milliseconds=4) + 1)
+    assert sum(one.value().count(b"served") for _, one in crowd) <= most
+
+
+# Failure: requests are lost, or answered twice, when their connection has to wait.
+def test_all_requests_of_a_segment_are_answered_in_the_end():
+    world = World()
+    crowd = [world.connect() for _ in range(3)]
+    for channel, _ in crowd:
+        channel.dataReceived(GET * 300)
+        channel.dataReceived(GET[:10])
+        channel.dataReceived(GET[10:])
+    for _ in range(1000):
+        world.turn()
+    assert [one.value().count(b"served") for _, one in crowd] == [301] * 3
+    assert {one.producerState for _, one in crowd} == {"producing"}
+
+
+# Failure: a client whose requests wait for their turn is refused as slow.
+def test_a_client_that_goes_on_sending_is_not_slow():
+    world = World()
+    channel, transport = world.connect()
+    for _ in range(30):
+        channel.dataReceived(GET * 10)
+        world.timer.advance(1)
+        world.timer.advance(0)
+    assert transport.value().count(b"served") == 300
