Charge requests with what they take decoded

Cause: a request counted as its bytes. A step of two bytes takes 250 once it is decoded, an argument of three bytes 250, and a body several times its size in the record and in the call that stores it.

A head is charged with its arguments, a body with 16 times its bytes while it is decoded, and with 6 times and 400 bytes for each stage while it is served. Where the account can't bear that, nothing has run and the answer is 503 with Retry-After. A request that is by itself is always served.

--- a/src/fighead/decisions/intake.py
+++ b/src/fighead/decisions/intake.py
@@ -13,6 +13,16 @@
 
 #: What a parsed header takes beside its bytes, in bytes.
 HEADER_BYTES = 200
+#: What an argument of a query, or a part of a path, takes beside its bytes, in bytes.
+ARGUMENT_BYTES = 250
+#: Memory that decoding a body takes, as a multiple of its bytes: its text, and numbers,
+#: strings and names that are shorter than their objects.
+DECODING_FACTOR = 16
+#: The same of a decoded body while it is served: as text, in the record that is stored,
+#: and in the call that stores it.
+SERVING_FACTOR = 6
+#: Memory of one stage of a job, in bytes, beside that of its text.
+STAGE_BYTES = 400
 #: What a connection takes beside the bytes of its request, in bytes: its objects, and
 #: the buffers of its socket that the process pays for.
 CONNECTION_BYTES = 16 * 1024
@@ -180,6 +190,32 @@
     return age > RECEIVE_TIME or now - use.progressed_at > STALL_TIME
 
 
+def estimate_head(head_bytes: int, headers: int, target: bytes) -> int:
+    """Return the memory in bytes that the head of a request takes once it is parsed.
+
+    :param target: Its path and query.
+
+    >>> estimate_head(100, 2, b"/plans/1?a&b") - 100 - 2 * HEADER_BYTES
+    1000
+    """
+    separators = len(target) - len(target.translate(None, b"/&;"))
+    arguments = separators + target.count(b"?")
+    return head_bytes + HEADER_BYTES * headers + ARGUMENT_BYTES * arguments
+
+
+def estimate_decoding(body_bytes: int) -> int:
+    """Return the most memory in bytes that decoding a body takes."""
+    return DECODING_FACTOR * body_bytes
+
+
+def estimate_serving(body_bytes: int, stages: int = 0) -> int:
+    """Return the memory in bytes that a decoded body takes while it is served.
+
+    :param stages: Number of stages of the job.
+    """
+    return SERVING_FACTOR * body_bytes + STAGE_BYTES * stages
+
+
 def exceeds_limit(body_bytes: int, received_bytes: int, max_body_bytes: int) -> bool:
     """Whether a body is refused while it arrives.
 
--- a/src/fighead/fronts/caller.py
+++ b/src/fighead/fronts/caller.py
@@ -12,12 +12,14 @@
 from .. import message as m
 from ..commands.check import run_check
 from ..commands.work import cancel_work, submit_work
+from ..decisions.intake import estimate_serving
 from ..exceptions import BodyTooLargeError, FigheadError, NotRunError, RequestError
 from ..front_context import FrontContext
 from ..ledger import BurnLedger, Verdict
 from ..log import Event, log_event
 from ..queries.work import find_work
 from .answer import send_error, send_outcome
+from .charge import charge_work
 from .refusal import answer_or_refuse, release_frames
 
 #: Upper limit of the wait that one request may ask for.
@@ -176,6 +178,7 @@
                 f"The request body is larger than {self._max_body_bytes} bytes.",
                 "Send a smaller body, or raise [caller_front] max_body_bytes.",
             )
+        charge_work(request, estimate_serving(len(content)))
         try:
             return content.decode()
         except UnicodeDecodeError as exc:
--- a/src/fighead/fronts/intake.py
+++ b/src/fighead/fronts/intake.py
@@ -71,6 +71,16 @@
         if self.total_bytes > self.limits.total_bytes:
             self._close_some(use)
 
+    def is_exceeded_beside(self, use: ConnectionUse) -> bool:
+        """Whether a connection takes more than others leave it.
+
+        A request that is by itself is served, however much it takes.
+        """
+        if self.total_bytes <= self.limits.total_bytes:
+            return False
+        others = (other for other in self._refuse if other is not use)
+        return any(other.phase is not Phase.IDLE for other in others)
+
     def set_phase(self, use: ConnectionUse, phase: Phase) -> None:
         """Note what a connection is doing."""
         if phase is use.phase:
--- a/src/fighead/fronts/job.py
+++ b/src/fighead/fronts/job.py
@@ -12,6 +12,7 @@
 
 from ..clock import with_timeout
 from ..commands import job as commands
+from ..decisions.intake import estimate_decoding, estimate_serving
 from ..exceptions import (
     BodyTooLargeError,
     FigheadError,
@@ -23,6 +24,7 @@
 from ..job_front_context import JobFrontContext
 from ..log import Event, log_event
 from ..queries import job as queries
+from .charge import charge_work
 from .refusal import answer_or_refuse, release_frames
 
 OK = 200
@@ -154,7 +156,9 @@
                 f"The request body is larger than {cfg.max_body_bytes} bytes.",
                 "Submit a smaller job.",
             )
+        charge_work(request, estimate_decoding(len(content)))
         spec = self._codec.decode_spec(content)
+        charge_work(request, estimate_serving(len(content), len(spec.stages)))
         outcome = await commands.submit_job(
             self.context, queue, job_id, spec, self._get_deadline(request)
         )
--- a/src/fighead/fronts/operator.py
+++ b/src/fighead/fronts/operator.py
@@ -13,6 +13,7 @@
 from ..caller import suggest_names
 from ..codec import from_json
 from ..commands.apply import Change, apply_change, read_current
+from ..decisions.intake import estimate_decoding
 from ..exceptions import (
     AuthenticationError,
     FigheadError,
@@ -24,6 +25,7 @@
 from ..queries.burn import BurnReport, compute_burn, read_buckets
 from ..queries.status import read_history, read_status
 from .answer import OK, send_error, send_json
+from .charge import charge_work
 from .refusal import answer_or_refuse, release_frames
 
 #: Maximum size of a request body: 2 MiB.
@@ -89,7 +91,9 @@
     @_authenticated
     async def apply(self, request: IRequest) -> bytes:
         """Apply a :class:`.Change` and answer with the revision that it made."""
-        change = from_json(request.content.read(MAX_BODY_BYTES), Change)
+        content = request.content.read(MAX_BODY_BYTES)
+        charge_work(request, estimate_decoding(len(content)))
+        change = from_json(content, Change)
         revision = await apply_change(
             self.context.store, self.context.clock, self._random, change
         )
--- a/src/fighead/fronts/site.py
+++ b/src/fighead/fronts/site.py
@@ -13,7 +13,7 @@
 from twisted.web.server import Request, Site
 
 from ..clock import Clock
-from ..decisions.intake import HEADER_BYTES, Phase, Reason, exceeds_limit
+from ..decisions.intake import Phase, Reason, estimate_head, exceeds_limit
 from .intake import Intake
 
 #: Time after which an idle connection is closed.
@@ -68,6 +68,13 @@
         if length is not None and length > 2 * self.max_body_bytes:
             self.channel.refuse_request(Reason.BODY_SIZE)
 
+    def charge_work(self, size: int) -> bool:
+        """Charge the connection with ``size`` bytes until the request is answered.
+
+        Return whether the process has the memory to spare.
+        """
+        return self.channel.charge_work(size)
+
     def parseCookies(self) -> None:  # noqa: N802
         """Leave cookies alone: no front uses them, and parsed they take far more."""
 
@@ -119,6 +126,8 @@
         self._turns = intake.turns
         self._use: t.Any = None
         self._head_bytes = 0
+        #: What the request that is served takes beside its bytes.
+        self._work_bytes = 0
         #: What has arrived and waits for its turn, or for the client to read answers.
         self._unparsed = b""
         self._is_waiting_for_turn = False
@@ -198,7 +207,7 @@
             phase = Phase.IDLE
             self._use.has_head = False
         self._intake.set_phase(self._use, phase)
-        held = self._head_bytes + len(self._unparsed)
+        held = self._head_bytes + self._work_bytes + len(self._unparsed)
         held += sum(map(len, self._dataBuffer))
         for request in self.requests:
             content = request.content
@@ -210,12 +219,22 @@
     def note_head(self, request: Request) -> None:
         """Note that the head of the request that arrives is complete."""
         headers = sum(1 for _ in request.requestHeaders.getAllRawHeaders())
-        self._head_bytes = self._receivedHeaderSize + HEADER_BYTES * headers
+        self._head_bytes = estimate_head(self._receivedHeaderSize, headers, self._path)
         # Bytes of requests before it may have been counted with it.
         self.received_bytes = 0
         if self._use is not None:
             self._use.has_head = True
 
+    def charge_work(self, size: int) -> bool:
+        """Charge the connection for the request that is served; see the request."""
+        self._work_bytes = size
+        self._update_use()
+        if not self._intake.is_exceeded_beside(self._use):
+            return True
+        self._work_bytes = 0
+        self._update_use()
+        return False
+
     def refuse_request(self, reason: Reason) -> None:
         """Refuse the request that arrives, and close the connection."""
         self._intake.refuse(self._use, reason)
@@ -244,7 +263,7 @@
         self.is_refused = True
         self._dataBuffer = []
         self._unparsed = b""
-        # What still arrives is read, and dropped, also if nothing was to be read before.
+        # Reading may have paused; what still arrives is read and dropped.
         self._networkProducer.resumeProducing()
         too_large = reason is Reason.BODY_SIZE
         self.transport.write(TOO_LARGE_RESPONSE if too_large else OVERLOADED_RESPONSE)
@@ -292,7 +311,7 @@
         """Report the answer, and read the next request."""
         self.read_at = None
         self._on_answer(self)
-        self._head_bytes = self.received_bytes = 0
+        self._head_bytes = self._work_bytes = self.received_bytes = 0
         # Answers would pile up for a client that sends on and reads none.
         must_wait = self._waitingForTransport or not self._turns.may_go_on()
         if self.persistent and (must_wait or self._unparsed):
--- a/tests/test_client_costs.py
+++ b/tests/test_client_costs.py
@@ -11,6 +11,7 @@
 from twisted.internet.testing import StringTransport
 
 from fighead.clock import ReactorClock
+from fighead.decisions import intake
 from fighead.decisions.intake import IntakeLimits
 from fighead.exceptions import RequestError
 from fighead.fronts.intake import Intake
@@ -144,6 +145,41 @@
     assert len(transport.value()) < 1000
 
 
+# Failure: jobs that wait for the store are counted as their bytes.
+def test_jobs_that_wait_take_no_more_than_there_is():
+    world = job_world(IntakeLimits(2 << 20, 1000))
+    body = json.dumps({"Steps": [{}] * 1000}).encode()
+    transports = []
+    for _ in range(20):
+        channel, transport = world.connect()
+        channel.dataReceived(submission(body))
+        transports.append(transport)
+    refused = [one for one in transports if b"HTTP/1.1 503" in one.value()]
+    assert 0 < len(refused) < len(transports)
+    assert all(b"Retry-After: 1" in one.value() for one in refused)
+    assert world.intake.total_bytes <= 2 << 20
+
+
+# Failure: the largest legal job is refused although nobody else is there.
+def test_the_largest_job_is_served_by_itself():
+    world = job_world(IntakeLimits(1 << 20, 100))
+    world.connect()
+    channel, transport = world.connect()
+    steps = [{"Requires": "x" * (LARGEST_BODY - 100)}]
+    channel.dataReceived(submission(json.dumps({"Steps": steps}).encode()))
+    assert channel.read_at is not None and not transport.value()
+
+
+# Failure: a query counts as its bytes.
+def test_the_arguments_of_a_query_are_counted():
+    assert intake.estimate_head(0, 0, b"/q/1?" + b"&" * 4000) > 1_000_000
+    world = job_world()
+    channel, _ = world.connect()
+    body = json.dumps({"Steps": [{}]}).encode()
+    channel.dataReceived(submission(body, "?" + "a&b;" * 2000))
+    assert world.intake.total_bytes > 4000 * intake.ARGUMENT_BYTES
+
+
 # Failure: one client's requests are all answered before anybody else's.
 def test_a_single_request_waits_for_one_of_each_other_client():
     world = World()
