Charge connections with answers that are not read

Found by a review of what is charged to nobody, not by a crowd: 300 clients that read no answer of /metrics pass on, since the sockets take it.

Cause: an answer counts for nobody once it is written, and up to 64 KiB and one answer wait for each connection whose client doesn't read.

What the socket has not taken yet is charged, and measured again each second and before connections are chosen to be closed. For want of memory clients go that hold most for longest, whether by requests or by answers.

--- a/src/fighead/decisions/intake.py
+++ b/src/fighead/decisions/intake.py
@@ -73,8 +73,10 @@
     """What a connection is doing; those that are closed first come first."""
 
     IDLE = 0
-    RECEIVING = 1
-    SERVED = 2
+    #: Its client has not read the answers to its requests yet.
+    UNREAD = 1
+    RECEIVING = 2
+    SERVED = 3
 
 
 @frozen
@@ -96,7 +98,7 @@
 
     :param opened_at: When it was opened, or last had a whole request.
     :param progressed_at: When its client last sent something.
-    :param request_bytes: Bytes that are kept of its requests.
+    :param request_bytes: Bytes that are kept of its requests and answers.
     :param has_head: Whether the head of the request that arrives is complete.
     """
 
@@ -148,9 +150,9 @@
     chosen: dict[int, tuple[ConnectionUse, Reason]] = {}
     excess = total_bytes - limits.total_bytes
     if excess > 0:
-        receiving = [use for use in uses if use.phase is Phase.RECEIVING]
-        receiving.sort(key=lambda use: _weigh(use, now), reverse=True)
-        for use in receiving:
+        closable = [use for use in uses if use.phase in (Phase.UNREAD, Phase.RECEIVING)]
+        closable.sort(key=lambda use: _weigh(use, now), reverse=True)
+        for use in closable:
             if excess <= 0:
                 break
             chosen[id(use)] = use, Reason.MEMORY
--- a/src/fighead/fronts/site.py
+++ b/src/fighead/fronts/site.py
@@ -142,7 +142,7 @@
         """Report the connection."""
         super().connectionMade()
         self._on_open(self)
-        self._use = self._intake.open(self._close_refused)
+        self._use = self._intake.open(self._close_refused, self._update_use)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handle what has arrived, or keep it until it is this connection's turn."""
@@ -199,15 +199,16 @@
     def _update_use(self) -> None:
         if self.is_refused or self._use is None or not self.connected:
             return
+        unread_bytes = self._count_unread_bytes()
         if self.read_at is not None:
             phase = Phase.SERVED
         elif self.requests or self._unparsed:
             phase = Phase.RECEIVING
         else:
-            phase = Phase.IDLE
+            phase = Phase.UNREAD if unread_bytes else Phase.IDLE
             self._use.has_head = False
         self._intake.set_phase(self._use, phase)
-        held = self._head_bytes + self._work_bytes + len(self._unparsed)
+        held = unread_bytes + self._head_bytes + self._work_bytes + len(self._unparsed)
         held += sum(map(len, self._dataBuffer))
         for request in self.requests:
             content = request.content
@@ -216,6 +217,14 @@
         if held != self._use.request_bytes or phase is Phase.RECEIVING:
             self._intake.hold(self._use, held)
 
+    def _count_unread_bytes(self) -> int:
+        """Return how much of the answers the socket has not taken yet."""
+        transport = self._socket_transport
+        waiting = len(getattr(transport, "dataBuffer", b""))
+        waiting -= getattr(transport, "offset", 0)
+        # Twisted has no public name for what is written but not joined yet.
+        return waiting + getattr(transport, "_tempDataLen", 0)
+
     def note_head(self, request: Request) -> None:
         """Note that the head of the request that arrives is complete."""
         headers = sum(1 for _ in request.requestHeaders.getAllRawHeaders())
@@ -246,6 +255,10 @@
         self._is_dropping = True
         may_wait = self._intake.begin_drop()
         self._drop_call = self._clock.call_later(MAX_DROP_TIME, self._end_drop)
+        if reason is Reason.MEMORY and self._count_unread_bytes():
+            # The client would not read this refusal either.
+            self._end_drop()
+            return
         if self.transport.disconnecting:
             return
         if not self.requests:
--- a/tests/test_client_costs.py
+++ b/tests/test_client_costs.py
@@ -12,7 +12,7 @@
 
 from fighead.clock import ReactorClock
 from fighead.decisions import intake
-from fighead.decisions.intake import IntakeLimits
+from fighead.decisions.intake import IntakeLimits, Phase
 from fighead.exceptions import RequestError
 from fighead.fronts.intake import Intake
 from fighead.fronts.job import JobFront
@@ -219,3 +219,25 @@
         world.timer.advance(1)
         world.timer.advance(0)
     assert transport.value().count(b"served") == 300
+
+
+# Failure: answers that nobody reads are counted for nobody.
+def test_answers_are_counted_until_they_are_read():
+    world = World(limits=IntakeLimits(10**6, 100))
+    channel, transport = world.connect()
+    transport.dataBuffer, transport.offset = b"x" * 900_000, 100_000
+    channel.dataReceived(GET)
+    assert world.intake.total_bytes > 800_000
+    transport.dataBuffer, transport.offset = b"", 0
+    world.timer.advance(1)
+    assert world.intake.total_bytes < 100_000
+
+
+# Failure: memory is taken by those who read no answers, and others are refused for it.
+def test_a_client_that_reads_no_answers_is_closed_for_want_of_memory():
+    unread = intake.ConnectionUse(START, START, Phase.UNREAD, 10**6)
+    idle = intake.ConnectionUse(START, START, Phase.IDLE)
+    limits = IntakeLimits(10**5, 100)
+    total = unread.bytes_held + idle.bytes_held
+    chosen = intake.choose_to_close([unread, idle], total, limits, START)
+    assert chosen == [(unread, intake.Reason.MEMORY)]
