Divide one account among the kinds of ports

Callers: crowds on all ports at once held 431 and 458 descriptors of 400 in the users' plays.

Cause: clients and readiness had bounds of their own, refused connections that still send came on top, and the port for entries had no share.

The connections and bytes that a process may spend are divided once, so that the sum holds: the readiness port has an eighth, at most 32, the port for entries a quarter, clients, metrics and operators the rest, of which refused ones are a part.

--- a/src/fighead/decisions/intake.py
+++ b/src/fighead/decisions/intake.py
@@ -40,6 +40,13 @@
 DEFAULT_CONNECTIONS = 900
 #: Refused connections whose clients still send, as a share of the open ones.
 DROPPING_SHARE = 1 / 4
+#: Share of the connections that the balancer's port has, and the most that it needs:
+#: the balancer asks once a second.
+READINESS_SHARE = 1 / 8
+MAX_READINESS_CONNECTIONS = 32
+READINESS_BYTES = 1024 * 1024
+#: Share of the connections that the port for other entries has.
+PEER_SHARE = 1 / 4
 #: Least that any settings leave: enough for a balancer and a few clients.
 MIN_CONNECTIONS = 16
 MIN_BYTES = 1024 * 1024
@@ -131,6 +138,42 @@
     return IntakeLimits(total_bytes, max(connections, MIN_CONNECTIONS))
 
 
+@frozen
+class PortLimits:
+    """What the connections of each kind of port may take of a process.
+
+    :param clients: Of the ports of clients, metrics and operators together.
+    :param readiness: Of the port of the balancer, which is answered whatever they do.
+    :param peer_connections: Number of connections to the port for other entries.
+    """
+
+    clients: IntakeLimits
+    readiness: IntakeLimits
+    peer_connections: int
+
+
+def share_among_ports(total: IntakeLimits) -> PortLimits:
+    """Divide what all connections of a process may take among its ports.
+
+    Refused connections whose clients still send are part of the numbers.
+
+    >>> share_among_ports(IntakeLimits(25 * 2**20, 800)).clients.connections
+    448
+    """
+    readiness = min(int(total.connections * READINESS_SHARE), MAX_READINESS_CONNECTIONS)
+    peers = int(total.connections * PEER_SHARE)
+    open_share = 1 / (1 + DROPPING_SHARE)
+    readiness_bytes = min(READINESS_BYTES, int(total.total_bytes * READINESS_SHARE))
+    return PortLimits(
+        IntakeLimits(
+            total.total_bytes - readiness_bytes,
+            int((total.connections - readiness - peers) * open_share),
+        ),
+        IntakeLimits(readiness_bytes, max(1, int(readiness * open_share))),
+        peers,
+    )
+
+
 def choose_to_close(
     uses: t.Collection[ConnectionUse],
     total_bytes: int,
--- a/src/fighead/entry.py
+++ b/src/fighead/entry.py
@@ -80,6 +80,7 @@
     _closed: ConnectionsClosed = ConnectionsClosed()
     _stopping_since: dt.datetime | None = None
     _is_finished: bool = False
+    _port_limits: PortLimits = field(init=False)
     _intake: Intake = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -87,7 +88,10 @@
         seed = f"{cfg.seed}/{cfg.name}" if cfg.seed else None
         self._random = random.Random(seed)
         metrics = Metrics(cfg.name, is_exported=True)
-        self._intake = Intake(self.clock, count_refusal=metrics.count_limited_client)
+        self._port_limits = share_among_ports(IntakeLimits())
+        self._intake = Intake(
+            self.clock, self._port_limits.clients, metrics.count_limited_client
+        )
         self.store = StoreTask(
             cfg.store_url, self.clock, self.reactor, metrics, self._random
         )
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -26,7 +26,7 @@
 from .decisions.election import Leader
 from .decisions.evacuated_zones import Evacuations
 from .decisions.instance_tracking import AUTHORITY_TIMEOUT
-from .decisions.intake import IntakeLimits, derive_limits
+from .decisions.intake import PortLimits, derive_limits, share_among_ports
 from .decisions.room_admission import RoomGate, RoomRefusal, WorkBacklog
 from .decisions.schedule_state import Schedule
 from .exceptions import MailboxFullError, PeerUnreachableError
@@ -71,8 +71,6 @@
 MAX_BODY_BYTES = 1 << 20
 #: The same on ports whose requests have no body.
 MAX_EMPTY_BODY_BYTES = 1024
-#: What the connections of the readiness port may take of a process.
-READY_LIMITS = IntakeLimits(total_bytes=1 << 20, connections=32)
 #: Characters of an unusable key that are logged, as many as the store allows bytes.
 MAX_LOGGED_KEY_CHARS = 200
 #: Maximum number of connections that wait to be accepted.
@@ -124,6 +122,7 @@
     _room_gate: RoomGate = field(factory=RoomGate)
     _started_at: dt.datetime = field(init=False)
     _listeners: list[ListenerTask] = field(factory=list)
+    _port_limits: PortLimits = field(init=False)
     _intake: Intake = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -138,9 +137,12 @@
             lambda: self.connectivity.is_store_out_of_reach(),
         )
         self.metrics = JobMetrics(cfg.name)
+        self._port_limits = share_among_ports(
+            derive_limits(cfg.memory_bytes, cfg.max_descriptors)
+        )
         self._intake = Intake(
             self.clock,
-            derive_limits(cfg.memory_bytes, cfg.max_descriptors),
+            self._port_limits.clients,
             self.metrics.count_limited_client,
         )
         self.front_context = JobFrontContext(
@@ -230,7 +232,11 @@
         self._listen(
             self.cfg.ready_address,
             self._make_ready_app().resource(),
-            intake=Intake(self.clock, READY_LIMITS, self.metrics.count_limited_client),
+            intake=Intake(
+                self.clock,
+                self._port_limits.readiness,
+                self.metrics.count_limited_client,
+            ),
         )
         if self.cfg.metrics_address is not None:
             app = make_metrics_app()
--- a/tests/test_client_costs.py
+++ b/tests/test_client_costs.py
@@ -12,7 +12,7 @@
 
 from fighead.clock import ReactorClock
 from fighead.decisions import intake
-from fighead.decisions.intake import IntakeLimits, Phase
+from fighead.decisions.intake import IntakeLimits, Phase, share_among_ports
 from fighead.exceptions import RequestError
 from fighead.fronts.intake import Intake
 from fighead.fronts.job import JobFront
@@ -241,3 +241,15 @@
     total = unread.bytes_held + idle.bytes_held
     chosen = intake.choose_to_close([unread, idle], total, limits, START)
     assert chosen == [(unread, intake.Reason.MEMORY)]
+
+
+# Failure: each port keeps to its own bounds, and their sum exceeds the process's.
+@pytest.mark.parametrize("connections", [16, 100, 800])
+def test_the_shares_of_the_ports_are_no_more_than_the_whole(connections):
+    total = IntakeLimits(16 << 20, connections)
+    shares = share_among_ports(total)
+    http = (shares.clients, shares.readiness)
+    most = sum(one.connections * (1 + intake.DROPPING_SHARE) for one in http)
+    assert most + shares.peer_connections <= connections + 1
+    assert sum(one.total_bytes for one in http) <= total.total_bytes
+    assert all(one.connections > 0 for one in http)
