Bound the connections to the port for other entries

Cause: ZeroMQ accepts every connection and has no limit of their number; each may hold a message of the largest size.

The monitor of the listening socket tells which connections it has accepted. Those that are too many are shut down, and ZeroMQ closes them. Two connections from the address of each member are kept, or of one that was, those on which an entry has sent a message, and eight others.

test_peer.py counts one more reader: the monitor is a socket of its own.

--- a/src/fighead/entry.py
+++ b/src/fighead/entry.py
@@ -15,6 +15,7 @@
 from .decisions import dispatch, overload
 from .decisions import member_state as member_states
 from .decisions.dispatch import DispatchState
+from .decisions.intake import IntakeLimits, PortLimits, share_among_ports
 from .decisions.ownership import instance_resource, line_resource
 from .exceptions import MailboxFullError, PeerUnreachableError
 from .front_context import FrontContext
@@ -31,7 +32,7 @@
 from .tasks.ledger import CloseLedger, LedgerTask
 from .tasks.listener import CloseConnections, ConnectionsClosed, ListenerTask
 from .tasks.member import MemberTask
-from .tasks.peer import CurveKeys, FinishAnswers, PeerTask
+from .tasks.peer import CurveKeys, FinishAnswers, LimitLinks, PeerTask
 from .tasks.store import StoreTask
 from .tasks.supervisor import SupervisorTask
 
@@ -103,6 +104,7 @@
             self.reactor,
             self._handle_peer_message,
         )
+        self.peer.mailbox.offer(LimitLinks(self._port_limits.peer_connections))
         self.front_context = FrontContext(
             self.clock,
             metrics,
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -49,7 +49,7 @@
 from .tasks.leadership import ControlView, LeadershipTask
 from .tasks.listener import CloseConnections, ConnectionsClosed, ListenerTask
 from .tasks.load import LoadTask
-from .tasks.peer import CurveKeys, FinishAnswers, PeerTask
+from .tasks.peer import CurveKeys, FinishAnswers, LimitLinks, PeerTask
 from .tasks.reach import SurveyTask, SurveyWanted, find_reached
 from .tasks.relay import RelayingStore, execute_for_peer
 from .tasks.scheduler import PlatformAdapter, ReadSchedule, Reelected, SchedulerTask
@@ -164,6 +164,7 @@
             self._handle_peer_message,
             m.JOB_MESSAGES,
         )
+        self.peer.mailbox.offer(LimitLinks(self._port_limits.peer_connections))
         self.leadership = LeadershipTask(
             Member(cfg.name, cfg.zone, cfg.peer_address),
             self.adapter.store,
--- a/src/fighead/tasks/peer.py
+++ b/src/fighead/tasks/peer.py
@@ -5,7 +5,7 @@
 import uuid
 
 import zmq
-from attrs import define, field, frozen
+from attrs import Factory, define, field, frozen
 from twisted.internet.defer import Deferred, DeferredList, fail
 from txzmq import ZmqConnection, ZmqEndpoint, ZmqEndpointType, ZmqFactory
 from zmq.utils import z85
@@ -18,6 +18,7 @@
 from ..mailbox import Mailbox, spawn
 from ..model import Member
 from .call import Call
+from .peer_links import MONITORED_EVENTS, LinkMonitor, PeerLinks
 
 #: Maximum number of messages queued for a peer; further ones are dropped.
 HIGH_WATER_MARK = 2000
@@ -27,6 +28,8 @@
 #: Name under which peers are authenticated. With one, ZeroMQ refuses connections of
 #: protocols before ZMTP 3, for which any bytes of a stranger are messages.
 AUTHENTICATION_DOMAIN = b"fighead"
+#: Address within the process of the events of the socket that listens.
+MONITOR_ADDRESS = "inproc://fighead.peer-links"
 #: Maximum size of a message from a peer.
 MAX_MESSAGE_BYTES = 4 << 20
 DEFAULT_ANSWER_TIMEOUT = dt.timedelta(seconds=2)
@@ -85,7 +88,26 @@
 
 
 class _InboundConnection(_PeerConnection):
+    """The socket that listens, which tells on which connection a message arrived."""
+
     socketType = zmq.PULL  # noqa: N815
+    #: File descriptor of the connection of the latest message.
+    source = -1
+
+    def _readMultipart(self) -> list[bytes]:  # noqa: N802
+        frames = self.socket.recv_multipart(zmq.NOBLOCK, copy=False)
+        self.source = frames[-1].get(zmq.SRCFD)
+        return [frame.bytes for frame in frames]
+
+    def addEndpoints(self, endpoints: list[ZmqEndpoint]) -> None:  # noqa: N802
+        """Listen, and report connections from the first one on."""
+        self.socket.monitor(MONITOR_ADDRESS, MONITORED_EVENTS)
+        super().addEndpoints(endpoints)
+
+    def shutdown(self) -> None:
+        """Close the socket and its monitor."""
+        self.socket.disable_monitor()
+        super().shutdown()
 
 
 class _OutboundConnection(_PeerConnection):
@@ -121,6 +143,16 @@
         self.send([version, request_id, *status, b"", b""])
 
 
+@frozen
+class LimitLinks:
+    """Request to keep the connections to the own port to a number.
+
+    Members may always have theirs.
+    """
+
+    max_links: int
+
+
 @frozen
 class FinishAnswers:
     """Request to wait for the answers to all messages of peers that are being handled.
@@ -167,6 +199,10 @@
     _unanswered: set[Deferred[None]] = field(factory=set)
     _inbound: _InboundConnection | None = None
     _authenticator: _Authenticator | None = None
+    _monitor: LinkMonitor | None = None
+    _links: PeerLinks = field(
+        default=Factory(lambda self: PeerLinks(self.clock), takes_self=True)
+    )
     _process_id: str = field(factory=lambda: uuid.uuid4().hex)
     _last_call_number: int = 0
 
@@ -178,10 +214,16 @@
         self._inbound = _InboundConnection(
             self._factory, endpoint, self.keys, self._handle_frame
         )
+        self._monitor = LinkMonitor(
+            self._factory, MONITOR_ADDRESS, self._links.handle_event
+        )
         while True:
             match await self.mailbox.get():
                 case m.View(members=members):
                     self._update_connections(members)
+                    self._links.update_members(members.values(), self.me)
+                case LimitLinks(max_links):
+                    self._links.max_links = max_links
                 case Call(FinishAnswers(), reply):
                     answers = DeferredList(tuple(self._unanswered))
                     answers.addCallback(lambda _, reply=reply: reply.callback(None))
@@ -287,6 +329,8 @@
         except RequestError as exc:
             log_event(Event.PEER_MESSAGE_REFUSED, reason=exc.message)
             return
+        if self._inbound is not None:
+            self._links.note_message(self._inbound.source)
         if envelope.is_answer:
             self._handle_answer(envelope, message)
             return
@@ -321,6 +365,6 @@
         for connection in self._connections.values():
             connection.shutdown()
         self._connections.clear()
-        for connection in (self._inbound, self._authenticator):
+        for connection in (self._monitor, self._inbound, self._authenticator):
             if connection is not None:
                 connection.shutdown()
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -58,7 +58,7 @@
 
 
 #: The socket that peers connect to, and the one that admits them.
-LISTENING_READERS = 2
+LISTENING_READERS = 3
 
 
 def make_members(**addresses):
