Rank each waiting job once in a round

Callers: after 16 jobs of 1,000 steps had been accepted, no request was served for a minute.

Cause: each stage was ranked by the cost of waiting of its job, which looks at all stages of the job: a million looks for each job of 1,000.

The cost is found once for each job. The test counts 150 calls for 3 jobs without this change.

--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -347,12 +347,16 @@
         if schedule.find_startable(*pair)
     ]
     factors: dict[str, float] = {}
+    # The cost is that of the job, and takes a look at all of its stages.
+    costs: dict[str, caller_cost.WaitCost] = {}
 
     def rank(pair: tuple[JobState, StageState]) -> caller_cost.WaitCost:
         job, name = pair[0], pair[0].queue.name
         if name not in factors:
             factors[name] = caller_cost.find_estimate_factor(schedule, name)
-        return caller_cost.cost_of_waiting(job, now, factors[name])
+        if job.job_id not in costs:
+            costs[job.job_id] = caller_cost.cost_of_waiting(job, now, factors[name])
+        return costs[job.job_id]
 
     found.sort(key=rank)
     return found
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -541,3 +541,14 @@
     first, second = instance_tracking.find_registrations(schedule, {"i1", "i2"})
     assert first is schedule.instances["i1"].instance
     assert second == evolve(draining.instance, is_draining=False, remaining_ms=0)
+
+
+# Failure: a job of many stages is ranked by all of them, once for each.
+def test_a_job_is_ranked_once_in_a_round(monkeypatch):
+    schedule = make_schedule()
+    stages = [Stage(estimate_ms=1)] * 50
+    for number in range(3):
+        add_job(schedule, *stages, job_id=make_job_id(number))
+    calls = count_calls(monkeypatch, placement.caller_cost, "cost_of_waiting")
+    assert len(placement.rank_waiting_stages(schedule, at_seconds(1))) == 150
+    assert len(calls) == 3
