Refuse jobs of more tasks than the scheduler can keep

Callers: 300 jobs of 10,000 tasks, 60 bytes each, raised an entry to 448.2 million bytes of 134.2 in calm and to 752.8 while the store hung.

Cause: the scheduler keeps a state of 1,000 bytes for each task until its job has ended, and jobs were bounded one by one.

The leader announces how many more tasks it can keep, in a sixth of its memory. An entry subtracts what it accepts meanwhile, and answers 503 with Retry-After to a job that doesn't fit, unless the job is stored already. Large jobs leave room for 2,000 tasks to small ones, and any legal job is accepted by an entry that has no other under way.

--- a/src/fighead/commands/job.py
+++ b/src/fighead/commands/job.py
@@ -9,7 +9,7 @@
 from .. import job_message as m
 from ..clock import sleep, with_timeout
 from ..codec import from_json, to_json
-from ..decisions import outage
+from ..decisions import admission, outage, task_room
 from ..exceptions import (
     RequestError,
     StoreError,
@@ -68,7 +68,7 @@
 class _Refusal:
     """Why a new job can't be done in time.
 
-    :param limit: What is short, ``starts`` or ``room``.
+    :param limit: What is short, ``starts``, ``room`` or ``tasks``.
     :param fields: Figures to log.
     """
 
@@ -100,10 +100,21 @@
     started_at = context.clock.now()
     outcome: Accepted | NotAccepted | Uncertain | None = None
     refusal = _find_refusal(context, queue, spec)
+    tasks = spec.count_tasks()
+    if refusal is None and not task_room.reserve(context.task_room, tasks):
+        reason = "More tasks are accepted than the scheduler can keep."
+        refusal = _Refusal("tasks", reason, admission.MIN_RETRY_AFTER)
     if refusal is not None:
         outcome = await _refuse_unknown_job(context, queue, job_id, refusal, deadline)
-    if outcome is None:
-        outcome = await _store_job(context, queue, job_id, spec, deadline)
+        # The job is known, and storing it again changes nothing.
+        if outcome is None:
+            outcome = await _store_job(context, queue, job_id, spec, deadline)
+    else:
+        try:
+            outcome = await _store_job(context, queue, job_id, spec, deadline)
+        finally:
+            may_be_stored = not isinstance(outcome, NotAccepted)
+            task_room.release(context.task_room, tasks, may_be_stored)
     duration = context.clock.now() - started_at
     context.metrics.count_request(queue.name, type(outcome).__name__.lower(), duration)
     return outcome
--- a/src/fighead/job.py
+++ b/src/fighead/job.py
@@ -146,6 +146,10 @@
             return 0
         return self.first_due_ms + occurrence * self.interval_ms
 
+    def count_tasks(self) -> int:
+        """Return the number of tasks of all occurrences."""
+        return max(1, self.occurrences) * sum(stage.count for stage in self.stages)
+
     def critical_path_ms(self) -> int:
         """Return the estimated run time of the critical path through the stages."""
         ends: list[int] = []
@@ -161,7 +165,7 @@
     >>> find_excess(JobSpec(stages=(Stage(count=4),), occurrences=5000))
     'it has 20000 tasks, at most 10000 are allowed'
     """
-    tasks = max(1, spec.occurrences) * sum(stage.count for stage in spec.stages)
+    tasks = spec.count_tasks()
     if tasks > MAX_TASKS_PER_JOB:
         return f"it has {tasks} tasks, at most {MAX_TASKS_PER_JOB} are allowed"
     numbers = [spec.first_due_ms, spec.interval_ms]
--- a/src/fighead/job_entry.py
+++ b/src/fighead/job_entry.py
@@ -20,6 +20,7 @@
     evacuation,
     planned_stop,
     room_admission,
+    task_room,
 )
 from .decisions.admission import QueuedStarts
 from .decisions.config_request import ConfigRequest
@@ -29,6 +30,7 @@
 from .decisions.intake import PortLimits, derive_limits, share_among_ports
 from .decisions.room_admission import RoomGate, RoomRefusal, WorkBacklog
 from .decisions.schedule_state import Schedule
+from .decisions.task_room import TaskRoom
 from .exceptions import MailboxFullError, PeerUnreachableError
 from .fronts.intake import Intake
 from .fronts.job import JobCodec, JobFront
@@ -154,6 +156,7 @@
             self._find_retry_after,
             self._find_outage,
             self._find_room_refusal,
+            TaskRoom(task_room.derive_max_tasks(cfg.memory_bytes)),
         )
         self.peer = self.make_peer(
             cfg.name,
@@ -516,6 +519,7 @@
         while True:
             await sleep(self.clock, ANNOUNCEMENT_INTERVAL)
             if self.leadership.is_leading:
+                self._note_own_spare_tasks()
                 self._announce_leader()
 
     def _announce_leader(self) -> None:
@@ -539,8 +543,25 @@
             self.cfg.peer_address,
             self._evacuations,
             self.scheduler.find_work_backlog() if self.scheduler is not None else (),
+            self._count_spare_tasks(),
         )
 
+    def _count_spare_tasks(self) -> int | None:
+        if self.scheduler is None:
+            return None
+        max_tasks = task_room.derive_max_tasks(self.cfg.memory_bytes)
+        jobs = self.scheduler.schedule.jobs.values()
+        return task_room.count_spare_tasks(jobs, max_tasks)
+
+    def _note_spare_tasks(self, spare: int | None) -> None:
+        entries = len(self.front_context.view.members)
+        task_room.report_spare(self.front_context.task_room, spare, entries)
+
+    def _note_own_spare_tasks(self) -> None:
+        spare = self._count_spare_tasks()
+        if spare is not None:
+            self._note_spare_tasks(spare)
+
     def _find_leader_name(self) -> str | None:
         leader = self.front_context.view.leader
         return leader.name if leader is not None else None
@@ -624,6 +645,7 @@
         if leader.name == sender:
             self._backlog, self._backlog_at = msg.backlog, self.clock.now()
             self._work_backlog = msg.work_backlog
+            self._note_spare_tasks(msg.spare_tasks)
             # Lets the leader see whether its peers know of a later one.
             self.peer.send(sender, self._make_announcement(msg))
 
--- a/src/fighead/job_front_context.py
+++ b/src/fighead/job_front_context.py
@@ -8,6 +8,7 @@
 
 from .clock import Clock
 from .decisions.room_admission import RoomRefusal
+from .decisions.task_room import TaskRoom
 from .job import JobConfig, JobSpec, Queue
 from .job_metric import JobMetrics
 from .tasks.leadership import ControlView
@@ -39,6 +40,7 @@
         ``None`` while it does.
     :param find_room_refusal: Returns why a new job of a queue can't get room in time;
         ``None`` if it can.
+    :param task_room: What is known of the tasks that the scheduler can still take.
     :param config: Configuration in force; ``None`` before the first one.
     :param view: The current leader and members.
     :param is_draining: Whether the entry is stopping.
@@ -52,6 +54,7 @@
     find_retry_after: t.Callable[[int], dt.timedelta | None] = _accept_all
     find_outage: t.Callable[[], dt.timedelta | None] = _find_no_outage
     find_room_refusal: t.Callable[[Queue, JobSpec], RoomRefusal | None] = _has_room
+    task_room: TaskRoom = field(factory=TaskRoom)
     config: JobConfig | None = None
     view: ControlView = field(factory=ControlView)
     is_draining: bool = False
--- a/src/fighead/job_message.py
+++ b/src/fighead/job_message.py
@@ -29,6 +29,7 @@
         just started may have confirmed a later one before.
     :param evacuations: The evacuated zones as the sender knows them.
     :param work_backlog: What waits for room, if the sender is the leader.
+    :param spare_tasks: How many more tasks the sender can keep, if it is the leader.
     :param address: Where peers reach the sender. A peer that knows no members, since
         the store does not answer it, can thus connect to the leader.
     """
@@ -44,6 +45,7 @@
     address: str = ""
     evacuations: Evacuations = Evacuations()
     work_backlog: tuple[WorkBacklog, ...] = ()
+    spare_tasks: int | None = None
 
 
 @frozen
--- /dev/null
+++ b/tests/test_task_room.py
@@ -0,0 +1,48 @@
+"""Which jobs are refused since the scheduler can't keep their tasks."""
+
+from fighead.decisions import task_room
+from fighead.decisions.task_room import TaskRoom
+
+
+# Load: jobs of few bytes and thousands of tasks, which the scheduler keeps.
+def test_jobs_of_more_tasks_than_the_scheduler_can_keep_are_refused():
+    room = TaskRoom(spare=32_000)
+    assert [task_room.reserve(room, 10_000) for _ in range(4)] == [True] * 3 + [False]
+    for _ in range(3):
+        task_room.release(room, 10_000, may_be_stored=True)
+    # The first report may have been made before the jobs reached the scheduler.
+    task_room.report_spare(room, 32_000, entries=1)
+    assert not task_room.reserve(room, 10_000)
+    task_room.report_spare(room, 32_000, entries=1)
+    assert task_room.reserve(room, 10_000)
+
+
+# Failure: what was refused or failed counts for ever.
+def test_tasks_of_a_job_that_is_not_stored_are_given_back():
+    room = TaskRoom(spare=12_000)
+    for _ in range(3):
+        assert task_room.reserve(room, 10_000)
+        task_room.release(room, 10_000, may_be_stored=False)
+    assert not room.taken
+
+
+# Failure: each of many entries accepts as much as the scheduler can keep.
+def test_entries_share_what_the_scheduler_can_keep():
+    room = TaskRoom(spare=30_000, entries=10)
+    assert task_room.reserve(room, 10_000)
+    assert not task_room.reserve(room, 10_000)
+    room = TaskRoom(spare=30_000, entries=10)
+    assert [task_room.reserve(room, 1000) for _ in range(4)] == [True] * 3 + [False]
+
+
+# Failure: jobs of many tasks leave no room to ordinary callers.
+def test_large_jobs_leave_room_to_small_ones():
+    room = TaskRoom(spare=11_000)
+    assert not task_room.reserve(room, 10_000)
+    assert task_room.reserve(room, 9000) and task_room.reserve(room, 100)
+
+
+# Failure: a scheduler of an earlier version, which tells nothing, gets no jobs.
+def test_without_a_report_all_jobs_are_accepted():
+    room = TaskRoom()
+    assert all(task_room.reserve(room, 10_000) for _ in range(100))
