Drop what follows a served request for want of memory

Found by a review, not by a crowd: of each connection up to 80 KB are kept that arrive behind a request that is served, and such a connection was never chosen to be closed. 448 of them hold 36 MB, of the 25 MiB that they may take.

Where the account is exceeded, what follows is dropped, and the connection is closed after the answer that it is owed. The test holds more than the limit without this change.

--- a/src/fighead/fronts/site.py
+++ b/src/fighead/fronts/site.py
@@ -216,6 +216,20 @@
             held += content.getbuffer().nbytes if is_kept else self.received_bytes
         if held != self._use.request_bytes or phase is Phase.RECEIVING:
             self._intake.hold(self._use, held)
+        is_followed = phase is Phase.SERVED and (self._dataBuffer or self._unparsed)
+        if is_followed and self._intake.is_exceeded_beside(self._use):
+            self._drop_what_follows()
+
+    def _drop_what_follows(self) -> None:
+        """Drop what has arrived behind the request that is served.
+
+        The connection is closed after the answer, so that the client sends it again.
+        """
+        self.persistent = 0
+        self._dataBuffer = []
+        self._unparsed = b""
+        self._networkProducer.pauseProducing()
+        self._update_use()
 
     def _count_unread_bytes(self) -> int:
         """Return how much of the answers the socket has not taken yet."""
--- a/tests/test_client_costs.py
+++ b/tests/test_client_costs.py
@@ -253,3 +253,17 @@
     assert most + shares.peer_connections <= connections + 1
     assert sum(one.total_bytes for one in http) <= total.total_bytes
     assert all(one.connections > 0 for one in http)
+
+
+# Failure: what clients send behind a request that is served is kept without a bound.
+def test_what_follows_a_served_request_is_dropped_for_want_of_memory():
+    world = job_world(IntakeLimits(210_000, 100))
+    body = json.dumps({"Steps": [{}]}).encode()
+    channels = []
+    for _ in range(4):
+        channel, _ = world.connect()
+        channel.dataReceived(submission(body) + GET * 1500)
+        channels.append(channel)
+    assert all(channel.read_at is not None for channel in channels)
+    assert world.intake.total_bytes <= 210_000
+    assert {channel.persistent for channel in channels} == {0, 1}
