Let a job of as many tasks as are allowed fit at any scheduler

On a machine of less than 72 MB a job of 10,000 tasks was refused for ever, since the share of the memory holds fewer. The limit is at least one such job and the room of small ones.

--- a/src/fighead/decisions/task_room.py
+++ b/src/fighead/decisions/task_room.py
@@ -9,6 +9,7 @@
 
 from attrs import define
 
+from ..job import MAX_TASKS_PER_JOB
 from .schedule_state import JobState
 
 #: Memory of the state of a task at the scheduler, and of its runs, in bytes.
@@ -51,14 +52,15 @@
 
 
 def derive_max_tasks(memory_bytes: int | None) -> int:
-    """Return how many tasks a scheduler can keep.
+    """Return how many tasks a scheduler can keep, at least those of any legal job.
 
     >>> derive_max_tasks(300 * 10**6)
     50000
     """
     if memory_bytes is None:
         return DEFAULT_MAX_TASKS
-    return int(memory_bytes * MEMORY_SHARE / TASK_BYTES)
+    max_tasks = int(memory_bytes * MEMORY_SHARE / TASK_BYTES)
+    return max(max_tasks, MAX_TASKS_PER_JOB + SMALL_JOBS_ROOM)
 
 
 def count_spare_tasks(jobs: t.Iterable[JobState], max_tasks: int) -> int:
--- a/tests/test_task_room.py
+++ b/tests/test_task_room.py
@@ -2,6 +2,7 @@
 
 from fighead.decisions import task_room
 from fighead.decisions.task_room import TaskRoom
+from fighead.job import MAX_TASKS_PER_JOB
 
 
 # Load: jobs of few bytes and thousands of tasks, which the scheduler keeps.
@@ -46,3 +47,9 @@
 def test_without_a_report_all_jobs_are_accepted():
     room = TaskRoom()
     assert all(task_room.reserve(room, 10_000) for _ in range(100))
+
+
+# Failure: a job of as many tasks as are allowed is refused by a small entry.
+def test_the_largest_job_has_room_at_a_scheduler_without_others():
+    room = TaskRoom(spare=task_room.derive_max_tasks(1 << 20))
+    assert task_room.reserve(room, MAX_TASKS_PER_JOB)
