Tell the limits of an entry under crowds in one place

Both files of crowds start the same entry. Its limits, the port of metrics and the ordinary job stand in limited_cluster.py, with the same values. No check changes.

--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -8,37 +8,25 @@
 import functools
 
 import pytest
-from attrs import define
 
 import hostile_crowd
 from cluster import OPERATOR_TOKEN, Cluster, wait_until
 from hostile_crowd import MEBIBYTE, Crowd, Footprint, announced, chunked
-from platform_cluster import PlatformCluster
-
-#: Limits that the entry is told. The smallest machine has more of both.
-MEMORY_MB = 128
-MAX_DESCRIPTORS = 600
-#: Descriptors of these that are reserved for files.
-FILE_DESCRIPTORS = 200
-#: Limit of the configuration on a body, in bytes.
-BODY_LIMIT = 262_144
-LARGE = BODY_LIMIT - 1024
+from limited_cluster import (
+    FILE_DESCRIPTORS,
+    JOB,
+    LARGE,
+    MAX_DESCRIPTORS,
+    MEMORY_MB,
+    METRICS_PORT,
+    LimitedCluster,
+)
+
 CROWD = 400
-JOB = {"Spec": "x", "Steps": [{"Count": 1, "Cpu": 100, "MemMb": 1, "EstRuntimeMs": 50}]}
 #: Memory of the machine of an entry of the product's own interface, which isn't told.
 OPERATOR_MEMORY_MB = 200
 OPERATOR_CROWD = 100
 OPERATOR_LARGE = 2 * MEBIBYTE - 1024
-METRICS_PORT = 9464
-
-
-@define(eq=False)
-class LimitedCluster(PlatformCluster):
-    """A store, an instance and an entry that is told small limits."""
-
-    def settings_text(self, name):
-        limits = f"[Limits]\nMemoryMb = {MEMORY_MB}\nMaxFds = {MAX_DESCRIPTORS}\n"
-        return super().settings_text(name) + limits
 
 
 @pytest.fixture
