Refuse paths and hosts that are not UTF-8 before routing

Cause: Klein logs each such request with its stack, and the failure holds its frames in a cycle until the next garbage collection.

The request is answered with 400 before it is routed. The unit test finds the logged stacks without this change; a crowd of such requests is added.

--- a/src/fighead/fronts/front_request.py
+++ b/src/fighead/fronts/front_request.py
@@ -2,11 +2,14 @@
 
 import io
 import typing as t
+import urllib.parse
 
 from twisted.web.server import Request
 
 from ..decisions.intake import Reason, exceeds_limit
 
+BAD_REQUEST = 400
+
 
 class FrontRequest(Request):
     """A request that can be refused while it is served.
@@ -40,6 +43,19 @@
         """
         return self.channel.charge_work(size)
 
+    def process(self) -> None:
+        """Answer a request whose path or host is not UTF-8; pass on all others.
+
+        Klein would log the stack of each, and keep it until the next garbage
+        collection.
+        """
+        path = urllib.parse.unquote_to_bytes(self.path)
+        if _is_utf8(path) and _is_utf8(self.getRequestHostname()):
+            super().process()
+            return
+        self.setResponseCode(BAD_REQUEST)
+        self.finish()
+
     def parseCookies(self) -> None:  # noqa: N802
         """Leave cookies alone: no front uses them, and parsed they take far more."""
 
@@ -52,3 +68,11 @@
             self.content.tell(), self.channel.received_bytes, self.max_body_bytes
         ):
             self.channel.refuse_request(Reason.BODY_SIZE)
+
+
+def _is_utf8(data: bytes) -> bool:
+    try:
+        data.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
--- a/tests/test_client_costs.py
+++ b/tests/test_client_costs.py
@@ -267,3 +267,12 @@
     assert all(channel.read_at is not None for channel in channels)
     assert world.intake.total_bytes <= 210_000
     assert {channel.persistent for channel in channels} == {0, 1}
+
+
+# Failure: each path or host that is not UTF-8 leaves a stack in the log and in memory.
+@pytest.mark.parametrize("target, host", [("/%ff", "a"), ("/", "\xff")])
+def test_a_request_that_is_not_utf8_is_refused_without_a_stack(failures, target, host):
+    channel, transport = World().connect()
+    request = f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode("latin-1")
+    channel.dataReceived(request * 2)
+    assert transport.value().count(b"HTTP/1.1 400") == 2 and not failures
--- a/tests/test_costly_requests.py
+++ b/tests/test_costly_requests.py
@@ -131,6 +131,13 @@
     check.run(check.crowd(port, PIPELINES, pieces))
 
 
+# Failure: the stack of each request that can't be decoded stays in memory.
+@pytest.mark.parametrize("port", ["clients", "metrics"])
+def test_many_requests_that_are_not_utf8(check, port):
+    pieces = functools.partial(repeated, "/%ff", PIPELINED)
+    check.run(check.crowd(port, PIPELINES, pieces))
+
+
 # Failure: a body in chunks of one byte is decoded in one turn of the reactor.
 @pytest.mark.parametrize("port", ["clients", "metrics"])
 def test_complete_bodies_in_chunks_of_one_byte(check, port):
