Count jobs beside their tasks in what the scheduler can keep

Jobs counted as their tasks, so that a flood of small ones could take three times the share of the memory.

A job counts as two tasks more than it has.

--- a/src/fighead/commands/job.py
+++ b/src/fighead/commands/job.py
@@ -100,7 +100,7 @@
     started_at = context.clock.now()
     outcome: Accepted | NotAccepted | Uncertain | None = None
     refusal = _find_refusal(context, queue, spec)
-    tasks = spec.count_tasks()
+    tasks = task_room.count_tasks(spec)
     if refusal is None and not task_room.reserve(context.task_room, tasks):
         reason = "More tasks are accepted than the scheduler can keep."
         refusal = _Refusal("tasks", reason, admission.MIN_RETRY_AFTER)
--- a/src/fighead/decisions/task_room.py
+++ b/src/fighead/decisions/task_room.py
@@ -9,11 +9,13 @@
 
 from attrs import define
 
-from ..job import MAX_TASKS_PER_JOB
+from ..job import MAX_TASKS_PER_JOB, JobSpec
 from .schedule_state import JobState
 
 #: Memory of the state of a task at the scheduler, and of its runs, in bytes.
 TASK_BYTES = 1000
+#: Memory of a job beside that of its tasks, as a number of tasks.
+JOB_TASKS = 2
 #: Share of a process's memory that the states of tasks may take.
 MEMORY_SHARE = 1 / 6
 #: Least share of an entry between two reports: a burst of ordinary jobs.
@@ -60,12 +62,19 @@
     if memory_bytes is None:
         return DEFAULT_MAX_TASKS
     max_tasks = int(memory_bytes * MEMORY_SHARE / TASK_BYTES)
-    return max(max_tasks, MAX_TASKS_PER_JOB + SMALL_JOBS_ROOM)
+    return max(max_tasks, MAX_TASKS_PER_JOB + JOB_TASKS + SMALL_JOBS_ROOM)
+
+
+def count_tasks(spec: JobSpec) -> int:
+    """Return how many tasks a job counts as."""
+    return JOB_TASKS + spec.count_tasks()
 
 
 def count_spare_tasks(jobs: t.Iterable[JobState], max_tasks: int) -> int:
     """Return how many more tasks the scheduler can keep."""
-    kept = sum(len(stage.tasks) for job in jobs for stage in job.stages.values())
+    kept = 0
+    for job in jobs:
+        kept += JOB_TASKS + sum(len(stage.tasks) for stage in job.stages.values())
     return max(0, max_tasks - kept)
 
 
--- a/tests/test_task_room.py
+++ b/tests/test_task_room.py
@@ -2,7 +2,8 @@
 
 from fighead.decisions import task_room
 from fighead.decisions.task_room import TaskRoom
-from fighead.job import MAX_TASKS_PER_JOB
+from fighead.job import MAX_TASKS_PER_JOB, JobSpec, Stage
+from job_builders import add_job, make_schedule
 
 
 # Load: jobs of few bytes and thousands of tasks, which the scheduler keeps.
@@ -52,4 +53,14 @@
 # Failure: a job of as many tasks as are allowed is refused by a small entry.
 def test_the_largest_job_has_room_at_a_scheduler_without_others():
     room = TaskRoom(spare=task_room.derive_max_tasks(1 << 20))
-    assert task_room.reserve(room, MAX_TASKS_PER_JOB)
+    spec = JobSpec(stages=(Stage(count=MAX_TASKS_PER_JOB),))
+    assert task_room.reserve(room, task_room.count_tasks(spec))
+
+
+# Failure: jobs of one task are counted as if they took nothing beside it.
+def test_jobs_count_beside_their_tasks():
+    schedule = make_schedule()
+    for number in range(10):
+        add_job(schedule, job_id=f"{number:016x}")
+    spare = task_room.count_spare_tasks(schedule.jobs.values(), 1000)
+    assert spare == 1000 - 10 * (1 + task_room.JOB_TASKS)
