Count the texts of jobs in what the scheduler can keep

Callers: 300 jobs of 1,000 steps and 250 KB, complete and with labels of 230 bytes, raised an entry to 136.9 million bytes of 134.2 (a trial, beside other load).

Cause: a job counted as its tasks, and its texts, which the scheduler keeps too, for nothing.

A job counts as one task more for each 1,000 bytes of its texts, and tasks may take an eighth of the memory in place of a sixth. The limit is at least 15,000, so that the largest legal job fits at any scheduler.

--- a/src/fighead/decisions/task_room.py
+++ b/src/fighead/decisions/task_room.py
@@ -16,13 +16,18 @@
 TASK_BYTES = 1000
 #: Memory of a job beside that of its tasks, as a number of tasks.
 JOB_TASKS = 2
+#: Memory of the index of a preceding stage, in bytes.
+STAGE_INDEX_BYTES = 8
 #: Share of a process's memory that the states of tasks may take.
-MEMORY_SHARE = 1 / 6
+MEMORY_SHARE = 1 / 8
 #: Least share of an entry between two reports: a burst of ordinary jobs.
 MIN_SHARE = 1000
 #: Tasks of a small job, and room that larger ones leave to small ones.
 SMALL_JOB_TASKS = 100
 SMALL_JOBS_ROOM = 2000
+#: Least number of tasks that any scheduler keeps: those of the largest job, its texts,
+#: and room for small jobs.
+MIN_MAX_TASKS = MAX_TASKS_PER_JOB * 3 // 2
 #: Most tasks if the memory is not known.
 DEFAULT_MAX_TASKS = 100_000
 
@@ -57,25 +62,29 @@
     """Return how many tasks a scheduler can keep, at least those of any legal job.
 
     >>> derive_max_tasks(300 * 10**6)
-    50000
+    37500
     """
     if memory_bytes is None:
         return DEFAULT_MAX_TASKS
-    max_tasks = int(memory_bytes * MEMORY_SHARE / TASK_BYTES)
-    return max(max_tasks, MAX_TASKS_PER_JOB + JOB_TASKS + SMALL_JOBS_ROOM)
+    return max(int(memory_bytes * MEMORY_SHARE / TASK_BYTES), MIN_MAX_TASKS)
 
 
 def count_tasks(spec: JobSpec) -> int:
-    """Return how many tasks a job counts as."""
-    return JOB_TASKS + spec.count_tasks()
+    """Return how many tasks a job counts as, with its texts.
+
+    >>> count_tasks(JobSpec("x" * 4000, (Stage(count=5),)))
+    11
+    """
+    text = len(spec.payload)
+    for stage in spec.stages:
+        text += len(stage.required_label) + len(stage.preferred_rack)
+        text += len(stage.image) + STAGE_INDEX_BYTES * len(stage.after)
+    return JOB_TASKS + spec.count_tasks() + text // TASK_BYTES
 
 
 def count_spare_tasks(jobs: t.Iterable[JobState], max_tasks: int) -> int:
     """Return how many more tasks the scheduler can keep."""
-    kept = 0
-    for job in jobs:
-        kept += JOB_TASKS + sum(len(stage.tasks) for stage in job.stages.values())
-    return max(0, max_tasks - kept)
+    return max(0, max_tasks - sum(count_tasks(job.record.spec) for job in jobs))
 
 
 def report_spare(room: TaskRoom, spare: int | None, entries: int) -> None:
--- a/tests/test_costly_requests.py
+++ b/tests/test_costly_requests.py
@@ -98,6 +98,7 @@
 
 STEPS = json.dumps({"Spec": "x" * 4000, "Steps": [{}] * 1000}).encode()
 TASKS = json.dumps({"Spec": "x", "Steps": [{"Count": 10_000, "Cpu": 1}]}).encode()
+TEXTS = json.dumps({"Steps": [{"Requires": "x" * 230}] * 1000}).encode()
 MANY_ARGUMENTS = "?" + "&".join(f"{number:x}" for number in range(3300))
 
 
@@ -113,6 +114,11 @@
     check.run(check.crowd("clients", BODIES, submissions(TASKS)))
 
 
+# Failure: the scheduler keeps the texts of each job, which count for nothing.
+def test_complete_jobs_of_long_texts(check):
+    check.run(check.crowd("clients", BODIES, submissions(TEXTS)))
+
+
 # Failure: a query counts as its bytes, and each of its arguments takes far more.
 def test_queries_of_many_arguments_while_the_store_hangs(check, hanging_store):
     body = json.dumps(JOB).encode()
