--- a/src/fighead/tasks/scheduler.py
+++ b/src/fighead/tasks/scheduler.py
@@ -29,6 +29,7 @@
 from ..decisions.authority import Authority
 from ..decisions.evacuated_zones import Evacuations
 from ..decisions.handover import Handover, LeaseBounds
+from ..decisions.leader_status import LeaderStatus
 from ..decisions.reach import Survey, SurveyPlan
 from ..decisions.room_admission import WorkBacklog
 from ..decisions.schedule_state import (
@@ -1050,7 +1051,7 @@
         self._flush(now)
 
     def _describe_waits(self, now: dt.datetime) -> list[LogNote]:
-        status = waiting.LeaderStatus(
+        status = LeaderStatus(
             self.lease,
             self.may_act(),
             self._is_loaded,
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -5,9 +5,10 @@
 from structlog.testing import capture_logs
 
 from fighead.decisions import placement, waiting
+from fighead.decisions.leader_status import LeaderStatus
 from fighead.decisions.schedule_state import RunPhase, RunState
 from fighead.decisions.start_window import StartWindow
-from fighead.decisions.waiting import LeaderStatus, WaitWatch, describe_waits
+from fighead.decisions.waiting import WaitWatch, describe_waits
 from fighead.exceptions import StoreUnavailableError
 from fighead.job import Demand, JobPhase, JobSpec, Stage
 from fighead.log import Event
