Log lasting tasks that have no run beside room for them

5017 looks once a second at all lasting tasks without a run that is known to go on, also those held on silent instances, and at the room for them as callers count it.

--- a/src/fighead/decisions/waiting.py
+++ b/src/fighead/decisions/waiting.py
@@ -9,7 +9,8 @@
 from attrs import asdict, define, field
 
 from ..log import Event
-from . import instance_tracking, placement, room, unsettled, usage
+from . import instance_tracking, lasting_waits, placement, room, unsettled, usage
+from .lasting_waits import LastingWatch
 from .leader_status import LeaderStatus, describe_age, to_ms
 from .placement import Obstacle
 from .schedule_state import (
@@ -90,6 +91,7 @@
     scanned_at: dt.datetime | None = None
     waiting_since: dict[StageState, dict[int, dt.datetime]] = field(factory=dict)
     held_since: dict[str, dt.datetime] = field(factory=dict)
+    lasting: LastingWatch = field(factory=LastingWatch)
 
 
 def describe_waits(
@@ -104,6 +106,7 @@
     if watch.scanned_at is None or now - watch.scanned_at >= SCAN_INTERVAL:
         watch.scanned_at = now
         notes += _describe_tasks(watch, schedule, status, now)
+        notes += lasting_waits.describe_waits(watch.lasting, schedule, status, now)
     return notes
 
 
--- a/src/fighead/log.py
+++ b/src/fighead/log.py
@@ -100,6 +100,11 @@
     )
     TASKS_WAITING = (5015, "info", "Tasks have waited for a start for seconds.")
     REACH_SURVEYED = (5016, "info", "Peers were asked which instances they reach.")
+    LASTING_TASK_BESIDE_ROOM = (
+        5017,
+        "warning",
+        "A lasting task has no run although instances have room for it.",
+    )
     JOB_ACCEPTED = (5101, "info", "A job was accepted and is stored.")
     JOB_REFUSED = (5102, "warning", "A job was refused and is not stored.")
     JOB_UNCERTAIN = (5103, "warning", "It is not known whether a job is stored.")
