Start lasting tasks on suspect instances if no other has room

Instances that look unhealthy get no new runs for 3 s at a time, and for as long as the symptom lasts. On a full service they are the only ones with room, just because they get none, and a lasting task waited for the end of the suspicion without a bound.

After 5 s without any other instance a lasting task may use a suspect one: it may be well, and if it is not, the task fails and prefers others. Other obstacles hold, and other tasks keep off. The plain evaluation in tests/test_placement_cost.py, with which all choices are compared, has the rule as well; it is as strict as before.

--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -67,6 +67,9 @@
 #: How long a serving task is kept off the reserved instances: half of the 6 s after
 #: which a serving task that could run counts as lost.
 HOLD_BACK_TIME = dt.timedelta(seconds=3)
+#: How long a lasting task keeps off instances that look unhealthy although no other has
+#: room: nothing is worse for its users than no run, and 9 s without one count as lost.
+SUSPICION_TIME = dt.timedelta(seconds=5)
 #: While its upstream is less than half used, a filler waits this long for an
 #: instance where it does no harm. A job that waits for 3 s although it could run
 #: counts as lost.
@@ -525,11 +528,14 @@
     """Return the usable instances for a stage, those with the highest score first.
 
     A filler gets those with unused processors where its impact is acceptable; if there
-    are none and it is starved, it gets all that it fits on.
+    are none and it is starved, it gets all that it fits on. A lasting task that has
+    waited long for any other gets those that look unhealthy.
     """
     found = _evaluate_all(round_, job, stage)
     if not found and _is_starved(round_, job, stage):
         return _evaluate_all(round_, job, stage, accepts_harm=True)
+    if not found and _is_overdue(round_, stage):
+        return _evaluate_all(round_, job, stage, accepts_suspects=True)
     return found
 
 
@@ -539,16 +545,23 @@
     stage: StageState,
     *,
     accepts_harm: bool = False,
+    accepts_suspects: bool = False,
 ) -> Candidates:
     """Return the instances that a stage can use, those with the highest score first.
 
     :param accepts_harm: See :func:`_evaluate`.
+    :param accepts_suspects: See :func:`is_usable`.
     """
     kind = _kind_of(round_, job, stage)
     evaluate = functools.partial(
-        _evaluate, round_, job, stage, accepts_harm=accepts_harm
+        _evaluate,
+        round_,
+        job,
+        stage,
+        accepts_harm=accepts_harm,
+        accepts_suspects=accepts_suspects,
     )
-    return round_.candidates_for((*kind, accepts_harm), evaluate)
+    return round_.candidates_for((*kind, accepts_harm, accepts_suspects), evaluate)
 
 
 def _kind_of(round_: PlacementRound, job: JobState, stage: StageState) -> Kind:
@@ -580,13 +593,22 @@
     stage: StageState,
     state: InstanceState,
     accepts_harm: bool = False,
+    accepts_suspects: bool = False,
 ) -> float | None:
     """Return the score of an instance for a stage, or ``None`` if it can't be used.
 
     :param accepts_harm: Whether a filler may start whatever its impact is, and without
         unused processors.
+    :param accepts_suspects: See :func:`is_usable`.
     """
-    if not is_usable(state, job, stage, round_.now, needs_unused_cpu=not accepts_harm):
+    if not is_usable(
+        state,
+        job,
+        stage,
+        round_.now,
+        needs_unused_cpu=not accepts_harm,
+        accepts_suspects=accepts_suspects,
+    ):
         return None
     cold_cost = COLD_COST if _is_cold(state, round_.now) else 0.0
     if not stage.spec.is_filler:
@@ -621,6 +643,19 @@
     return round_.use_of(job.queue.upstream).is_below(LOW_USE_SHARE)
 
 
+def _is_overdue(round_: PlacementRound, stage: StageState) -> bool:
+    """Whether a lasting task has waited so long that any instance is better than none.
+
+    An instance that looks unhealthy may be well, and its room is what is left of a full
+    upstream, since it gets no other runs.
+    """
+    if not stage.spec.is_lasting:
+        return False
+    since = (stage.tasks[index].waiting_since for index in stage.waiting_indexes)
+    earliest = min((at for at in since if at is not None), default=round_.now)
+    return round_.now - earliest >= SUSPICION_TIME
+
+
 def is_usable(
     state: InstanceState,
     job: JobState,
@@ -628,17 +663,19 @@
     now: dt.datetime,
     *,
     needs_unused_cpu: bool = True,
+    accepts_suspects: bool = False,
 ) -> bool:
     """Whether an instance meets all hard constraints of a task of a stage now.
 
     The interference that a filler would cause isn't considered.
 
     :param needs_unused_cpu: Whether a filler needs unused processors.
+    :param accepts_suspects: Whether the instance may look unhealthy.
     """
     return (
         (has_room if needs_unused_cpu else fits)(state, stage)
         and is_suitable(state, job, stage)
-        and accepts_runs(state, now)
+        and find_obstacle(state, now, ignores_suspicion=accepts_suspects) is None
     )
 
 
@@ -671,7 +708,9 @@
     return find_obstacle(state, now) is None
 
 
-def find_obstacle(state: InstanceState, now: dt.datetime) -> Obstacle | None:
+def find_obstacle(
+    state: InstanceState, now: dt.datetime, *, ignores_suspicion: bool = False
+) -> Obstacle | None:
     """Return why an instance gets no runs, whatever its room; ``None`` if it does."""
     if not state.is_reachable:
         return Obstacle.SILENT
@@ -683,7 +722,7 @@
         return Obstacle.UNREGISTERED
     if not state.is_in_stored_fleet:
         return Obstacle.NOT_IN_STORED_FLEET
-    if instance_health.is_suspect(state, now):
+    if not ignores_suspicion and instance_health.is_suspect(state, now):
         return Obstacle.SUSPECT
     if state.instance.is_draining:
         return Obstacle.DRAINING
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -492,6 +492,43 @@
     assert orders_in(placement.place_waiting_tasks(schedule, at_seconds(0)))
 
 
+def suspect_all(schedule, until_s):
+    for state in schedule.instances.values():
+        state.suspect_until = at_seconds(until_s)
+
+
+# Failure: a lasting task waits as long as the instances with room look unhealthy.
+@pytest.mark.parametrize("target_ms", [0, 50])
+def test_a_lasting_task_starts_on_suspect_instances_if_no_other_has_room(target_ms):
+    schedule = make_schedule(("i1", "i2"))
+    add_job(schedule, evolve(SENSITIVE, target_ms=target_ms))
+    suspect_all(schedule, 60)
+    assert not place_tasks(schedule, 0)
+    assert not place_tasks(schedule, 4.9)
+    assert len(place_tasks(schedule, 5)) == 1
+
+
+def test_a_lasting_task_keeps_off_suspect_instances_if_another_has_room():
+    schedule = make_schedule(("i1", "i2"))
+    schedule.fence = 7
+    add_job(schedule, evolve(SENSITIVE, count=3))
+    schedule.instances["i1"].suspect_until = at_seconds(60)
+    assert {name for name, _ in place_tasks(schedule, 9)} == {"i2"}
+
+
+@pytest.mark.parametrize("change", [{"is_draining": True}, {"is_lasting": False}])
+def test_no_other_task_and_no_other_obstacle_is_excepted(change):
+    schedule = make_schedule(("i1", "i2"))
+    add_job(schedule, evolve(SENSITIVE, is_lasting=change.get("is_lasting", True)))
+    suspect_all(schedule, 60)
+    for state in schedule.instances.values():
+        state.instance = evolve(
+            state.instance, is_draining=change.get("is_draining", False)
+        )
+    place_tasks(schedule, 0)
+    assert not place_tasks(schedule, 30)
+
+
 def make_schedule_with_few_instances_for_serving(count):
     """Return a schedule whose only usable instances are reserved, for a while."""
     schedule = make_schedule([f"i{number}" for number in range(10 * count)])
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -189,6 +189,8 @@
         usable = self.usable(job, stage, False)
         if stage.spec.is_filler and not usable and self.is_starved(job, stage):
             usable = self.usable(job, stage, True)
+        if stage.spec.is_lasting and not usable and self.is_overdue(stage):
+            usable = self.usable(job, stage, False, accepts_suspects=True)
         if self.is_held_back(stage, task):
             usable = [s for s in usable if filler_control.serving_runs(s)]
         not_avoided = [
@@ -223,12 +225,20 @@
         )
         return tolerant > len(states) * placement.RESERVED_SHARE
 
-    def usable(self, job, stage, accepts_harm):
+    def is_overdue(self, stage):
+        since = [stage.tasks[index].waiting_since for index in stage.waiting_indexes]
+        known = [at for at in since if at is not None]
+        return bool(known) and self.now - min(known) >= placement.SUSPICION_TIME
+
+    def usable(self, job, stage, accepts_harm, accepts_suspects=False):
         spec = stage.spec
         fitting = [
             state
             for state in self.schedule.instances.values()
-            if placement.accepts_runs(state, self.now)
+            if placement.find_obstacle(
+                state, self.now, ignores_suspicion=accepts_suspects
+            )
+            is None
             and state.instance.upstream == job.queue.upstream
             and (
                 not spec.required_label or spec.required_label in state.instance.labels
