Send calls that wait for a connection in their order

Callers saw an entry exceed the memory that it is told while one accepted job of 10,000 tasks was started at one instance. On x86-64 with Python 3.11 test_complete_jobs_of_many_tasks failed in 3 of 3 runs beside other work, with 163.3, 167.8 and 142.9 MB of 134.2 MB.

The bound on tasks holds: one job of 10,000 is let in at a time, and the entry takes 82 MiB before it and 94 to 96 half a second later, as two plays with a probe show. The rest were calls to the instance: 3,555 under way 3.8 s after the start of the entry in one play, and in 2 s of the other 283 sent and 4,696 that timed out before they were sent. A call that waited for a connection left its place each 100 ms, went to the end of the queue, and found the same eight connections in use. Each that failed caused a stop, which waited too. The start window was misled: it takes an answer for a proof that all earlier starts have been sent, let those go and ordered more; its limit was 682 then.

A call now keeps its place and is noted as overdue there. A free connection, or one that may be opened, goes to the oldest. Of the four new tests two fail without the change; the other two pin when a further connection may be opened.

Not changed, as this does without it: a call that times out leaves about 93 objects in a reference cycle, and stops under way are not bounded.

--- a/src/fighead/http_client.py
+++ b/src/fighead/http_client.py
@@ -210,12 +210,15 @@
     """Connections to one address.
 
     :param open_count: Connections in use, idle or being established.
-    :param waiting: Calls that wait for a free connection, oldest first.
+    :param waiting: Calls that wait for a connection, oldest first, and whether each has
+        waited for :data:`PATIENCE`.
     """
 
     idle: list[_Connection] = field(factory=list)
     open_count: int = 0
-    waiting: collections.deque[Deferred[bool]] = field(factory=collections.deque)
+    waiting: collections.OrderedDict[Deferred[bool], bool] = field(
+        factory=collections.OrderedDict
+    )
 
 
 @define(eq=False)
@@ -315,10 +318,9 @@
         peer = read_address(address)
         data = encode_request(req, address)
         pool = self._pools.setdefault(address, _AddressPool())
-        limit = self.max_per_address
-        while not pool.idle and pool.open_count >= limit:
-            if await self._wait_for_connection(pool, may_expire=self.max_extra > 0):
-                limit = self.max_per_address + self.max_extra
+        is_overdue = False
+        while not pool.idle and pool.open_count >= self._find_limit(is_overdue):
+            is_overdue = await self._wait_for_connection(pool)
         conn = (
             pool.idle.pop() if pool.idle else await self._connect(address, peer, pool)
         )
@@ -326,19 +328,30 @@
         progress.is_sent = True
         return await conn.send(data, on_data)
 
-    async def _wait_for_connection(
-        self, pool: _AddressPool, *, may_expire: bool
-    ) -> bool:
-        """Wait until a connection may be free; return whether that took too long."""
-        permit: Deferred[bool] = Deferred(pool.waiting.remove)
-        pool.waiting.append(permit)
+    def _find_limit(self, is_overdue: bool) -> int:
+        """Return at how many open connections a call opens no further one.
 
-        def expire() -> None:
+        :param is_overdue: Whether it has waited for :data:`PATIENCE`.
+        """
+        return self.max_per_address + (self.max_extra if is_overdue else 0)
+
+    async def _wait_for_connection(self, pool: _AddressPool) -> bool:
+        """Wait until a call may have a connection; return whether it is overdue.
+
+        It keeps its place until then. Thousands may wait for a slow server, and none of
+        them may take time again and again.
+        """
+        permit: Deferred[bool] = Deferred(pool.waiting.pop)
+        pool.waiting[permit] = False
+
+        def note_overdue() -> None:
             if permit in pool.waiting:
-                pool.waiting.remove(permit)
-                permit.callback(True)
+                pool.waiting[permit] = True
+                self._wake_next_call(pool)
 
-        timer = self.clock.call_later(PATIENCE, expire) if may_expire else None
+        timer = None
+        if self.max_extra:
+            timer = self.clock.call_later(PATIENCE, note_overdue)
         try:
             return await permit
         finally:
@@ -375,8 +388,13 @@
         self._wake_next_call(pool)
 
     def _wake_next_call(self, pool: _AddressPool) -> None:
-        if pool.waiting:
-            pool.waiting.popleft().callback(False)
+        """Let the oldest call have a free connection, or open one if it may."""
+        if not pool.waiting:
+            return
+        permit, is_overdue = next(iter(pool.waiting.items()))
+        if pool.idle or pool.open_count < self._find_limit(is_overdue):
+            del pool.waiting[permit]
+            permit.callback(is_overdue)
 
 
 @define(eq=False)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -79,15 +79,20 @@
         self.protocol.connectionLost(Failure(error.ConnectionDone()))
 
 
-def connect(reactor):
-    """Complete the latest connection attempt; return its protocol."""
-    protocol = reactor.tcpClients[-1][2].buildProtocol(None)
+def connect(reactor, number=-1):
+    """Complete a connection attempt, by default the latest; return its protocol."""
+    protocol = reactor.tcpClients[number][2].buildProtocol(None)
     transport = Transport()
     transport.protocol = protocol
     protocol.makeConnection(transport)
     return protocol
 
 
+def connect_all(reactor):
+    """Complete all connection attempts; return their protocols."""
+    return [connect(reactor, number) for number in range(len(reactor.tcpClients))]
+
+
 def ask(pool, req=None, address="10.0.0.1:80"):
     """Send a request; return a list that receives the response or the failure."""
     results = []
@@ -249,3 +254,68 @@
     reactor.advance(1)
     assert results[0].status == 200
     assert len(reactor.tcpClients) == 1
+
+
+class CountingClock(ReactorClock):
+    """A clock that counts the calls that it is asked for."""
+
+    count = 0
+
+    def call_later(self, delay, fn):
+        self.count += 1
+        return super().call_later(delay, fn)
+
+
+# Failure: a call that waits takes time every 100 ms, so that thousands take all of it.
+def test_a_call_that_waits_for_a_connection_is_looked_at_once(reactor):
+    clock = CountingClock(reactor, START)
+    pool = HttpPool(reactor, clock, 1, 1)
+    for _ in range(50):
+        ask(pool)
+    reactor.pump([0.01] * 190)
+    # The limit on the call, and the time after which it may open a connection.
+    assert clock.count <= 2 * 50
+
+
+# Failure: a call that has waited goes behind later ones, and ends without being sent.
+def test_calls_get_connections_in_the_order_in_which_they_came(reactor):
+    pool = HttpPool(reactor, ReactorClock(reactor, START), 1, 1)
+    for _ in range(2):
+        ask(pool)
+    reactor.advance(0.11)
+    conn, _ = connect_all(reactor)
+    earlier = ask(pool)
+    reactor.advance(0.09)
+    later = ask(pool)
+    reactor.advance(0.03)
+    conn.dataReceived(OK_RESPONSE)
+    conn.dataReceived(OK_RESPONSE)
+    assert len(earlier) == 1 and not later
+    conn.dataReceived(OK_RESPONSE)
+    assert len(later) == 1
+
+
+# Failure: the call that waits longest is passed over when a further connection closes.
+def test_a_call_that_has_waited_replaces_a_further_connection_that_closes(reactor):
+    pool = HttpPool(reactor, ReactorClock(reactor, START), 1, 1)
+    for _ in range(3):
+        ask(pool)
+    reactor.advance(0.11)
+    _, further = connect_all(reactor)
+    later = ask(pool)
+    further.connectionLost(Failure(error.ConnectionLost()))
+    assert len(reactor.tcpClients) == 3 and not later
+
+
+# Failure: a call opens a further connection before it has waited for one.
+def test_a_call_that_has_just_come_replaces_no_further_connection(reactor):
+    pool = HttpPool(reactor, ReactorClock(reactor, START), 1, 1)
+    for _ in range(2):
+        ask(pool)
+    reactor.advance(0.11)
+    _, further = connect_all(reactor)
+    ask(pool)
+    further.connectionLost(Failure(error.ConnectionLost()))
+    assert len(reactor.tcpClients) == 2
+    reactor.advance(0.11)
+    assert len(reactor.tcpClients) == 3
