Let a lasting task that has waited start on a suspect instance

Callers count room on instances that are up; an instance that looks unhealthy got no runs at all, for up to 8 s after the last failed run on it (5 s in which failures count, and 3 s), and for longer while others of its runs went on to fail. On a full service the instances with room are those on which the quick jobs run, so that two jobs that can't succeed were enough to close all of them.

Suspicion is now a preference for lasting tasks: one that finds no other instance starts on a suspect one after 3 s. It is restarted however it ends and has no limit of failed runs, so that a wrong guess costs a start each 3 s. Other tasks keep off as before. What waits is noted for all lasting tasks, and of a stage the one that has waited longest goes first: otherwise one that has just ended kept the others of its stage off. The reference in tests/test_placement_cost.py has the same rule; it compares as before.

--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -67,6 +67,9 @@
 #: How long a serving task is kept off the reserved instances: half of the 6 s after
 #: which a serving task that could run counts as lost.
 HOLD_BACK_TIME = dt.timedelta(seconds=3)
+#: Wait after which a lasting task may start on a suspect instance if it finds no other:
+#: what could run and did not for 3 s counts as lost. It is restarted if it fails there.
+SUSPICION_WAIT = dt.timedelta(seconds=3)
 #: While its upstream is less than half used, a filler waits this long for an
 #: instance where it does no harm. A job that waits for 3 s although it could run
 #: counts as lost.
@@ -114,7 +117,7 @@
         return effects
     round_ = PlacementRound(schedule, now, max_starts)
     waiting = rank_waiting_stages(schedule, now)
-    _note_waits_of_serving_tasks(schedule, waiting, now)
+    _note_waits_of_lasting_tasks(schedule, waiting, now)
     for job, stage in waiting:
         if round_.is_full():
             break
@@ -397,30 +400,35 @@
     return Preview(scores, chosen)
 
 
-def _note_waits_of_serving_tasks(
+def _note_waits_of_lasting_tasks(
     schedule: Schedule,
     waiting: t.Iterable[tuple[JobState, StageState]],
     now: dt.datetime,
 ) -> None:
-    """Note since when serving tasks wait, also of those that a round doesn't reach."""
+    """Note since when lasting tasks wait, also of those that a round doesn't reach."""
     for job, stage in waiting:
-        if stage.spec.target_ms:
+        if _is_lasting(stage.spec):
             for index in schedule.find_startable(job, stage):
                 task = stage.tasks[index]
                 task.waiting_since = task.waiting_since or now
 
 
+def _is_lasting(spec: Stage) -> bool:
+    """Whether the tasks of a stage run on, as serving tasks do too."""
+    return spec.is_lasting or bool(spec.target_ms)
+
+
 def _find_tasks_to_place(
     round_: PlacementRound, job: JobState, stage: StageState
 ) -> list[TaskState]:
     """Return the tasks of a stage that may start, those to be placed first first.
 
-    Of serving tasks that is the one that has waited longest: while it is held back, so
-    are the others.
+    Of lasting tasks that is the one that has waited longest: while it finds no
+    instance, the others find none.
     """
     indexes = sorted(round_.schedule.find_startable(job, stage))
     tasks = [stage.tasks[index] for index in indexes]
-    if stage.spec.target_ms:
+    if _is_lasting(stage.spec):
         tasks.sort(key=lambda task: task.waiting_since or round_.now)
     return tasks
 
@@ -486,9 +494,23 @@
     """Return the usable instance with the highest score, or ``None``.
 
     Instances on which a run of the task has failed are chosen only if no other is
-    usable. A task that has failed prefers instances whose last run succeeded.
+    usable, and suspect ones only for a lasting task that has waited. A task that has
+    failed prefers instances whose last run succeeded.
     """
     candidates = _find_candidates(round_, job, stage)
+    chosen = _choose_among(round_, candidates, stage, task)
+    if chosen is None and _may_use_suspects(round_, stage, task):
+        suspects = _evaluate_all(round_, job, stage, accepts_suspects=True)
+        chosen = _choose_among(round_, suspects, stage, task)
+    return chosen
+
+
+def _choose_among(
+    round_: PlacementRound,
+    candidates: Candidates,
+    stage: StageState,
+    task: TaskState,
+) -> InstanceState | None:
     must_keep_off = is_held_back(round_, stage, task)
     if not (must_keep_off or task.avoided_instances or task.failures):
         return next(iter(candidates), None)
@@ -504,6 +526,17 @@
     return next(iter(proven or not_avoided or usable), None)
 
 
+def _may_use_suspects(
+    round_: PlacementRound, stage: StageState, task: TaskState
+) -> bool:
+    since = task.waiting_since
+    return (
+        stage.spec.is_lasting
+        and since is not None
+        and round_.now - since >= SUSPICION_WAIT
+    )
+
+
 def is_held_back(round_: PlacementRound, stage: StageState, task: TaskState) -> bool:
     """Whether a serving task must keep off instances without serving tasks.
 
@@ -539,16 +572,23 @@
     stage: StageState,
     *,
     accepts_harm: bool = False,
+    accepts_suspects: bool = False,
 ) -> Candidates:
     """Return the instances that a stage can use, those with the highest score first.
 
     :param accepts_harm: See :func:`_evaluate`.
+    :param accepts_suspects: The same.
     """
     kind = _kind_of(round_, job, stage)
     evaluate = functools.partial(
-        _evaluate, round_, job, stage, accepts_harm=accepts_harm
+        _evaluate,
+        round_,
+        job,
+        stage,
+        accepts_harm=accepts_harm,
+        accepts_suspects=accepts_suspects,
     )
-    return round_.candidates_for((*kind, accepts_harm), evaluate)
+    return round_.candidates_for((*kind, accepts_harm, accepts_suspects), evaluate)
 
 
 def _kind_of(round_: PlacementRound, job: JobState, stage: StageState) -> Kind:
@@ -580,13 +620,22 @@
     stage: StageState,
     state: InstanceState,
     accepts_harm: bool = False,
+    accepts_suspects: bool = False,
 ) -> float | None:
     """Return the score of an instance for a stage, or ``None`` if it can't be used.
 
     :param accepts_harm: Whether a filler may start whatever its impact is, and without
         unused processors.
+    :param accepts_suspects: Whether the instance may look unhealthy.
     """
-    if not is_usable(state, job, stage, round_.now, needs_unused_cpu=not accepts_harm):
+    if not is_usable(
+        state,
+        job,
+        stage,
+        round_.now,
+        needs_unused_cpu=not accepts_harm,
+        accepts_suspects=accepts_suspects,
+    ):
         return None
     cold_cost = COLD_COST if _is_cold(state, round_.now) else 0.0
     if not stage.spec.is_filler:
@@ -628,17 +677,19 @@
     now: dt.datetime,
     *,
     needs_unused_cpu: bool = True,
+    accepts_suspects: bool = False,
 ) -> bool:
     """Whether an instance meets all hard constraints of a task of a stage now.
 
     The interference that a filler would cause isn't considered.
 
     :param needs_unused_cpu: Whether a filler needs unused processors.
+    :param accepts_suspects: Whether the instance may look unhealthy.
     """
     return (
         (has_room if needs_unused_cpu else fits)(state, stage)
         and is_suitable(state, job, stage)
-        and accepts_runs(state, now)
+        and accepts_runs(state, now, accepts_suspects=accepts_suspects)
     )
 
 
@@ -666,13 +717,23 @@
     )
 
 
-def accepts_runs(state: InstanceState, now: dt.datetime) -> bool:
-    """Whether an instance is known, reachable, healthy and not to be emptied."""
-    return find_obstacle(state, now) is None
+def accepts_runs(
+    state: InstanceState, now: dt.datetime, *, accepts_suspects: bool = False
+) -> bool:
+    """Whether an instance is known, reachable, healthy and not to be emptied.
+
+    :param accepts_suspects: Whether it may look unhealthy.
+    """
+    return find_obstacle(state, now, accepts_suspects=accepts_suspects) is None
+
 
+def find_obstacle(
+    state: InstanceState, now: dt.datetime, *, accepts_suspects: bool = False
+) -> Obstacle | None:
+    """Return why an instance gets no runs, whatever its room; ``None`` if it does.
 
-def find_obstacle(state: InstanceState, now: dt.datetime) -> Obstacle | None:
-    """Return why an instance gets no runs, whatever its room; ``None`` if it does."""
+    :param accepts_suspects: Whether looking unhealthy is no reason.
+    """
     if not state.is_reachable:
         return Obstacle.SILENT
     if not state.is_listed:
@@ -683,7 +744,7 @@
         return Obstacle.UNREGISTERED
     if not state.is_in_stored_fleet:
         return Obstacle.NOT_IN_STORED_FLEET
-    if instance_health.is_suspect(state, now):
+    if instance_health.is_suspect(state, now) and not accepts_suspects:
         return Obstacle.SUSPECT
     if state.instance.is_draining:
         return Obstacle.DRAINING
@@ -797,6 +858,9 @@
     if chosen is None and _is_starved(round_, job, stage):
         usable = list(_evaluate_all(round_, job, stage, accepts_harm=True))
         chosen = _choose_gang_instances(usable, stage)
+    if chosen is None and _may_use_suspects(round_, stage, stage.tasks[0]):
+        usable = list(_evaluate_all(round_, job, stage, accepts_suspects=True))
+        chosen = _choose_gang_instances(usable, stage)
     return chosen
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -413,6 +413,54 @@
     assert len(suspected) == 2
 
 
+def make_schedule_of_suspects(names):
+    """Return a schedule whose instances are all suspect, for long."""
+    schedule = make_schedule(names, capacity=Demand(2000, 1000, 0))
+    for state in schedule.instances.values():
+        state.suspect_until = at_seconds(60)
+    return schedule
+
+
+LASTING = Stage(cpu=2000, memory_mb=1, is_lasting=True)
+
+
+# Failure: jobs whose runs fail keep a lasting task off the only instances with room.
+def test_a_lasting_task_does_not_wait_until_all_suspicion_has_ended():
+    schedule = make_schedule_of_suspects(("i1", "i2"))
+    add_job(schedule, LASTING)
+    add_job(schedule, job_id=make_job_id(2))
+    assert not place_tasks(schedule, 0)
+    assert not place_tasks(schedule, 2.9)
+    assert [task for _, task in place_tasks(schedule, 3)] == [task_key()]
+
+
+def test_a_lasting_task_that_has_waited_prefers_an_instance_without_suspicion():
+    schedule = make_schedule_of_suspects(("i1", "i2"))
+    add_job(schedule, LASTING)
+    assert not place_tasks(schedule, 0)
+    schedule.instances["i2"].suspect_until = None
+    assert [name for name, _ in place_tasks(schedule, 9)] == ["i2"]
+
+
+def test_a_lasting_gang_does_not_wait_until_all_suspicion_has_ended():
+    schedule = make_schedule_of_suspects(("i1", "i2"))
+    add_job(schedule, evolve(LASTING, count=2, is_gang=True))
+    assert not place_tasks(schedule, 0)
+    assert len(place_tasks(schedule, 3)) == 2
+
+
+# Failure: a task that has waited long waits for one of its stage that has just ended.
+def test_a_lasting_task_keeps_no_other_off_suspect_instances():
+    schedule = make_schedule_of_suspects(("i1", "i2"))
+    schedule.instances["i1"].suspect_until = None
+    add_job(schedule, evolve(LASTING, count=2))
+    ((name, first),) = place_tasks(schedule, 0)
+    schedule.instances[name].suspect_until = at_seconds(60)
+    failed = ended_run(1, first, 1, EndKind.FAILED)
+    receive_listing(schedule, name, ended=[failed], at=2.9)
+    assert [task for _, task in place_tasks(schedule, 3)] == [task_key(1)]
+
+
 def test_a_listed_run_of_an_ended_job_is_stopped():
     schedule = make_schedule()
     add_job(schedule)
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -133,7 +133,9 @@
         effects = []
         waiting = placement.rank_waiting_stages(self.schedule, self.now)
         for _, stage in waiting:
-            for index in stage.waiting_indexes if stage.spec.target_ms else ():
+            spec = stage.spec
+            is_lasting = spec.is_lasting or spec.target_ms
+            for index in stage.waiting_indexes if is_lasting else ():
                 task = stage.tasks[index]
                 task.waiting_since = task.waiting_since or self.now
         for job, stage in waiting:
@@ -146,7 +148,7 @@
     def place_tasks(self, job, stage):
         spec, effects = stage.spec, []
         indexes = sorted(stage.waiting_indexes)
-        if spec.target_ms:
+        if spec.is_lasting or spec.target_ms:
             indexes.sort(key=lambda index: stage.tasks[index].waiting_since)
         for index in indexes:
             task = stage.tasks[index]
@@ -170,6 +172,8 @@
         chosen = self.choose_gang(self.usable(job, stage, False), stage)
         if chosen is None and stage.spec.is_filler and self.is_starved(job, stage):
             chosen = self.choose_gang(self.usable(job, stage, True), stage)
+        if chosen is None and self.may_use_suspects(stage, stage.tasks[0]):
+            chosen = self.choose_gang(self.usable(job, stage, False, True), stage)
         if chosen is None:
             return []
         number = max(task.highest_run_number for task in stage.tasks) + 1
@@ -189,6 +193,18 @@
         usable = self.usable(job, stage, False)
         if stage.spec.is_filler and not usable and self.is_starved(job, stage):
             usable = self.usable(job, stage, True)
+        chosen = self.choose_among(usable, stage, task)
+        if chosen is None and self.may_use_suspects(stage, task):
+            usable = self.usable(job, stage, False, True)
+            chosen = self.choose_among(usable, stage, task)
+        return chosen
+
+    def may_use_suspects(self, stage, task):
+        since = task.waiting_since
+        has_waited = since and self.now - since >= placement.SUSPICION_WAIT
+        return stage.spec.is_lasting and has_waited
+
+    def choose_among(self, usable, stage, task):
         if self.is_held_back(stage, task):
             usable = [s for s in usable if filler_control.serving_runs(s)]
         not_avoided = [
@@ -223,12 +239,14 @@
         )
         return tolerant > len(states) * placement.RESERVED_SHARE
 
-    def usable(self, job, stage, accepts_harm):
+    def usable(self, job, stage, accepts_harm, accepts_suspects=False):
         spec = stage.spec
         fitting = [
             state
             for state in self.schedule.instances.values()
-            if placement.accepts_runs(state, self.now)
+            if placement.accepts_runs(
+                state, self.now, accepts_suspects=accepts_suspects
+            )
             and state.instance.upstream == job.queue.upstream
             and (
                 not spec.required_label or spec.required_label in state.instance.labels
