Start lasting tasks that have waited beside a burst of starts

Stages get starts in the order of their rank, and a round ends at the entry's limit of starts in flight. A lasting job ranks below quick jobs of its priority that can still be in time and have more value for their work, and below all of a higher priority. While such jobs come faster than the entry sends starts, every round ended before it, however much room there was.

A round that ends at the limit now starts one more task: the lasting one that has waited longest, at least 3 s, and finds room. It takes no start from others and exceeds the limit by one (or by a gang, as before); the next round still waits until a quarter of the limit is free. Without room nothing changes for the others.

--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -67,9 +67,10 @@
 #: How long a serving task is kept off the reserved instances: half of the 6 s after
 #: which a serving task that could run counts as lost.
 HOLD_BACK_TIME = dt.timedelta(seconds=3)
-#: Wait after which a lasting task may start on a suspect instance if it finds no other:
-#: what could run and did not for 3 s counts as lost. It is restarted if it fails there.
-SUSPICION_WAIT = dt.timedelta(seconds=3)
+#: Wait after which a lasting task may start on a suspect instance if it finds no other,
+#: and beyond the limit of starts: what could run and did not for 3 s counts as lost. It
+#: is restarted if it fails.
+LASTING_WAIT = dt.timedelta(seconds=3)
 #: While its upstream is less than half used, a filler waits this long for an
 #: instance where it does no harm. A job that waits for 3 s although it could run
 #: counts as lost.
@@ -108,8 +109,9 @@
 def place_waiting_tasks(schedule: Schedule, now: dt.datetime) -> list[Effect]:
     """Start as many waiting tasks as fit, the most urgent jobs first.
 
-    The entry's limit of starts in flight ends a round early. Updates the schedule, and
-    returns the orders to send and the notes to log.
+    The entry's limit of starts in flight ends a round early, but for one lasting task
+    that has waited. Updates the schedule, and returns the orders to send and the notes
+    to log.
     """
     effects: list[Effect] = []
     max_starts = schedule.start_window.free_starts()
@@ -118,13 +120,10 @@
     round_ = PlacementRound(schedule, now, max_starts)
     waiting = rank_waiting_stages(schedule, now)
     _note_waits_of_lasting_tasks(schedule, waiting, now)
-    for job, stage in waiting:
+    for position, (job, stage) in enumerate(waiting):
         if round_.is_full():
-            break
-        if stage.spec.is_gang:
-            effects += _place_gang(round_, job, stage)
-        else:
-            effects += _place_tasks(round_, job, stage)
+            return effects + _place_overdue_task(round_, waiting[position:])
+        effects += _place_stage(round_, job, stage)
     return effects
 
 
@@ -433,6 +432,38 @@
     return tasks
 
 
+def _place_overdue_task(
+    round_: PlacementRound, waiting: t.Iterable[tuple[JobState, StageState]]
+) -> list[Effect]:
+    """Start the lasting task, or gang, that has waited longest and finds room.
+
+    Jobs that are ranked before it may take all starts for as long as a burst lasts.
+
+    :param waiting: The stages that a full round has not reached.
+    """
+    overdue: list[tuple[dt.datetime, JobState, StageState]] = []
+    for job, stage in waiting:
+        if stage.spec.is_lasting:
+            first = _find_tasks_to_place(round_, job, stage)[0]
+            if _is_overdue(round_, stage, first):
+                overdue.append((first.waiting_since or round_.now, job, stage))
+    overdue.sort(key=lambda row: row[0])
+    round_.max_starts = len(round_.changes) + 1
+    for _, job, stage in overdue:
+        effects = _place_stage(round_, job, stage)
+        if effects:
+            return effects
+    return []
+
+
+def _place_stage(
+    round_: PlacementRound, job: JobState, stage: StageState
+) -> list[Effect]:
+    if stage.spec.is_gang:
+        return _place_gang(round_, job, stage)
+    return _place_tasks(round_, job, stage)
+
+
 def _place_tasks(
     round_: PlacementRound, job: JobState, stage: StageState
 ) -> list[Effect]:
@@ -499,7 +530,7 @@
     """
     candidates = _find_candidates(round_, job, stage)
     chosen = _choose_among(round_, candidates, stage, task)
-    if chosen is None and _may_use_suspects(round_, stage, task):
+    if chosen is None and _is_overdue(round_, stage, task):
         suspects = _evaluate_all(round_, job, stage, accepts_suspects=True)
         chosen = _choose_among(round_, suspects, stage, task)
     return chosen
@@ -526,14 +557,13 @@
     return next(iter(proven or not_avoided or usable), None)
 
 
-def _may_use_suspects(
-    round_: PlacementRound, stage: StageState, task: TaskState
-) -> bool:
+def _is_overdue(round_: PlacementRound, stage: StageState, task: TaskState) -> bool:
+    """Whether a lasting task has waited so long that callers soon miss it."""
     since = task.waiting_since
     return (
         stage.spec.is_lasting
         and since is not None
-        and round_.now - since >= SUSPICION_WAIT
+        and round_.now - since >= LASTING_WAIT
     )
 
 
@@ -858,7 +888,7 @@
     if chosen is None and _is_starved(round_, job, stage):
         usable = list(_evaluate_all(round_, job, stage, accepts_harm=True))
         chosen = _choose_gang_instances(usable, stage)
-    if chosen is None and _may_use_suspects(round_, stage, stage.tasks[0]):
+    if chosen is None and _is_overdue(round_, stage, stage.tasks[0]):
         usable = list(_evaluate_all(round_, job, stage, accepts_suspects=True))
         chosen = _choose_gang_instances(usable, stage)
     return chosen
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -15,10 +15,12 @@
 )
 from fighead.decisions import interference as learning
 from fighead.decisions.schedule_state import RecentEnd
+from fighead.decisions.start_window import StartWindow
 from fighead.job import Demand, JobPhase, JobProgress, Queue, Stage, StageProgress
 from fighead.job_settings import JobSettings
 from fighead.run import EndKind, PaceRun, RefusalReason, StartRun, StopRun
 from job_builders import (
+    JOB_ID,
     LEASE,
     add_instance,
     add_job,
@@ -461,6 +463,34 @@
     assert [task for _, task in place_tasks(schedule, 3)] == [task_key(1)]
 
 
+def place_burst(schedule, at):
+    """Place tasks beside a new job that fills a round; return the tasks."""
+    stage = Stage(count=20, cpu=10, memory_mb=1, estimate_ms=1000)
+    add_job(schedule, stage, job_id=make_job_id(2 + at))
+    schedule.start_window.sent_at.clear()
+    return [task for _, task in place_tasks(schedule, at)]
+
+
+# Failure: a burst that takes all starts keeps a lasting task waiting beside room.
+def test_a_lasting_task_does_not_wait_until_the_starts_of_a_burst_are_sent():
+    schedule = make_schedule()
+    schedule.start_window = StartWindow(limit=8)
+    job = add_job(schedule, evolve(LASTING, count=3))
+    job.queue = evolve(job.queue, priority=job.queue.priority + 1)
+    found = [place_burst(schedule, at) for at in range(5)]
+    lasting = [[task for task in tasks if task.job_id == JOB_ID] for tasks in found]
+    assert lasting == [[], [], [], [task_key(0)], [task_key(1)]]
+    assert [len(tasks) for tasks in found] == [8, 8, 8, 9, 9]
+
+
+def test_a_lasting_task_without_room_takes_no_start_of_a_burst():
+    schedule = make_schedule(capacity=Demand(1000, 1000, 0))
+    schedule.start_window = StartWindow(limit=8)
+    job = add_job(schedule, LASTING)
+    job.queue = evolve(job.queue, priority=job.queue.priority + 1)
+    assert [len(place_burst(schedule, at)) for at in range(5)] == [8] * 5
+
+
 def test_a_listed_run_of_an_ended_job_is_stopped():
     schedule = make_schedule()
     add_job(schedule)
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -172,7 +172,7 @@
         chosen = self.choose_gang(self.usable(job, stage, False), stage)
         if chosen is None and stage.spec.is_filler and self.is_starved(job, stage):
             chosen = self.choose_gang(self.usable(job, stage, True), stage)
-        if chosen is None and self.may_use_suspects(stage, stage.tasks[0]):
+        if chosen is None and self.is_overdue(stage, stage.tasks[0]):
             chosen = self.choose_gang(self.usable(job, stage, False, True), stage)
         if chosen is None:
             return []
@@ -194,14 +194,14 @@
         if stage.spec.is_filler and not usable and self.is_starved(job, stage):
             usable = self.usable(job, stage, True)
         chosen = self.choose_among(usable, stage, task)
-        if chosen is None and self.may_use_suspects(stage, task):
+        if chosen is None and self.is_overdue(stage, task):
             usable = self.usable(job, stage, False, True)
             chosen = self.choose_among(usable, stage, task)
         return chosen
 
-    def may_use_suspects(self, stage, task):
+    def is_overdue(self, stage, task):
         since = task.waiting_since
-        has_waited = since and self.now - since >= placement.SUSPICION_WAIT
+        has_waited = since and self.now - since >= placement.LASTING_WAIT
         return stage.spec.is_lasting and has_waited
 
     def choose_among(self, usable, stage, task):
