--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -67,9 +67,10 @@
 #: How long a serving task is kept off the reserved instances: half of the 6 s after
 #: which a serving task that could run counts as lost.
 HOLD_BACK_TIME = dt.timedelta(seconds=3)
-#: How long a lasting task keeps off instances that look unhealthy although no other has
-#: room: nothing is worse for its users than no run, and 9 s without one count as lost.
-SUSPICION_TIME = dt.timedelta(seconds=5)
+#: Wait after which a lasting task may start on a suspect instance if it finds no other,
+#: and beyond the limit of starts: what could run and did not for 3 s counts as lost. It
+#: is restarted if it fails.
+LASTING_WAIT = dt.timedelta(seconds=3)
 #: While its upstream is less than half used, a filler waits this long for an
 #: instance where it does no harm. A job that waits for 3 s although it could run
 #: counts as lost.
@@ -108,8 +109,9 @@
 def place_waiting_tasks(schedule: Schedule, now: dt.datetime) -> list[Effect]:
     """Start as many waiting tasks as fit, the most urgent jobs first.
 
-    The entry's limit of starts in flight ends a round early. Updates the schedule, and
-    returns the orders to send and the notes to log.
+    The entry's limit of starts in flight ends a round early, but for one lasting task
+    that has waited. Updates the schedule, and returns the orders to send and the notes
+    to log.
     """
     effects: list[Effect] = []
     max_starts = schedule.start_window.free_starts()
@@ -117,14 +119,11 @@
         return effects
     round_ = PlacementRound(schedule, now, max_starts)
     waiting = rank_waiting_stages(schedule, now)
-    _note_waits_of_serving_tasks(schedule, waiting, now)
-    for job, stage in waiting:
+    _note_waits_of_lasting_tasks(schedule, waiting, now)
+    for position, (job, stage) in enumerate(waiting):
         if round_.is_full():
-            break
-        if stage.spec.is_gang:
-            effects += _place_gang(round_, job, stage)
-        else:
-            effects += _place_tasks(round_, job, stage)
+            return effects + _place_overdue_task(round_, waiting[position:])
+        effects += _place_stage(round_, job, stage)
     return effects
 
 
@@ -400,34 +399,71 @@
     return Preview(scores, chosen)
 
 
-def _note_waits_of_serving_tasks(
+def _note_waits_of_lasting_tasks(
     schedule: Schedule,
     waiting: t.Iterable[tuple[JobState, StageState]],
     now: dt.datetime,
 ) -> None:
-    """Note since when serving tasks wait, also of those that a round doesn't reach."""
+    """Note since when lasting tasks wait, also of those that a round doesn't reach."""
     for job, stage in waiting:
-        if stage.spec.target_ms:
+        if _is_lasting(stage.spec):
             for index in schedule.find_startable(job, stage):
                 task = stage.tasks[index]
                 task.waiting_since = task.waiting_since or now
 
 
+def _is_lasting(spec: Stage) -> bool:
+    """Whether the tasks of a stage run on, as serving tasks do too."""
+    return spec.is_lasting or bool(spec.target_ms)
+
+
 def _find_tasks_to_place(
     round_: PlacementRound, job: JobState, stage: StageState
 ) -> list[TaskState]:
     """Return the tasks of a stage that may start, those to be placed first first.
 
-    Of serving tasks that is the one that has waited longest: while it is held back, so
-    are the others.
+    Of lasting tasks that is the one that has waited longest: while it finds no
+    instance, the others find none.
     """
     indexes = sorted(round_.schedule.find_startable(job, stage))
     tasks = [stage.tasks[index] for index in indexes]
-    if stage.spec.target_ms:
+    if _is_lasting(stage.spec):
         tasks.sort(key=lambda task: task.waiting_since or round_.now)
     return tasks
 
 
+def _place_overdue_task(
+    round_: PlacementRound, waiting: t.Iterable[tuple[JobState, StageState]]
+) -> list[Effect]:
+    """Start the lasting task, or gang, that has waited longest and finds room.
+
+    Jobs that are ranked before it may take all starts for as long as a burst lasts.
+
+    :param waiting: The stages that a full round has not reached.
+    """
+    overdue: list[tuple[dt.datetime, JobState, StageState]] = []
+    for job, stage in waiting:
+        if stage.spec.is_lasting:
+            first = _find_tasks_to_place(round_, job, stage)[0]
+            if _is_overdue(round_, stage, first):
+                overdue.append((first.waiting_since or round_.now, job, stage))
+    overdue.sort(key=lambda row: row[0])
+    round_.max_starts = len(round_.changes) + 1
+    for _, job, stage in overdue:
+        effects = _place_stage(round_, job, stage)
+        if effects:
+            return effects
+    return []
+
+
+def _place_stage(
+    round_: PlacementRound, job: JobState, stage: StageState
+) -> list[Effect]:
+    if stage.spec.is_gang:
+        return _place_gang(round_, job, stage)
+    return _place_tasks(round_, job, stage)
+
+
 def _place_tasks(
     round_: PlacementRound, job: JobState, stage: StageState
 ) -> list[Effect]:
@@ -489,9 +525,23 @@
     """Return the usable instance with the highest score, or ``None``.
 
     Instances on which a run of the task has failed are chosen only if no other is
-    usable. A task that has failed prefers instances whose last run succeeded.
+    usable, and suspect ones only for a lasting task that has waited. A task that has
+    failed prefers instances whose last run succeeded.
     """
     candidates = _find_candidates(round_, job, stage)
+    chosen = _choose_among(round_, candidates, stage, task)
+    if chosen is None and _is_overdue(round_, stage, task):
+        suspects = _evaluate_all(round_, job, stage, accepts_suspects=True)
+        chosen = _choose_among(round_, suspects, stage, task)
+    return chosen
+
+
+def _choose_among(
+    round_: PlacementRound,
+    candidates: Candidates,
+    stage: StageState,
+    task: TaskState,
+) -> InstanceState | None:
     must_keep_off = is_held_back(round_, stage, task)
     if not (must_keep_off or task.avoided_instances or task.failures):
         return next(iter(candidates), None)
@@ -507,6 +557,16 @@
     return next(iter(proven or not_avoided or usable), None)
 
 
+def _is_overdue(round_: PlacementRound, stage: StageState, task: TaskState) -> bool:
+    """Whether a lasting task has waited so long that callers soon miss it."""
+    since = task.waiting_since
+    return (
+        stage.spec.is_lasting
+        and since is not None
+        and round_.now - since >= LASTING_WAIT
+    )
+
+
 def is_held_back(round_: PlacementRound, stage: StageState, task: TaskState) -> bool:
     """Whether a serving task must keep off instances without serving tasks.
 
@@ -528,14 +588,11 @@
     """Return the usable instances for a stage, those with the highest score first.
 
     A filler gets those with unused processors where its impact is acceptable; if there
-    are none and it is starved, it gets all that it fits on. A lasting task that has
-    waited long for any other gets those that look unhealthy.
+    are none and it is starved, it gets all that it fits on.
     """
     found = _evaluate_all(round_, job, stage)
     if not found and _is_starved(round_, job, stage):
         return _evaluate_all(round_, job, stage, accepts_harm=True)
-    if not found and _is_overdue(round_, stage):
-        return _evaluate_all(round_, job, stage, accepts_suspects=True)
     return found
 
 
@@ -550,7 +607,7 @@
     """Return the instances that a stage can use, those with the highest score first.
 
     :param accepts_harm: See :func:`_evaluate`.
-    :param accepts_suspects: See :func:`is_usable`.
+    :param accepts_suspects: The same.
     """
     kind = _kind_of(round_, job, stage)
     evaluate = functools.partial(
@@ -599,7 +656,7 @@
 
     :param accepts_harm: Whether a filler may start whatever its impact is, and without
         unused processors.
-    :param accepts_suspects: See :func:`is_usable`.
+    :param accepts_suspects: Whether the instance may look unhealthy.
     """
     if not is_usable(
         state,
@@ -643,19 +700,6 @@
     return round_.use_of(job.queue.upstream).is_below(LOW_USE_SHARE)
 
 
-def _is_overdue(round_: PlacementRound, stage: StageState) -> bool:
-    """Whether a lasting task has waited so long that any instance is better than none.
-
-    An instance that looks unhealthy may be well, and its room is what is left of a full
-    upstream, since it gets no other runs.
-    """
-    if not stage.spec.is_lasting:
-        return False
-    since = (stage.tasks[index].waiting_since for index in stage.waiting_indexes)
-    earliest = min((at for at in since if at is not None), default=round_.now)
-    return round_.now - earliest >= SUSPICION_TIME
-
-
 def is_usable(
     state: InstanceState,
     job: JobState,
@@ -675,7 +719,7 @@
     return (
         (has_room if needs_unused_cpu else fits)(state, stage)
         and is_suitable(state, job, stage)
-        and find_obstacle(state, now, ignores_suspicion=accepts_suspects) is None
+        and accepts_runs(state, now, accepts_suspects=accepts_suspects)
     )
 
 
@@ -703,15 +747,23 @@
     )
 
 
-def accepts_runs(state: InstanceState, now: dt.datetime) -> bool:
-    """Whether an instance is known, reachable, healthy and not to be emptied."""
-    return find_obstacle(state, now) is None
+def accepts_runs(
+    state: InstanceState, now: dt.datetime, *, accepts_suspects: bool = False
+) -> bool:
+    """Whether an instance is known, reachable, healthy and not to be emptied.
+
+    :param accepts_suspects: Whether it may look unhealthy.
+    """
+    return find_obstacle(state, now, accepts_suspects=accepts_suspects) is None
 
 
 def find_obstacle(
-    state: InstanceState, now: dt.datetime, *, ignores_suspicion: bool = False
+    state: InstanceState, now: dt.datetime, *, accepts_suspects: bool = False
 ) -> Obstacle | None:
-    """Return why an instance gets no runs, whatever its room; ``None`` if it does."""
+    """Return why an instance gets no runs, whatever its room; ``None`` if it does.
+
+    :param accepts_suspects: Whether looking unhealthy is no reason.
+    """
     if not state.is_reachable:
         return Obstacle.SILENT
     if not state.is_listed:
@@ -722,7 +774,7 @@
         return Obstacle.UNREGISTERED
     if not state.is_in_stored_fleet:
         return Obstacle.NOT_IN_STORED_FLEET
-    if not ignores_suspicion and instance_health.is_suspect(state, now):
+    if instance_health.is_suspect(state, now) and not accepts_suspects:
         return Obstacle.SUSPECT
     if state.instance.is_draining:
         return Obstacle.DRAINING
@@ -836,6 +888,9 @@
     if chosen is None and _is_starved(round_, job, stage):
         usable = list(_evaluate_all(round_, job, stage, accepts_harm=True))
         chosen = _choose_gang_instances(usable, stage)
+    if chosen is None and _is_overdue(round_, stage, stage.tasks[0]):
+        usable = list(_evaluate_all(round_, job, stage, accepts_suspects=True))
+        chosen = _choose_gang_instances(usable, stage)
     return chosen
 
 
