End calls that have waited for a connection for half of their limit

Since calls keep their order while they wait, an instance that is offered more calls than it answers gets each of them just before its limit: it is sent, ends without an answer and takes its connection with it, and so does the next. Listings wait in the same queue, so that leases suffer too.

A call that has waited for half of its limit now ends as not sent, which is certain, and hands its turn on. The transport of the tests told the loss of an aborted connection twice, which freed two places; it tells it once.

--- a/src/fighead/http_client.py
+++ b/src/fighead/http_client.py
@@ -27,6 +27,9 @@
 CONNECT_TIMEOUT = dt.timedelta(milliseconds=600)
 #: Wait for a free connection after which a call may open a further one.
 PATIENCE = dt.timedelta(milliseconds=100)
+#: Share of the limit on a call after which it is no longer sent: it would often end
+#: without an answer, and take a connection with it.
+MAX_WAIT_SHARE = 0.5
 #: Size in bytes at which a response is rejected: several times that of the largest
 #: page of the store.
 MAX_RESPONSE_BYTES = 16 << 20
@@ -278,7 +281,7 @@
 
         progress = _Progress()
         pending = Deferred.fromCoroutine(
-            self._exchange(address, req, progress, restart_limit)
+            self._exchange(address, req, timeout, progress, restart_limit)
         )
         limited = limit.apply(pending).addErrback(self._count_failure, progress)
         return limited.addErrback(progress.raise_typed_error)
@@ -312,6 +315,7 @@
         self,
         address: str,
         req: HttpRequest,
+        timeout: dt.timedelta,
         progress: "_Progress",
         on_data: t.Callable[[], None],
     ) -> HttpResponse:
@@ -319,8 +323,11 @@
         data = encode_request(req, address)
         pool = self._pools.setdefault(address, _AddressPool())
         is_overdue = False
+        latest = self.clock.now() + timeout * MAX_WAIT_SHARE
         while not pool.idle and pool.open_count >= self._find_limit(is_overdue):
             is_overdue = await self._wait_for_connection(pool)
+            if self.clock.now() > latest:
+                raise TimeoutError("No connection became free in time.")
         conn = (
             pool.idle.pop() if pool.idle else await self._connect(address, peer, pool)
         )
@@ -388,11 +395,14 @@
         self._wake_next_call(pool)
 
     def _wake_next_call(self, pool: _AddressPool) -> None:
-        """Let the oldest call have a free connection, or open one if it may."""
-        if not pool.waiting:
-            return
-        permit, is_overdue = next(iter(pool.waiting.items()))
-        if pool.idle or pool.open_count < self._find_limit(is_overdue):
+        """Let the oldest call have a free connection, or open one if it may.
+
+        One that has waited too long ends instead, and the next one has its turn.
+        """
+        while pool.waiting:
+            permit, is_overdue = next(iter(pool.waiting.items()))
+            if not pool.idle and pool.open_count >= self._find_limit(is_overdue):
+                break
             del pool.waiting[permit]
             permit.callback(is_overdue)
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -65,13 +65,22 @@
 
 
 class Transport(StringTransport):
-    """A transport that tells its protocol when it is aborted."""
+    """A transport that tells its protocol when it is aborted.
+
+    :cvar on_write: Called after each write.
+    """
+
+    on_write = staticmethod(lambda: None)
+
+    def write(self, data):
+        super().write(data)
+        self.on_write()
 
     def setTcpNoDelay(self, enabled):  # noqa: N802
         pass
 
     def abortConnection(self):  # noqa: N802
-        super().abortConnection()
+        self.disconnected = True
         self.protocol.connectionLost(Failure(error.ConnectionAborted()))
 
     def loseConnection(self):  # noqa: N802
@@ -79,10 +88,10 @@
         self.protocol.connectionLost(Failure(error.ConnectionDone()))
 
 
-def connect(reactor, number=-1):
+def connect(reactor, number=-1, transport=None):
     """Complete a connection attempt, by default the latest; return its protocol."""
     protocol = reactor.tcpClients[number][2].buildProtocol(None)
-    transport = Transport()
+    transport = transport or Transport()
     transport.protocol = protocol
     protocol.makeConnection(transport)
     return protocol
@@ -319,3 +328,35 @@
     assert len(reactor.tcpClients) == 2
     reactor.advance(0.11)
     assert len(reactor.tcpClients) == 3
+
+
+def make_slow_transport(reactor, service_s):
+    """Return a transport to a server that takes a time for each answer."""
+
+    transport = Transport()
+
+    def answer():
+        if not (transport.disconnected or transport.disconnecting):
+            transport.protocol.dataReceived(OK_RESPONSE)
+
+    transport.on_write = lambda: reactor.callLater(service_s, answer)
+    return transport
+
+
+# Failure: under a steady overload each call is sent so late that it gets no answer.
+@pytest.mark.parametrize(("rate", "service_s"), [(170, 0.05), (60, 0.2)])
+def test_an_overloaded_server_answers_as_many_calls_as_it_can(reactor, rate, service_s):
+    pool = HttpPool(reactor, ReactorClock(reactor, START), 4, 4)
+    results, served, step_s, seconds = [], 0, 0.01, 10
+    for step in range(round((seconds + 2) / step_s)):
+        while len(results) < min(step * step_s, seconds) * rate:
+            results.append(ask(pool))
+        for number in range(served, len(reactor.tcpClients)):
+            connect(reactor, number, make_slow_transport(reactor, service_s))
+        served = len(reactor.tcpClients)
+        reactor.advance(step_s)
+    kinds = [getattr(result, "__name__", "answer") for (result,) in results]
+    # A step of the clock adds to the time of each answer.
+    capacity = (4 + 4) / (service_s + step_s) * seconds
+    assert kinds.count("answer") >= 0.9 * min(capacity, rate * seconds)
+    assert kinds.count("HttpLostError") <= 0.05 * rate * seconds
