Bound how long many lasting tasks wait beside a burst of starts

Found by a review, not seen by callers.

The window is exceeded by a tenth of a round at most, or by a gang, as before. The new test has 20 tasks and a round each 0.5 s: before, the last started after 12.5 s.

--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -68,9 +68,11 @@
 #: which a serving task that could run counts as lost.
 HOLD_BACK_TIME = dt.timedelta(seconds=3)
 #: Wait after which a lasting task may start on a suspect instance if it finds no other,
-#: and beyond the limit of starts: what could run and did not for 3 s counts as lost. It
-#: is restarted if it fails.
+#: and beyond the limit of starts: a third of the 9 s without a run after which callers
+#: count it as lost. It is restarted if it fails.
 LASTING_WAIT = dt.timedelta(seconds=3)
+#: Starts of such tasks beyond the limit of a round, as a share of it.
+MAX_OVERDUE_SHARE = 0.1
 #: While its upstream is less than half used, a filler waits this long for an
 #: instance where it does no harm. A job that waits for 3 s although it could run
 #: counts as lost.
@@ -109,9 +111,9 @@
 def place_waiting_tasks(schedule: Schedule, now: dt.datetime) -> list[Effect]:
     """Start as many waiting tasks as fit, the most urgent jobs first.
 
-    The entry's limit of starts in flight ends a round early, but for one lasting task
-    that has waited. Updates the schedule, and returns the orders to send and the notes
-    to log.
+    The entry's limit of starts in flight ends a round early, but for a few lasting
+    tasks that have waited. Updates the schedule, and returns the orders to send and the
+    notes to log.
     """
     effects: list[Effect] = []
     max_starts = schedule.start_window.free_starts()
@@ -122,7 +124,7 @@
     _note_waits_of_lasting_tasks(schedule, waiting, now)
     for position, (job, stage) in enumerate(waiting):
         if round_.is_full():
-            return effects + _place_overdue_task(round_, waiting[position:])
+            return effects + _place_overdue_tasks(round_, waiting[position:])
         effects += _place_stage(round_, job, stage)
     return effects
 
@@ -406,14 +408,14 @@
 ) -> None:
     """Note since when lasting tasks wait, also of those that a round doesn't reach."""
     for job, stage in waiting:
-        if _is_lasting(stage.spec):
+        if _runs_on(stage.spec):
             for index in schedule.find_startable(job, stage):
                 task = stage.tasks[index]
                 task.waiting_since = task.waiting_since or now
 
 
-def _is_lasting(spec: Stage) -> bool:
-    """Whether the tasks of a stage run on, as serving tasks do too."""
+def _runs_on(spec: Stage) -> bool:
+    """Whether the tasks of a stage have no end of their own."""
     return spec.is_lasting or bool(spec.target_ms)
 
 
@@ -427,15 +429,15 @@
     """
     indexes = sorted(round_.schedule.find_startable(job, stage))
     tasks = [stage.tasks[index] for index in indexes]
-    if _is_lasting(stage.spec):
+    if _runs_on(stage.spec):
         tasks.sort(key=lambda task: task.waiting_since or round_.now)
     return tasks
 
 
-def _place_overdue_task(
+def _place_overdue_tasks(
     round_: PlacementRound, waiting: t.Iterable[tuple[JobState, StageState]]
 ) -> list[Effect]:
-    """Start the lasting task, or gang, that has waited longest and finds room.
+    """Start the lasting tasks and gangs that have waited longest and find room.
 
     Jobs that are ranked before it may take all starts for as long as a burst lasts.
 
@@ -448,12 +450,14 @@
             if _is_overdue(round_, stage, first):
                 overdue.append((first.waiting_since or round_.now, job, stage))
     overdue.sort(key=lambda row: row[0])
-    round_.max_starts = len(round_.changes) + 1
+    extra_starts = max(1, int(round_.max_starts * MAX_OVERDUE_SHARE))
+    round_.max_starts = len(round_.changes) + extra_starts
+    effects: list[Effect] = []
     for _, job, stage in overdue:
-        effects = _place_stage(round_, job, stage)
-        if effects:
-            return effects
-    return []
+        if round_.is_full():
+            break
+        effects += _place_stage(round_, job, stage)
+    return effects
 
 
 def _place_stage(
@@ -888,7 +892,8 @@
     if chosen is None and _is_starved(round_, job, stage):
         usable = list(_evaluate_all(round_, job, stage, accepts_harm=True))
         chosen = _choose_gang_instances(usable, stage)
-    if chosen is None and _is_overdue(round_, stage, stage.tasks[0]):
+    first = stage.tasks[0]
+    if chosen is None and _is_overdue(round_, stage, first):
         usable = list(_evaluate_all(round_, job, stage, accepts_suspects=True))
         chosen = _choose_gang_instances(usable, stage)
     return chosen
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -463,10 +463,10 @@
     assert [task for _, task in place_tasks(schedule, 3)] == [task_key(1)]
 
 
-def place_burst(schedule, at):
+def place_burst(schedule, at, count=20):
     """Place tasks beside a new job that fills a round; return the tasks."""
-    stage = Stage(count=20, cpu=10, memory_mb=1, estimate_ms=1000)
-    add_job(schedule, stage, job_id=make_job_id(2 + at))
+    stage = Stage(count=count, cpu=10, memory_mb=1, estimate_ms=1000)
+    add_job(schedule, stage, job_id=make_job_id(2 + round(2 * at)))
     schedule.start_window.sent_at.clear()
     return [task for _, task in place_tasks(schedule, at)]
 
@@ -483,6 +483,18 @@
     assert [len(tasks) for tasks in found] == [8, 8, 8, 9, 9]
 
 
+# Failure: lasting tasks start one a round beside a burst, and rounds are rare then.
+def test_many_lasting_tasks_start_in_time_beside_a_burst():
+    schedule = make_schedule()
+    schedule.start_window = StartWindow(limit=40)
+    job = add_job(schedule, evolve(LASTING, count=20))
+    job.queue = evolve(job.queue, priority=job.queue.priority + 1)
+    found = [place_burst(schedule, at / 2, count=80) for at in range(18)]
+    counts = [sum(task.job_id == JOB_ID for task in tasks) for tasks in found]
+    assert counts == [0] * 6 + [4] * 5 + [0] * 7
+    assert max(len(tasks) for tasks in found) == 44
+
+
 def test_a_lasting_task_without_room_takes_no_start_of_a_burst():
     schedule = make_schedule(capacity=Demand(1000, 1000, 0))
     schedule.start_window = StartWindow(limit=8)
