Look for suspect instances once in a round

Since each overdue lasting task without room had all instances evaluated a second time, whether or not one was suspect. The choices are the same: tests/test_placement_cost.py compares them.

--- a/src/fighead/decisions/placement.py
+++ b/src/fighead/decisions/placement.py
@@ -185,6 +185,11 @@
             state.is_registered and not state.is_evacuated for state in self.states
         )
 
+    @functools.cached_property
+    def has_suspects(self) -> bool:
+        """Whether an instance gets no runs because it looks unhealthy."""
+        return any(instance_health.is_suspect(state, self.now) for state in self.states)
+
     def candidates_for(self, kind: Kind, evaluate: Evaluate) -> Candidates:
         """Return the instances for a kind of task, evaluated as far as necessary."""
         found = self.candidates.get(kind)
@@ -534,7 +539,7 @@
     """
     candidates = _find_candidates(round_, job, stage)
     chosen = _choose_among(round_, candidates, stage, task)
-    if chosen is None and _is_overdue(round_, stage, task):
+    if chosen is None and round_.has_suspects and _is_overdue(round_, stage, task):
         suspects = _evaluate_all(round_, job, stage, accepts_suspects=True)
         chosen = _choose_among(round_, suspects, stage, task)
     return chosen
@@ -893,7 +898,7 @@
         usable = list(_evaluate_all(round_, job, stage, accepts_harm=True))
         chosen = _choose_gang_instances(usable, stage)
     first = stage.tasks[0]
-    if chosen is None and _is_overdue(round_, stage, first):
+    if chosen is None and round_.has_suspects and _is_overdue(round_, stage, first):
         usable = list(_evaluate_all(round_, job, stage, accepts_suspects=True))
         chosen = _choose_gang_instances(usable, stage)
     return chosen
