--- a/src/fighead/decisions/lasting_waits.py
+++ b/src/fighead/decisions/lasting_waits.py
@@ -22,6 +22,7 @@
     InstanceState,
     JobState,
     LogNote,
+    RunPhase,
     RunState,
     Schedule,
     StageState,
@@ -46,6 +47,10 @@
     HELD = "held"
     #: The same, and the start of the run may arrive late.
     LATE_START = "late_start"
+    #: The start of its run has not been answered.
+    ORDERED = "ordered"
+    #: Its run is being stopped.
+    STOPPING = "stopping"
 
 
 @define(eq=False)
@@ -66,7 +71,7 @@
 class _AbsentTask:
     """A lasting task without a run that is known to go on.
 
-    :param run: Its run on an instance that doesn't answer, if it has one.
+    :param run: Its run, if it has one that is not known to go on.
     """
 
     job: JobState
@@ -168,18 +173,27 @@
             for index in sorted(stage.waiting_indexes):
                 yield _AbsentTask(job, stage, stage.tasks[index])
     for state in schedule.instances.values():
-        if state.is_reachable and state.is_listed:
-            continue
         for run in state.runs.values():
+            if not run.stage.is_lasting or (
+                _is_heard(state) and run.phase is RunPhase.RUNNING
+            ):
+                continue
             job = schedule.jobs.get(run.key.job_id)
-            if run.stage.is_lasting and job is not None and not job.is_ended:
+            if job is not None and not job.is_ended:
                 stage = job.stages[run.key.occurrence, run.key.stage]
                 yield _AbsentTask(job, stage, stage.tasks[run.key.index], run)
 
 
+def _is_heard(state: InstanceState) -> bool:
+    return state.is_reachable and state.is_listed
+
+
 def _find_absence(schedule: Schedule, row: _AbsentTask, now: dt.datetime) -> Absence:
     if row.run is None:
         return Absence.WAITING
+    if _is_heard(schedule.instances[row.run.instance_id]):
+        is_ordered = row.run.phase is RunPhase.ORDERED
+        return Absence.ORDERED if is_ordered else Absence.STOPPING
     late_end = _find_late_end(schedule, row.run)
     is_late = late_end is not None and now < late_end
     return Absence.LATE_START if is_late else Absence.HELD
--- a/tests/test_lasting_waits.py
+++ b/tests/test_lasting_waits.py
@@ -110,6 +110,20 @@
     assert line["obstacles"] == {"none": 2, "silent": 1}
 
 
+@pytest.mark.parametrize("phase", [RunPhase.ORDERED, RunPhase.STOPPING])
+def test_the_line_tells_that_a_start_or_stop_has_no_answer(phase):
+    schedule = make_schedule(("i1", "i2", "i3"))
+    job = add_job(schedule, SERVING)
+    placement.place_waiting_tasks(schedule, at_seconds(-4))
+    placement.place_waiting_tasks(schedule, at_seconds(0))
+    (run,) = job.runs()
+    run.phase = phase
+    line = describe(schedule)
+    assert (line["absence"], line["held_by"]) == (phase.value, run.instance_id)
+    run.phase = RunPhase.RUNNING
+    assert describe(schedule) is None
+
+
 def test_room_on_one_instance_or_on_leaving_ones_is_not_room():
     schedule = make_schedule(("i1",))
     add_instance(schedule, "i2", is_draining=True)
