--- a/review/deployment/deployment.py
+++ b/review/deployment/deployment.py
@@ -269,9 +269,15 @@
         rows = [json.loads(line) for line in path.read_text().splitlines()]
         return sorted(rows, key=lambda row: row["at"])
 
-    def write_events(self) -> None:
+    def read_log(self, name: str) -> list[str]:
+        """Return the lines that a process has written."""
+        return (self.folder / f"{name}.log").read_text().splitlines()
+
+    def write_events(
+        self, is_wanted: t.Callable[[Json], bool] = lambda _: True
+    ) -> None:
         """Write the starts and ends to the record."""
-        for row in self.events():
+        for row in filter(is_wanted, self.events()):
             at = row["at"] - self.started_at
             line = f"{row['worker']} {row['event']} {row['task']} run {row['run']}"
             self.record.write(f"{at:8.3f} {line}\n")
@@ -316,6 +322,8 @@
         if event["task"].split(".")[0] != job_id or event["at"] > until:
             continue
         identity = (event["task"], event["run"])
+        if event["event"] == "taken note of":
+            continue
         if event["event"] == "started":
             if not running:
                 gaps.append((idle_since, event["at"]))
--- a/review/deployment/worker.py
+++ b/review/deployment/worker.py
@@ -1,9 +1,11 @@
 """Stand-in for one worker, as the page on running tasks describes it.
 
 The ``Spec`` of a submission is a JSON object that tells how its tasks behave:
-``run_ms`` is the run time of a task, ``end`` how it ends (``done`` or ``failed``), and
-``lasts`` that it runs until it is stopped. Every start and end is written to a log of
-JSON lines, stamped with the machine's monotonic clock.
+``run_ms`` is the run time of a task, ``end`` how it ends (``done`` or ``failed``),
+``lasts`` that it runs until it is stopped, ``cpu`` what it takes of the capacity, and
+``saved`` the length of its checkpoints. ``steps`` may hold such an object for each
+step. Every start and end, and when an end is taken note of, is written to a log of JSON
+lines, stamped with the machine's monotonic clock.
 """
 
 import argparse
@@ -29,14 +31,24 @@
 class Run:
     """One run of a task."""
 
-    def __init__(self, body: Json, demand: int) -> None:
+    def __init__(self, body: Json) -> None:
         self.task: str = body["Task"]
         self.number: int = body["Run"]
-        self.demand = demand
-        self.spec: Json = json.loads(body["Spec"])
+        spec: Json = json.loads(body["Spec"])
+        step = int(self.task.split(".")[2])
+        self.spec: Json = spec["steps"][step] if "steps" in spec else spec
+        self.demand: int = self.spec.get("cpu", 1000)
         self.started_at = time.monotonic()
         self.stops_at: float | None = None
 
+    def checkpoint(self) -> str:
+        """Return the latest checkpoint; empty if there is none."""
+        length = self.spec.get("saved", 0)
+        age_s = int(time.monotonic() - self.started_at)
+        if not length or not age_s:
+            return ""
+        return f"{self.task}/{self.number}/{age_s}/".ljust(length, "0")
+
     def percent(self) -> int:
         """Return the whole percents that are done."""
         age_s = time.monotonic() - self.started_at
@@ -88,7 +100,8 @@
                 del self.runs[identity]
                 self.last_end += 1
                 self.forbid(run.task, run.number)
-                self.ends.append([self.last_end, run.task, run.number, how, ""])
+                saved = run.checkpoint()
+                self.ends.append([self.last_end, run.task, run.number, how, saved])
                 self.note(how, run.task, run.number)
 
     def forbid(self, task: str, number: int) -> None:
@@ -116,6 +129,9 @@
             return 200, {}
         if path == "/fighead/hold":
             self.extend_lease(body.get("DeadlineMs", 0))
+            for end in self.ends:
+                if end[0] <= body["Acked"]:
+                    self.note("taken note of", end[1], end[2])
             self.ends = [end for end in self.ends if end[0] > body["Acked"]]
             return 200, {}
         return (200, {}) if path == "/fighead/pace" else (400, {})
@@ -130,7 +146,7 @@
             return 200, {}
         if body["Run"] <= self.highest.get(body["Task"], 0):
             return 409, {"Reason": "old"}
-        run = Run(body, json.loads(body["Spec"]).get("cpu", 1000))
+        run = Run(body)
         if sum(r.demand for r in self.runs.values()) + run.demand > self.args.cpu:
             return 409, {"Reason": "room"}
         self.runs[identity] = run
@@ -141,7 +157,7 @@
         """Return the lists of what runs and of what has ended."""
         self.update()
         rows = [
-            [run.task, run.number, "", run.percent(), run.demand]
+            [run.task, run.number, run.checkpoint(), run.percent(), run.demand]
             for run in self.runs.values()
         ]
         return {"Running": rows, "Finished": self.ends[:500]}
