--- a/review/deployment/deployment.py
+++ b/review/deployment/deployment.py
@@ -50,7 +50,7 @@
 Front = "{ip}:{front}"
 Ready = "{ip}:{ready}"
 [Limits]
-CpuShare = 0.537
+CpuShare = {cpu_share}
 Cores = 2
 MemoryMb = 300
 MaxFds = 4100
@@ -142,7 +142,9 @@
         arguments += ["--log", str(self.folder / "runs.jsonl")]
         self._start(name, [sys.executable, str(WORKER), *arguments], {})
 
-    def write_settings(self, name: str, zone: str = "za") -> None:
+    def write_settings(
+        self, name: str, zone: str = "za", cpu_share: float = 0.537
+    ) -> None:
         """Write the settings file of an entry, which keeps its addresses."""
         path = self.folder / f"{name}.toml"
         ip = f"{self._network}.{len(self.front) + 1}"
@@ -158,14 +160,10 @@
             peer=peer,
             store=self.store,
             notice_ms=self.notice_ms,
+            cpu_share=cpu_share,
         )
         path.write_text(text)
 
-    def touch_settings(self, name: str) -> None:
-        """Change the settings file of an entry by a comment."""
-        path = self.folder / f"{name}.toml"
-        path.write_text(f"{path.read_text()}# changed at {time.time_ns()}\n")
-
     def start_entry(self, name: str) -> None:
         """Start an entry with the command of the deploy file."""
         command = DEPLOY["roles"]["entry"]["run"].split()
@@ -240,6 +238,14 @@
             self.write(f"the operator wrote {key}")
         return status == 200
 
+    def leader(self) -> str:
+        """Return the name of the entry that holds the leader key; empty if none."""
+        path = "/fighead/kv-key?Key=fighead/control/leader"
+        status, item = self.call(self.store, "GET", path)
+        if status != 200:
+            return ""
+        return json.loads(base64.b64decode(item["Value"]))["name"]
+
     def is_ready(self, name: str) -> bool:
         """Whether an entry reports that it is ready."""
         path = "/fighead/readiness"
