--- a/review/support-3/worker.py
+++ b/review/support-3/worker.py
@@ -3,16 +3,20 @@
 
 It guards its capacity, keeps the highest fence, runs tasks under one lease on its
 steady clock, and lists runs and ends. What a task does stands in the job's ``Spec``: a
-JSON object with a list ``steps``, whose last entry is that of all further steps, too;
-each entry has ``cpu`` (thousandths of a core),
-``ms`` (work) and maybe ``fails`` (the task ends ``failed`` after that time),
-``first_ms`` (work of the task with index 0), ``lasts`` (it has no end of its own) and
-``saved_chars`` (length of the checkpoints). A task with ``tails`` serves: each row has
-the ms since its start until which it holds, and the tail in ms alone and beside a task
-with ``fills`` that works.
-The first order of at least ``late_percent`` on the pace of a run that has ``late_from``
-ms behind it gets no answer, and is carried out ``late_ms`` later. Each event goes to a
-file.
+JSON object with a list ``steps``, whose last entry is that of all further steps, too:
+
+- ``cpu`` (thousandths of a core), ``ms`` (work), ``lasts`` (it has no end of its own),
+  ``fills``.
+- ``tails``, for a task that serves: rows of the ms since its start until which the row
+  holds, and the tail in ms alone and beside a task that fills and works.
+- ``late_percent``, ``late_from``, ``late_ms``: the first order of that pace or more
+  gets no answer, once the run has lasted ``late_from`` ms, and is carried out
+  ``late_ms`` later.
+- ``start_late_ms``: the same for the first start of the first run of a task.
+- ``cut_ms``, ``reborn_ms``, ``back_ms``: how long after that start the worker is cut
+  off from all machines, starts again behind the cut, and is reached again.
+
+Each event goes to a file.
 """
 
 import argparse
@@ -86,6 +90,14 @@
 
     def __init__(self, args):
         self.args = args
+        self.left_unanswered = set()
+        self.is_cut = False
+        self.begin_life()
+        self.changed = asyncio.Event()
+        self.events = open(args.events, "a", buffering=1)
+
+    def begin_life(self):
+        """Know nothing of before."""
         self.started = time.monotonic()
         self.born = int(time.time() * 1000)
         self.fence = 0
@@ -94,8 +106,19 @@
         self.ends = []
         self.highest_over = {}
         self.sequence = 0
-        self.changed = asyncio.Event()
-        self.events = open(args.events, "a", buffering=1)
+
+    def cut_off(self):
+        self.is_cut = True
+        self.note("is cut off", "", 0)
+
+    def start_again(self):
+        """Crash and start again under the same id."""
+        self.begin_life()
+        self.note("has started again", "", 0)
+
+    def come_back(self):
+        self.is_cut = False
+        self.note("is reached again", "", 0)
 
     def now(self):
         return int((time.monotonic() - self.started) * 1000)
@@ -166,6 +189,23 @@
         self.note("started", task, number, cpu=counted_cpu(step))
         return 200, {}
 
+    def is_left_unanswered(self, body):
+        """Whether a start gets no answer; it is carried out ``start_late_ms`` later."""
+        late_ms = json.loads(body["Spec"])["steps"][0].get("start_late_ms")
+        is_first = body["Run"] == 1 and body["Task"] not in self.left_unanswered
+        if late_ms is None or not is_first:
+            return False
+        self.left_unanswered.add(body["Task"])
+        self.note("leaves a start unanswered", body["Task"], body["Run"])
+        loop = asyncio.get_running_loop()
+        loop.call_later(late_ms / 1000, self.start, body)
+        step = json.loads(body["Spec"])["steps"][0]
+        if "cut_ms" in step:
+            loop.call_later(step["cut_ms"] / 1000, self.cut_off)
+            loop.call_later(step["reborn_ms"] / 1000, self.start_again)
+            loop.call_later(step["back_ms"] / 1000, self.come_back)
+        return True
+
     def stop(self, body):
         task, number = body["Task"], body["Run"]
         self.highest_over[task] = max(self.highest_over.get(task, 0), number)
@@ -266,6 +306,8 @@
             return await self.hold(body)
         if call == "pace":
             return await self.pace(body)
+        if call == "run-start" and self.is_left_unanswered(body):
+            await asyncio.sleep(3600)
         calls = {"run-start": self.start, "run-stop": self.stop}
         return calls[call](body) if call in calls else (404, {})
 
@@ -274,7 +316,12 @@
     async def serve(self, reader, writer):
         try:
             while (message := await read_message(reader)) is not None:
-                status, answer = await self.answer(*message)
+                life = self.born
+                if not self.is_cut:
+                    status, answer = await self.answer(*message)
+                if self.is_cut or life != self.born:
+                    # A cut loses what is sent in either direction.
+                    await asyncio.sleep(3600)
                 answer |= {"ClockMs": self.now(), "born": self.born}
                 body = json.dumps(answer).encode()
                 head = f"HTTP/1.1 {status} {PHRASES.get(status, 'Refused')}\r\n"
@@ -302,6 +349,10 @@
     async def register(self):
         lease, seq = 0, 0
         while True:
+            if self.is_cut:
+                lease = 0
+                await asyncio.sleep(0.1)
+                continue
             try:
                 if lease:
                     status, _ = await self.call_store(f"kv-keep/{lease}", {})
